--- /dev/null
+++ b/src/links/link.ts
@@ -0,0 +1,251 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {Socket} from 'node:net';
+
+import {Clock} from '../clock/clock.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {encodeFrame, FrameDecoder} from './frame_codec.js';
+import {
+  AnswerFrame,
+  HelloFrame,
+  LINK_PROTOCOL_VERSION,
+  LinkFrame,
+  LinkIdentity,
+  RequestFrame,
+} from './link_message.js';
+
+/** Handles what the other side of a link sends. */
+export interface LinkHandler {
+  /** Handles a message that expects no answer. */
+  onMessage(name: string, body: unknown, link: Link): void;
+  /** Handles a request; the value or error is sent back. */
+  onRequest(name: string, body: unknown, link: Link): Promise<unknown>;
+  /** Called once the other side is authenticated. */
+  onOpen?(link: Link): void;
+  /** Called once when the link has closed. */
+  onClose?(link: Link, reason: string): void;
+}
+
+/** Options of {@link Link}. */
+export interface LinkOptions {
+  /** Time in ms between pings on a silent link. @default 250 */
+  pingIntervalMs?: number;
+  /** Silence in ms after which the link is closed. @default 1000 */
+  silenceLimitMs?: number;
+}
+
+interface PendingRequest {
+  resolve(body: unknown): void;
+  reject(error: Error): void;
+  timer: NodeJS.Timeout;
+}
+
+const CODES_BY_NUMBER = new Map<number, ResultCode>(
+  Object.values(ResultCodes).map((code) => [code.number, code]),
+);
+
+function digest(token: string): Buffer {
+  return createHash('sha256').update(token).digest();
+}
+
+/**
+ * One authenticated connection between two processes. Owns its socket; closes
+ * it when the other side is silent.
+ */
+export class Link {
+  /** Identity of the other side; undefined until its hello arrived. */
+  peer: LinkIdentity | undefined;
+  private readonly decoder = new FrameDecoder();
+  private readonly pending = new Map<number, PendingRequest>();
+  private readonly timer: NodeJS.Timeout;
+  private readonly silenceLimitMs: number;
+  private lastReceivedMs: number;
+  private nextId = 1;
+  private closed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly identity: LinkIdentity & {token: string},
+    private readonly handler: LinkHandler,
+    private readonly clock: Clock,
+    options: LinkOptions = {},
+  ) {
+    this.silenceLimitMs = options.silenceLimitMs ?? 1000;
+    this.lastReceivedMs = clock.nowMs();
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('error', (error) => this.close(error.message));
+    socket.on('close', () => this.close('closed by the other side'));
+    this.timer = setInterval(
+      () => this.checkSilence(),
+      options.pingIntervalMs ?? 250,
+    );
+    this.write({type: 'hello', version: LINK_PROTOCOL_VERSION, ...identity});
+  }
+
+  /** Tells whether the other side is authenticated and the link is open. */
+  get isOpen(): boolean {
+    return this.peer !== undefined && !this.closed;
+  }
+
+  /** Sends a message that expects no answer; dropped if the link is closed. */
+  send(name: string, body: unknown): void {
+    if (!this.closed) this.write({type: 'message', name, body});
+  }
+
+  /**
+   * Sends a request and waits for its answer.
+   *
+   * @param name - Name of the request.
+   * @param body - CBOR value.
+   * @param timeoutMs - Longest wait in ms.
+   * @returns The body of the answer.
+   * @throws ResultError with the code of the other side; NO_OWNER if nothing
+   *     was sent; ANSWER_LOST or TIMED_OUT if no answer came.
+   */
+  request(name: string, body: unknown, timeoutMs: number): Promise<unknown> {
+    if (!this.isOpen) {
+      return Promise.reject(
+        new ResultError(
+          ResultCodes.NO_OWNER,
+          `Cannot send "${name}": the link is not open`,
+        ),
+      );
+    }
+    const id = this.nextId++;
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.pending.delete(id);
+        reject(
+          new ResultError(
+            ResultCodes.TIMED_OUT,
+            `Cannot complete "${name}": no answer within ${timeoutMs} ms`,
+          ),
+        );
+      }, timeoutMs);
+      this.pending.set(id, {resolve, reject, timer});
+      this.write({type: 'request', id, name, body});
+    });
+  }
+
+  /** Closes the link; requests without an answer fail as ANSWER_LOST. */
+  close(reason = 'closed'): void {
+    if (this.closed) return;
+    this.closed = true;
+    clearInterval(this.timer);
+    this.socket.destroy();
+    for (const request of this.pending.values()) {
+      clearTimeout(request.timer);
+      request.reject(
+        new ResultError(
+          ResultCodes.ANSWER_LOST,
+          `Cannot receive answer: link ${reason}`,
+        ),
+      );
+    }
+    this.pending.clear();
+    this.handler.onClose?.(this, reason);
+  }
+
+  private write(frame: LinkFrame): void {
+    if (!this.socket.destroyed) this.socket.write(encodeFrame(frame));
+  }
+
+  private receive(chunk: Buffer): void {
+    this.lastReceivedMs = this.clock.nowMs();
+    try {
+      for (const value of this.decoder.push(chunk)) {
+        if (this.closed) return;
+        this.handle(value as LinkFrame);
+      }
+    } catch (error) {
+      this.close(`malformed frame: ${(error as Error).message}`);
+    }
+  }
+
+  private handle(frame: LinkFrame): void {
+    if (!this.peer) {
+      this.authenticate(frame);
+      return;
+    }
+    switch (frame.type) {
+      case 'message':
+        this.handler.onMessage(frame.name, frame.body, this);
+        break;
+      case 'request':
+        void this.answer(frame);
+        break;
+      case 'answer':
+        this.settle(frame);
+        break;
+      case 'ping':
+        this.write({type: 'pong'});
+        break;
+      case 'pong':
+        break;
+      default:
+        this.close('unexpected frame');
+    }
+  }
+
+  private authenticate(frame: LinkFrame): void {
+    const hello = frame as Partial<HelloFrame>;
+    const isValid =
+      hello.type === 'hello' &&
+      hello.version === LINK_PROTOCOL_VERSION &&
+      typeof hello.token === 'string' &&
+      typeof hello.member === 'string' &&
+      typeof hello.incarnation === 'string' &&
+      timingSafeEqual(digest(hello.token), digest(this.identity.token));
+    if (!isValid) {
+      this.close('refused: wrong hello');
+      return;
+    }
+    this.peer = {
+      member: hello.member!,
+      incarnation: hello.incarnation!,
+      role: String(hello.role),
+      dataCentre: String(hello.dataCentre),
+    };
+    this.handler.onOpen?.(this);
+  }
+
+  private async answer(frame: RequestFrame): Promise<void> {
+    const answer: AnswerFrame = {type: 'answer', id: frame.id};
+    try {
+      answer.body = await this.handler.onRequest(frame.name, frame.body, this);
+    } catch (error) {
+      const isKnown = error instanceof ResultError;
+      answer.error = {
+        number: isKnown ? error.code.number : ResultCodes.INTERNAL.number,
+        text: (error as Error).message,
+        retryAfterMs: isKnown ? error.retryAfterMs : undefined,
+      };
+    }
+    if (!this.closed) this.write(answer);
+  }
+
+  private settle(frame: AnswerFrame): void {
+    const request = this.pending.get(frame.id);
+    if (!request) return; // Answered after its time limit.
+    this.pending.delete(frame.id);
+    clearTimeout(request.timer);
+    if (!frame.error) {
+      request.resolve(frame.body);
+      return;
+    }
+    const code =
+      CODES_BY_NUMBER.get(frame.error.number) ?? ResultCodes.INTERNAL;
+    const {retryAfterMs} = frame.error;
+    request.reject(new ResultError(code, frame.error.text, {retryAfterMs}));
+  }
+
+  private checkSilence(): void {
+    const silentMs = this.clock.nowMs() - this.lastReceivedMs;
+    if (silentMs > this.silenceLimitMs) {
+      this.close(`silent for ${Math.round(silentMs)} ms`);
+    } else if (this.peer) {
+      this.write({type: 'ping'});
+    }
+  }
+}
--- /dev/null
+++ b/src/links/link_server.ts
@@ -0,0 +1,61 @@
+import {AddressInfo, createServer, Server} from 'node:net';
+
+import {Clock} from '../clock/clock.js';
+import {Link, LinkHandler, LinkOptions} from './link.js';
+import {LinkIdentity} from './link_message.js';
+
+/** Options of {@link LinkServer}. */
+export interface LinkServerOptions extends LinkOptions {
+  /** Identity and shared secret of this process. */
+  identity: LinkIdentity & {token: string};
+  /** Handles what the other sides send. */
+  handler: LinkHandler;
+  clock: Clock;
+  /** Most links open at once; more are refused. @default 512 */
+  maxLinks?: number;
+}
+
+/** Accepts links from other processes. */
+export class LinkServer {
+  private readonly server: Server;
+  private readonly links = new Set<Link>();
+
+  constructor(options: LinkServerOptions) {
+    const {handler} = options;
+    const relay: LinkHandler = {
+      onMessage: (name, body, link) => handler.onMessage(name, body, link),
+      onRequest: (name, body, link) => handler.onRequest(name, body, link),
+      onOpen: (link) => handler.onOpen?.(link),
+      onClose: (link, reason) => {
+        this.links.delete(link);
+        handler.onClose?.(link, reason);
+      },
+    };
+    this.server = createServer((socket) => {
+      if (this.links.size >= (options.maxLinks ?? 512)) {
+        socket.destroy();
+        return;
+      }
+      this.links.add(
+        new Link(socket, options.identity, relay, options.clock, options),
+      );
+    });
+  }
+
+  /** Starts to accept links; returns the port, chosen by the system if 0. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Closes all links and stops accepting. */
+  stop(): Promise<void> {
+    for (const link of [...this.links]) link.close('stopped');
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+}
--- /dev/null
+++ b/src/random/seeded_random.ts
@@ -0,0 +1,24 @@
+import {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import {RandomSource} from './random_source.js';
+
+const TWO_POWER_32 = 0x100000000;
+
+/** Random source whose sequence is given by its seed. */
+export class SeededRandom implements RandomSource {
+  private readonly generator: RandomGenerator;
+
+  /** @param seed - Whole number; equal seeds give equal sequences. */
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return (this.generator.next() >>> 0) / TWO_POWER_32;
+  }
+
+  nextInteger(limit: number): number {
+    return Math.floor(this.next() * limit);
+  }
+}
--- /dev/null
+++ b/src/settings/read_settings.ts
@@ -0,0 +1,128 @@
+import {readFileSync} from 'node:fs';
+
+import {
+  findNodeAtLocation,
+  Node,
+  parseTree,
+  ParseError,
+  getNodeValue,
+  printParseErrorCode,
+} from 'jsonc-parser';
+import {z} from 'zod';
+
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+
+interface SettingsIssue {
+  line: number;
+  key: string;
+  text: string;
+}
+
+function lineAt(text: string, offset: number): number {
+  return text.slice(0, offset).split('\n').length;
+}
+
+function valueAt(root: Node | undefined, path: Array<string | number>): string {
+  const node = root && findNodeAtLocation(root, path);
+  return node ? JSON.stringify(getNodeValue(node)) : 'nothing';
+}
+
+function nearestNode(
+  root: Node | undefined,
+  path: Array<string | number>,
+): Node | undefined {
+  for (let length = path.length; root && length > 0; length--) {
+    const node = findNodeAtLocation(root, path.slice(0, length));
+    if (node) return node;
+  }
+  return root;
+}
+
+function describeIssues(
+  text: string,
+  root: Node | undefined,
+  error: z.ZodError,
+): SettingsIssue[] {
+  return error.issues.flatMap((issue) => {
+    const path = issue.path.filter((part) => typeof part !== 'symbol');
+    const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys : [];
+    if (unknownKeys.length > 0) {
+      return unknownKeys.map((key) => ({
+        line: lineAt(text, nearestNode(root, [...path, key])?.offset ?? 0),
+        key: [...path, key].join('.'),
+        text: 'unknown key',
+      }));
+    }
+    return [
+      {
+        line: lineAt(text, nearestNode(root, path)?.offset ?? 0),
+        key: path.join('.') || '(root)',
+        text: `given ${valueAt(root, path)}; ${issue.message}`,
+      },
+    ];
+  });
+}
+
+function syntaxIssues(text: string, errors: ParseError[]): SettingsIssue[] {
+  return errors.map((error) => ({
+    line: lineAt(text, error.offset),
+    key: '(syntax)',
+    text: printParseErrorCode(error.error),
+  }));
+}
+
+/**
+ * Checks JSON with comments against a schema.
+ *
+ * @param text - JSON with comments.
+ * @param schema - Schema that the value has to satisfy.
+ * @param file - File name that error messages give.
+ * @returns The checked value with defaults filled in.
+ * @throws ResultError SETTINGS_INVALID naming file, line, key, the given value
+ *     and what is allowed.
+ */
+export function parseSettings<T>(
+  text: string,
+  schema: z.ZodType<T>,
+  file: string,
+): T {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, {allowTrailingComma: true});
+  let issues = syntaxIssues(text, errors);
+  if (issues.length === 0) {
+    const result = schema.safeParse(root ? getNodeValue(root) : undefined);
+    if (result.success) return result.data;
+    issues = describeIssues(text, root, result.error);
+  }
+  const lines = issues.map(
+    (issue) => `${file}:${issue.line}: ${issue.key}: ${issue.text}`,
+  );
+  throw new ResultError(
+    ResultCodes.SETTINGS_INVALID,
+    `Cannot read settings: ${lines.join('\n')}`,
+    {info: {issues}},
+  );
+}
+
+/**
+ * Reads a settings file.
+ *
+ * @param file - Path of a file of JSON with comments.
+ * @param schema - Schema that the value has to satisfy.
+ * @returns The checked value with defaults filled in.
+ * @throws ResultError SETTINGS_INVALID if the file cannot be read or is not
+ *     valid.
+ */
+export function readSettings<T>(file: string, schema: z.ZodType<T>): T {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new ResultError(
+      ResultCodes.SETTINGS_INVALID,
+      `Cannot read settings file "${file}": ${(error as Error).message}`,
+    );
+  }
+  return parseSettings(text, schema, file);
+}
--- /dev/null
+++ b/testing/faulty_link.ts
@@ -0,0 +1,143 @@
+import {AddressInfo, connect, createServer, Server, Socket} from 'node:net';
+
+import {RandomSource} from '../src/random/random_source.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+
+/** Faults of one direction of a link. */
+export interface DirectionFaults {
+  /** Delay of each chunk in ms. @default 0 */
+  delayMs?: number;
+  /** Largest random delay in ms on top. @default 0 */
+  jitterMs?: number;
+  /** Share of chunks that stall, as a lost packet does. @default 0 */
+  loss?: number;
+  /** Length of a stall in ms. @default 200 */
+  stallMs?: number;
+  /** Swallows all bytes without closing. @default false */
+  silent?: boolean;
+}
+
+/** Faults of a link. */
+export interface LinkFaults {
+  /** From the side that dials to the side that listens. */
+  forward?: DirectionFaults;
+  /** From the side that listens to the side that dials. */
+  backward?: DirectionFaults;
+  /** Refuses new connections and closes open ones. @default false */
+  cut?: boolean;
+  /**
+   * Connections that are open now go silent for good; new ones work, as when
+   * a middle box loses its state. @default false
+   */
+  forgetOpen?: boolean;
+}
+
+/** Options of {@link FaultyLink}. */
+export interface FaultyLinkOptions {
+  /** Port of the listening side, on 127.0.0.1. */
+  targetPort: number;
+  /** Seed of jitter and loss. @default 1 */
+  seed?: number;
+}
+
+const MAX_HELD_BYTES = 8 * 1024 * 1024;
+
+interface Pair {
+  near: Socket;
+  far: Socket;
+  isForgotten: boolean;
+}
+
+/** Relays TCP connections and applies faults to them. */
+export class FaultyLink {
+  private faults: LinkFaults = {};
+  private readonly server: Server;
+  private readonly pairs = new Set<Pair>();
+  private readonly random: RandomSource;
+
+  constructor(private readonly options: FaultyLinkOptions) {
+    this.random = new SeededRandom(options.seed ?? 1);
+    this.server = createServer((near) => this.accept(near));
+  }
+
+  /** Starts to listen on 127.0.0.1; returns the port. */
+  listen(port = 0): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.listen(port, '127.0.0.1', () =>
+        resolve((this.server.address() as AddressInfo).port),
+      );
+    });
+  }
+
+  /** Applies faults from now on. */
+  setFaults(faults: LinkFaults): void {
+    this.faults = faults;
+    for (const pair of [...this.pairs]) {
+      if (faults.cut) this.closePair(pair);
+      if (faults.forgetOpen) pair.isForgotten = true;
+    }
+  }
+
+  /** Closes all connections and stops. */
+  stop(): Promise<void> {
+    for (const pair of [...this.pairs]) this.closePair(pair);
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+
+  private accept(near: Socket): void {
+    if (this.faults.cut) {
+      near.destroy();
+      return;
+    }
+    const far = connect({host: '127.0.0.1', port: this.options.targetPort});
+    const pair: Pair = {near, far, isForgotten: false};
+    this.pairs.add(pair);
+    for (const socket of [near, far]) {
+      socket.setNoDelay(true);
+      socket.on('error', () => this.closePair(pair));
+      socket.on('close', () => this.closePair(pair));
+    }
+    this.relay(pair, 'forward');
+    this.relay(pair, 'backward');
+  }
+
+  private relay(pair: Pair, direction: 'forward' | 'backward'): void {
+    const [from, to] =
+      direction === 'forward' ? [pair.near, pair.far] : [pair.far, pair.near];
+    let lastDueMs = 0;
+    let heldBytes = 0;
+    from.on('data', (chunk: Buffer) => {
+      const faults = this.faults[direction] ?? {};
+      if (pair.isForgotten || faults.silent) return;
+      const dueMs = Math.max(lastDueMs, performance.now() + this.delay(faults));
+      lastDueMs = dueMs;
+      heldBytes += chunk.length;
+      if (heldBytes > MAX_HELD_BYTES) from.pause();
+      const deliver = (): void => {
+        heldBytes -= chunk.length;
+        if (heldBytes <= MAX_HELD_BYTES) from.resume();
+        if (!pair.isForgotten && !to.destroyed) to.write(chunk);
+      };
+      const waitMs = dueMs - performance.now();
+      if (waitMs <= 0) deliver();
+      else setTimeout(deliver, waitMs);
+    });
+    from.on('end', () => {
+      const waitMs = Math.max(0, lastDueMs - performance.now());
+      setTimeout(() => to.end(), waitMs);
+    });
+  }
+
+  private delay(faults: DirectionFaults): number {
+    const jitterMs = (faults.jitterMs ?? 0) * this.random.next();
+    const isLost = (faults.loss ?? 0) > this.random.next();
+    const stallMs = isLost ? (faults.stallMs ?? 200) : 0;
+    return (faults.delayMs ?? 0) + jitterMs + stallMs;
+  }
+
+  private closePair(pair: Pair): void {
+    if (!this.pairs.delete(pair)) return;
+    pair.near.destroy();
+    pair.far.destroy();
+  }
+}
--- /dev/null
+++ b/testing/platform_stand_in.ts
@@ -0,0 +1,312 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {AddressInfo} from 'node:net';
+
+import {sleep} from '../src/clock/sleep.js';
+import {
+  PlatformChange,
+  PlatformEntry,
+  VmEntry,
+} from '../src/platform/platform_service.js';
+import {RandomSource} from '../src/random/random_source.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {readJson, writeJson} from './stand_in_http.js';
+
+/** Faults that the stand-in applies to calls. */
+export interface PlatformFaults {
+  /** All connections are cut. @default false */
+  down?: boolean;
+  /** Added delay of each answer in ms. @default 0 */
+  delayMs?: number;
+  /** Share of writes that take effect but whose answer is lost. @default 0 */
+  loseAnswers?: number;
+}
+
+/** Options of {@link PlatformStandIn}. */
+export interface PlatformStandInOptions {
+  /** Seed of lost answers. @default 1 */
+  seed?: number;
+  /** Delay in ms until a change of the VM list is visible. @default 1000 */
+  vmListLagMs?: number;
+}
+
+/** Calls that the stand-in has counted. */
+export interface PlatformCounts {
+  reads: number;
+  writes: number;
+  /** Most calls in one second of the clock. */
+  peakReadsPerSecond: number;
+  peakWritesPerSecond: number;
+}
+
+interface StoredValue extends PlatformEntry {
+  expiresAtMs: number | undefined;
+}
+
+interface Watcher {
+  prefix: string;
+  since: number;
+  answer(): void;
+}
+
+const LARGEST_VALUE_BYTES = 1024 * 1024;
+const KEPT_CHANGES = 100_000;
+
+/**
+ * Small stand-in for the platform: a key-value store with compare-and-swap,
+ * leases and watches, and a lagging VM list. Counts calls and applies faults.
+ */
+export class PlatformStandIn {
+  faults: PlatformFaults = {};
+  readonly counts: PlatformCounts = {
+    reads: 0,
+    writes: 0,
+    peakReadsPerSecond: 0,
+    peakWritesPerSecond: 0,
+  };
+  private readonly values = new Map<string, StoredValue>();
+  private readonly changes: PlatformChange[] = [];
+  private readonly watchers = new Set<Watcher>();
+  private readonly server: Server;
+  private readonly random: RandomSource;
+  private readonly vmListLagMs: number;
+  private vms: VmEntry[] = [];
+  private visibleVms: VmEntry[] = [];
+  private revision = 0;
+  private currentSecond = {startMs: 0, reads: 0, writes: 0};
+
+  constructor(options: PlatformStandInOptions = {}) {
+    this.random = new SeededRandom(options.seed ?? 1);
+    this.vmListLagMs = options.vmListLagMs ?? 1000;
+    this.server = createServer((message, response) => {
+      void this.handle(message, response).catch(() => response.destroy());
+    });
+    this.server.on('connection', (socket) => {
+      if (this.faults.down) socket.destroy();
+    });
+  }
+
+  /** Starts to listen; returns the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.listen(port, host, () =>
+        resolve((this.server.address() as AddressInfo).port),
+      );
+    });
+  }
+
+  /** Stops and closes all connections. */
+  stop(): Promise<void> {
+    this.server.closeAllConnections();
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+
+  /** Applies faults from now on; `down` also cuts open connections. */
+  setFaults(faults: PlatformFaults): void {
+    this.faults = faults;
+    if (faults.down) this.server.closeAllConnections();
+  }
+
+  /** Replaces the VM list; callers see it after the lag. */
+  setVms(vms: VmEntry[]): void {
+    this.vms = vms;
+    setTimeout(() => {
+      this.visibleVms = vms;
+    }, this.vmListLagMs).unref();
+  }
+
+  /** Returns the list without its lag. */
+  actualVms(): VmEntry[] {
+    return this.vms;
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(message.url ?? '/', 'http://platform');
+    if (url.pathname === '/control') {
+      await this.control(message, response);
+      return;
+    }
+    if (this.faults.down) {
+      response.destroy();
+      return;
+    }
+    this.count(message.method === 'GET');
+    if (this.faults.delayMs) await sleep(this.faults.delayMs);
+    if (url.pathname.startsWith('/kv/')) {
+      await this.handleKey(decodeURIComponent(url.pathname.slice(4)), {
+        message,
+        response,
+        url,
+      });
+    } else if (url.pathname === '/kv') {
+      this.dropExpired();
+      const prefix = url.searchParams.get('prefix') ?? '';
+      const entries = [...this.values.values()]
+        .filter((entry) => entry.key.startsWith(prefix))
+        .map(toEntry);
+      writeJson(response, 200, {entries, revision: this.revision});
+    } else if (url.pathname === '/watch') {
+      this.watch(url, response);
+    } else if (url.pathname === '/vms') {
+      writeJson(response, 200, {vms: this.visibleVms});
+    } else {
+      writeJson(response, 404, {});
+    }
+  }
+
+  private async control(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(message)) as {
+      faults?: PlatformFaults;
+      vms?: VmEntry[];
+    };
+    if (body.faults) this.setFaults(body.faults);
+    if (body.vms) this.setVms(body.vms);
+    writeJson(response, 200, {
+      counts: this.counts,
+      revision: this.revision,
+      vms: this.vms,
+    });
+  }
+
+  private async handleKey(
+    key: string,
+    call: {message: IncomingMessage; response: ServerResponse; url: URL},
+  ): Promise<void> {
+    const {message, response, url} = call;
+    this.dropExpired();
+    if (message.method === 'GET') {
+      const entry = this.values.get(key);
+      writeJson(response, entry ? 200 : 404, entry ? toEntry(entry) : {});
+      return;
+    }
+    const current = (): StoredValue | undefined => this.values.get(key);
+    if (message.method === 'DELETE') {
+      const expected = Number(url.searchParams.get('expectedRevision'));
+      if ((current()?.revision ?? 0) !== expected) {
+        writeJson(response, 409, {current: currentEntry(current())});
+        return;
+      }
+      this.apply(key, undefined);
+      this.answerWrite(response);
+      return;
+    }
+    const body = (await readJson(message)) as {
+      value: string;
+      expectedRevision: number;
+      timeToLiveMs?: number;
+    };
+    if (body.value.length > LARGEST_VALUE_BYTES) {
+      writeJson(response, 413, {});
+      return;
+    }
+    if ((current()?.revision ?? 0) !== body.expectedRevision) {
+      writeJson(response, 409, {current: currentEntry(current())});
+      return;
+    }
+    this.apply(key, body.value, body.timeToLiveMs);
+    this.answerWrite(response);
+  }
+
+  private answerWrite(response: ServerResponse): void {
+    const {loseAnswers = 0} = this.faults;
+    if (loseAnswers > 0 && this.random.next() < loseAnswers) {
+      response.destroy();
+      return;
+    }
+    writeJson(response, 200, {revision: this.revision});
+  }
+
+  private apply(
+    key: string,
+    value: string | undefined,
+    timeToLiveMs?: number,
+  ): void {
+    this.revision += 1;
+    const {revision} = this;
+    if (value === undefined) {
+      this.values.delete(key);
+    } else {
+      const expiresAtMs =
+        timeToLiveMs === undefined
+          ? undefined
+          : performance.now() + timeToLiveMs;
+      this.values.set(key, {key, value, revision, expiresAtMs});
+    }
+    this.changes.push({key, value, revision});
+    if (this.changes.length > KEPT_CHANGES) this.changes.shift();
+    for (const watcher of [...this.watchers]) {
+      if (key.startsWith(watcher.prefix)) watcher.answer();
+    }
+  }
+
+  private watch(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const since = Number(url.searchParams.get('since') ?? '0');
+    const waitMs = Number(url.searchParams.get('waitMs') ?? '10000');
+    const answer = (): void => {
+      clearTimeout(timer);
+      this.watchers.delete(watcher);
+      const changes = this.changes.filter(
+        (change) => change.revision > since && change.key.startsWith(prefix),
+      );
+      writeJson(response, 200, {changes, revision: this.revision});
+    };
+    const watcher: Watcher = {prefix, since, answer};
+    const timer = setTimeout(answer, waitMs);
+    response.on('close', () => {
+      clearTimeout(timer);
+      this.watchers.delete(watcher);
+    });
+    const isBehind = this.changes.some(
+      (change) => change.revision > since && change.key.startsWith(prefix),
+    );
+    if (isBehind) answer();
+    else this.watchers.add(watcher);
+  }
+
+  private dropExpired(): void {
+    const nowMs = performance.now();
+    for (const [key, entry] of this.values) {
+      if (entry.expiresAtMs !== undefined && entry.expiresAtMs <= nowMs) {
+        this.apply(key, undefined);
+      }
+    }
+  }
+
+  private count(isRead: boolean): void {
+    const nowMs = performance.now();
+    if (nowMs - this.currentSecond.startMs >= 1000) {
+      this.currentSecond = {startMs: nowMs, reads: 0, writes: 0};
+    }
+    const second = this.currentSecond;
+    if (isRead) {
+      this.counts.reads += 1;
+      second.reads += 1;
+    } else {
+      this.counts.writes += 1;
+      second.writes += 1;
+    }
+    const {counts} = this;
+    counts.peakReadsPerSecond = Math.max(
+      counts.peakReadsPerSecond,
+      second.reads,
+    );
+    counts.peakWritesPerSecond = Math.max(
+      counts.peakWritesPerSecond,
+      second.writes,
+    );
+  }
+}
+
+function toEntry(stored: StoredValue): PlatformEntry {
+  return {key: stored.key, value: stored.value, revision: stored.revision};
+}
+
+function currentEntry(stored: StoredValue | undefined): PlatformEntry | null {
+  return stored ? toEntry(stored) : null;
+}
--- /dev/null
+++ b/testing/run_tests.ts
@@ -0,0 +1,70 @@
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {run} from 'node:test';
+import {spec} from 'node:test/reporters';
+
+/** Test files that run at once; more would make timings unreliable. */
+const CONCURRENCY = 3;
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+
+function testFiles(folder: string): string[] {
+  return readdirSync(folder, {recursive: true, encoding: 'utf8'})
+    .filter((name) => name.endsWith('_test.js'))
+    .map((name) => join(folder, name))
+    .sort();
+}
+
+/** Names of the tests that KNOWN-RED.txt lists in lines `test: NAME`. */
+function knownRedTests(): string[] {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  return readFileSync(KNOWN_RED_FILE, 'utf8')
+    .split('\n')
+    .filter((line) => line.startsWith('test: '))
+    .map((line) => line.slice('test: '.length).trim());
+}
+
+/** A failure of a file or suite only repeats the failures inside it. */
+const REPEATED_FAILURE = 'subtestsFailed';
+
+function main(): void {
+  const filters = process.argv.slice(2);
+  const files = ['src', 'testing', 'measure']
+    .filter((folder) => existsSync(join('build', folder)))
+    .flatMap((folder) => testFiles(join('build', folder)))
+    .filter(
+      (file) =>
+        filters.length === 0 || filters.some((part) => file.includes(part)),
+    );
+  const knownRed = knownRedTests();
+  const failed: string[] = [];
+  const seen = new Set<string>();
+  let passedCount = 0;
+  let failedKnownCount = 0;
+  const stream = run({files, concurrency: CONCURRENCY});
+  stream.on('test:pass', (event) => {
+    seen.add(event.name);
+    if (event.details.type !== 'suite') passedCount += 1;
+  });
+  stream.on('test:fail', (event) => {
+    seen.add(event.name);
+    const error = event.details.error as Error & {failureType?: string};
+    if (error.failureType === REPEATED_FAILURE) return;
+    if (knownRed.includes(event.name)) failedKnownCount += 1;
+    else failed.push(event.name);
+  });
+  stream.on('end', () => {
+    const missing =
+      filters.length > 0 ? [] : knownRed.filter((name) => !seen.has(name));
+    for (const name of knownRed) console.log(`known red: ${name}`);
+    for (const name of missing) console.log(`known red, not there: ${name}`);
+    for (const name of failed) console.log(`failed: ${name}`);
+    console.log(
+      `${passedCount} passed, ${failed.length} failed, ${failedKnownCount} skipped`,
+    );
+    process.exitCode = failed.length + missing.length > 0 ? 1 : 0;
+  });
+  stream.pipe(new spec()).pipe(process.stdout);
+}
+
+main();
--- /dev/null
+++ b/testing/target_stand_in.ts
@@ -0,0 +1,233 @@
+import {createHash} from 'node:crypto';
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {AddressInfo, Socket} from 'node:net';
+
+import {sleep} from '../src/clock/sleep.js';
+import {
+  EPOCH_HEADER,
+  REFUSED_HEADER,
+  TargetStatus,
+} from '../src/targets/target_status.js';
+import {writeJson} from './stand_in_http.js';
+
+/** Breaches of the promises about requests, counted on the targets' side. */
+export interface TargetViolations {
+  /** Requests that ran while all slots were in use. */
+  overSlots: number;
+  /** Connections beyond the limit. */
+  overConnections: number;
+  /** Non-idempotent requests that ran more than once. */
+  ranTwice: number;
+  /** Requests that arrived 3 s or more after the target began to leave. */
+  afterLeaving: number;
+}
+
+/** Faults of one target. */
+export interface TargetFaults {
+  /** Accepts and reads but answers nothing. @default false */
+  silent?: boolean;
+  /** Closes connections at once. @default false */
+  unreachable?: boolean;
+  /** Factor on the time of each request. @default 1 */
+  slowdown?: number;
+  /** Sends half of the body and closes. @default false */
+  truncate?: boolean;
+}
+
+/** Options of {@link TargetStandIn}. */
+export interface TargetStandInOptions {
+  target: string;
+  /** Requests it runs at once. @default 8 */
+  slots?: number;
+  /** Connections it accepts. @default 64 */
+  maxConnections?: number;
+  /** Time in ms a request takes unless `x-work-ms` names another. @default 5 */
+  workMs?: number;
+  /** Keys of non-idempotent requests that ran, shared by all targets. */
+  ranKeys: Map<string, number>;
+}
+
+const LEAVING_LIMIT_MS = 3000;
+
+/**
+ * Stand-in for an executor: echoes a digest of the body and the request id,
+ * so that a caller can tell whether the answer is its own and whole.
+ */
+export class TargetStandIn {
+  readonly violations: TargetViolations = {
+    overSlots: 0,
+    overConnections: 0,
+    ranTwice: 0,
+    afterLeaving: 0,
+  };
+  faults: TargetFaults = {};
+  requests = 0;
+  maxInUse = 0;
+  maxOpen = 0;
+  private leavingSinceMs: number | undefined;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private readonly inUseByEpoch = new Map<number, number>();
+  private highestEpoch = 0;
+  private inUse = 0;
+  private incarnation = 1;
+
+  constructor(private readonly options: TargetStandInOptions) {
+    this.server = createServer((message, response) => {
+      void this.handle(message, response).catch(() => response.destroy());
+    });
+    this.server.keepAliveTimeout = 30_000;
+    this.server.on('connection', (socket) => this.connected(socket));
+  }
+
+  /** Starts to listen; returns the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.listen(port, host, () =>
+        resolve((this.server.address() as AddressInfo).port),
+      );
+    });
+  }
+
+  /** Stops and closes all connections. */
+  stop(): Promise<void> {
+    this.server.closeAllConnections();
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+
+  /** Applies faults from now on. */
+  setFaults(faults: TargetFaults): void {
+    this.faults = faults;
+    if (faults.unreachable) this.server.closeAllConnections();
+  }
+
+  /** From now on new work is refused; what runs goes on. */
+  leave(): void {
+    this.leavingSinceMs ??= performance.now();
+  }
+
+  /** Takes work again, as a restarted executor. */
+  comeBack(): void {
+    this.leavingSinceMs = undefined;
+    this.incarnation += 1;
+  }
+
+  private connected(socket: Socket): void {
+    if (this.faults.unreachable) {
+      socket.destroy();
+      return;
+    }
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
+    const {maxConnections = 64} = this.options;
+    this.maxOpen = Math.max(this.maxOpen, this.sockets.size);
+    if (this.sockets.size > maxConnections) this.violations.overConnections++;
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.faults.silent) {
+      message.resume();
+      return;
+    }
+    const epoch = Number(message.headers[EPOCH_HEADER] ?? 0);
+    if (message.url === '/-/executor') {
+      this.highestEpoch = Math.max(this.highestEpoch, epoch);
+      writeJson(response, 200, this.status());
+      return;
+    }
+    const refusal = this.refusalOf(epoch);
+    if (refusal) {
+      message.resume();
+      response.writeHead(503, {[REFUSED_HEADER]: refusal});
+      response.end();
+      return;
+    }
+    this.highestEpoch = epoch;
+    await this.run(message, response, epoch);
+  }
+
+  private refusalOf(epoch: number): string | undefined {
+    if (epoch < this.highestEpoch) return 'epoch';
+    if (this.leavingSinceMs !== undefined) {
+      const elapsedMs = performance.now() - this.leavingSinceMs;
+      if (elapsedMs > LEAVING_LIMIT_MS) this.violations.afterLeaving++;
+      return 'leaving';
+    }
+    return undefined;
+  }
+
+  private async run(
+    message: IncomingMessage,
+    response: ServerResponse,
+    epoch: number,
+  ): Promise<void> {
+    this.begin(message, epoch);
+    try {
+      const hash = createHash('sha256');
+      for await (const chunk of message) hash.update(chunk as Buffer);
+      const {workMs = 5} = this.options;
+      const asked = message.headers['x-work-ms'];
+      const baseMs = asked === undefined ? workMs : Number(asked);
+      await sleep(baseMs * (this.faults.slowdown ?? 1));
+      this.answer(message, response, hash.digest('hex'));
+    } finally {
+      this.inUse -= 1;
+      this.inUseByEpoch.set(epoch, (this.inUseByEpoch.get(epoch) ?? 1) - 1);
+    }
+  }
+
+  private begin(message: IncomingMessage, epoch: number): void {
+    this.requests += 1;
+    this.inUse += 1;
+    this.maxInUse = Math.max(this.maxInUse, this.inUse);
+    this.inUseByEpoch.set(epoch, (this.inUseByEpoch.get(epoch) ?? 0) + 1);
+    if (this.inUse > (this.options.slots ?? 8)) this.violations.overSlots++;
+    const key = message.headers['idempotency-key'];
+    const isMarked = message.headers['banyanmux-idempotent'] === 'false';
+    if (isMarked && typeof key === 'string') {
+      const runs = (this.options.ranKeys.get(key) ?? 0) + 1;
+      this.options.ranKeys.set(key, runs);
+      if (runs > 1) this.violations.ranTwice++;
+    }
+  }
+
+  private answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+    digest: string,
+  ): void {
+    const paddingBytes = Number(message.headers['x-answer-bytes'] ?? 0);
+    const body = JSON.stringify({
+      target: this.options.target,
+      digest,
+      echo: message.headers['x-echo'] ?? null,
+      padding: 'p'.repeat(paddingBytes),
+    });
+    const length = Buffer.byteLength(body);
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': length,
+    });
+    if (this.faults.truncate) {
+      response.write(body.slice(0, length / 2), () => response.destroy());
+      return;
+    }
+    response.end(body);
+  }
+
+  private status(): TargetStatus {
+    return {
+      target: this.options.target,
+      incarnation: String(this.incarnation),
+      epoch: this.highestEpoch,
+      slots: this.options.slots ?? 8,
+      slotsInUseByEpoch: Object.fromEntries(this.inUseByEpoch),
+      connections: this.sockets.size,
+      maxConnections: this.options.maxConnections ?? 64,
+      leaving: this.leavingSinceMs !== undefined,
+    };
+  }
+}
