Define contracts, settings and the interfaces of decision logic

Cause: requests, jobs, placement and configuration are built side by side. Change: interfaces for ownership, configuration, admission, routing and placement, the contract schema and the settings both programs share. Not measured: no behavior yet. Conclusion: parts can be built independently.

--- /dev/null
+++ b/src/admission/admission_policy.ts
@@ -0,0 +1,32 @@
+import {ResultCode} from '../result_codes/result_code.js';
+import {WaitingRequest} from './waiting_request.js';
+
+/** Answer to an offered request. */
+export type AdmissionResult =
+  | {admitted: true}
+  | {
+      admitted: false;
+      code: ResultCode;
+      /** Time in ms after which a repeat is sensible. */
+      retryAfterMs: number;
+      reason: string;
+    };
+
+/** Decides which requests may wait and which one is served next. */
+export interface AdmissionPolicy {
+  /** Queues the request or refuses it with the reason. */
+  offer(request: WaitingRequest): AdmissionResult;
+  /**
+   * Takes the next request of `service`. Requests whose deadline has passed
+   * are returned by {@link takeExpired} instead.
+   */
+  take(service: string): WaitingRequest | undefined;
+  /** Removes requests whose deadline has passed. */
+  takeExpired(): WaitingRequest[];
+  /** Removes a request that its caller gave up; true if it was waiting. */
+  cancel(requestId: string): boolean;
+  /** Records that a request ended after it ran for `runTimeMs`. */
+  completed(request: WaitingRequest, runTimeMs: number): void;
+  /** Number of waiting requests of a service, or of all. */
+  waitingCount(service?: string): number;
+}
--- a/src/platform/platform_service.ts
+++ b/src/platform/platform_service.ts
@@ -19,11 +19,30 @@
   | {written: true; revision: number}
   | {written: false; current: PlatformEntry | undefined};
 
+/** What runs on a VM. */
+export const VmKind = {
+  ENTRY: 'entry',
+  TARGET: 'target',
+  WORKER: 'worker',
+} as const;
+
+/** One of the values of {@link VmKind}. */
+export type VmKind = (typeof VmKind)[keyof typeof VmKind];
+
 /** One VM in the platform's lagging list. */
 export interface VmEntry {
   /** Name of the VM. */
   vm: string;
   dataCentre: string;
+  kind: VmKind;
+  /** IP address. */
+  host: string;
+  /** TCP port of the worker or executor; 0 for entry VMs. */
+  port: number;
+  /** Rack of a worker, or group of a target; the unit of ownership. */
+  shard: string;
+  /** Service that a target serves. @default none */
+  service?: string;
   /** 'leaving' once the platform or an operator wants to remove it. */
   state: 'live' | 'leaving';
 }
