Add the measure program

Cause: scenarios need one driver. Change: measure.ts loads a scenario by name, checks its options and prints one JSON object. Not measured: no scenario yet. Conclusion: scenarios can be added one file each.

--- /dev/null
+++ b/measure/measure.ts
@@ -0,0 +1,51 @@
+import {parseArgs} from 'node:util';
+
+import {Scenario} from './scenario.js';
+
+/** Loads each scenario only when it is asked for. */
+const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {};
+
+function fail(text: string): never {
+  process.stderr.write(`${text}\n`);
+  process.exit(2);
+}
+
+function wholeNumber(name: string, text: string): number {
+  const value = Number(text);
+  if (!Number.isInteger(value) || value < 0) {
+    fail(`Cannot read --${name}: given "${text}"; allowed: a whole number`);
+  }
+  return value;
+}
+
+async function main(): Promise<void> {
+  const {values, positionals} = parseArgs({
+    allowPositionals: true,
+    strict: false,
+    options: {
+      seed: {type: 'string', default: '1'},
+      seconds: {type: 'string', default: '20'},
+    },
+  });
+  const name = positionals[0] ?? '';
+  const load = SCENARIOS[name];
+  if (!load) {
+    const known = Object.keys(SCENARIOS).sort().join(', ');
+    fail(`Cannot measure "${name}": known scenarios are ${known}`);
+  }
+  const flags = Object.fromEntries(
+    Object.entries(values).map(([key, value]) => [key, String(value)]),
+  );
+  const seed = wholeNumber('seed', flags['seed']!);
+  const scenario = await load();
+  const result = await scenario({
+    seed,
+    seconds: wholeNumber('seconds', flags['seconds']!),
+    flags,
+    progress: (text) => process.stderr.write(`${text}\n`),
+  });
+  const line = JSON.stringify({scenario: name, seed, ...result});
+  process.stdout.write(`${line}\n`, () => process.exit(0));
+}
+
+await main();
