--- /dev/null
+++ b/src/routing/retry_budget.ts
@@ -0,0 +1,36 @@
+/** Options of {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  /** Retries per request, 0 to 1. @default 0.1 */
+  ratio?: number;
+  /** Largest number of retries that quiet times can save up. @default 20 */
+  maxSaved?: number;
+}
+
+/**
+ * Limits retries to a part of all traffic, so that retries can't multiply the
+ * load while targets fail. It starts empty: over any prefix of the traffic,
+ * retries are at most `ratio` of the requests.
+ */
+export class RetryBudget {
+  private readonly ratio: number;
+  private readonly maxSaved: number;
+  private saved = 0;
+
+  constructor(options: RetryBudgetOptions = {}) {
+    this.ratio = options.ratio ?? 0.1;
+    this.maxSaved = options.maxSaved ?? 20;
+  }
+
+  /** Records a request that is sent for the first time. */
+  requestStarted(): void {
+    this.saved = Math.min(this.maxSaved, this.saved + this.ratio);
+  }
+
+  /** Takes one retry from the budget; false if none is left. */
+  tryRetry(): boolean {
+    // Sums of 0.1 fall short of whole numbers by rounding errors.
+    if (this.saved < 1 - 1e-9) return false;
+    this.saved -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/routing/retry_budget_test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+
+import {RetryBudget} from './retry_budget.js';
+
+// Guards against retry storms: retries above 10% of the traffic so far.
+test('retries never exceed a tenth of the requests', () => {
+  fc.assert(
+    fc.property(fc.array(fc.boolean(), {maxLength: 500}), (events) => {
+      const budget = new RetryBudget();
+      let requests = 0;
+      let retries = 0;
+      for (const isRequest of events) {
+        if (isRequest) {
+          requests += 1;
+          budget.requestStarted();
+        } else if (budget.tryRetry()) retries += 1;
+        assert.ok(retries <= requests / 10 + 1e-6);
+      }
+    }),
+    {seed: 1},
+  );
+});
+
+// Guards against a budget that never allows a retry at all.
+test('ten requests pay for one retry', () => {
+  const budget = new RetryBudget();
+  for (let i = 0; i < 10; i++) budget.requestStarted();
+  assert.equal(budget.tryRetry(), true);
+  assert.equal(budget.tryRetry(), false);
+});
--- /dev/null
+++ b/src/routing/two_choices_routing.ts
@@ -0,0 +1,28 @@
+import {RandomSource} from '../random/random_source.js';
+import {Urgency} from '../contracts/urgency.js';
+import {RoutingChoice, RoutingPolicy, TargetLoad} from './routing_policy.js';
+import {usableTargets} from './usable_targets.js';
+
+/** Baseline: the less loaded of two targets drawn at random. */
+export class TwoChoicesRouting implements RoutingPolicy {
+  readonly name = 'two choices';
+
+  constructor(private readonly random: RandomSource) {}
+
+  choose(
+    candidates: readonly TargetLoad[],
+    request: {urgency: Urgency; attempted: ReadonlySet<string>},
+  ): RoutingChoice | undefined {
+    const usable = usableTargets(candidates, request.attempted);
+    const first = usable[this.random.nextInteger(usable.length)];
+    const second = usable[this.random.nextInteger(usable.length)];
+    if (!first || !second) return undefined;
+    const chosen =
+      first.inUse / first.slots <= second.inUse / second.slots ? first : second;
+    return {target: chosen.target, reason: 'less loaded of two'};
+  }
+
+  completed(): void {
+    // The load that the owner knows is enough for this policy.
+  }
+}
