Add least loaded routing with latency outlier detection

Cause: with random or two-choices routing a slowed target keeps all its slots busy with slow requests, which sets the tail. RoutingResult gets an optional urgency.

--- /dev/null
+++ b/src/routing/least_loaded_routing.ts
@@ -0,0 +1,212 @@
+import {Clock} from '../clock/clock.js';
+import {Urgency} from '../contracts/urgency.js';
+import {RandomSource} from '../random/random_source.js';
+import {LatencyComparison} from './latency_comparison.js';
+import {
+  RoutingChoice,
+  RoutingPolicy,
+  RoutingResult,
+  TargetLoad,
+} from './routing_policy.js';
+
+/** Options of {@link LeastLoadedRouting}. */
+export interface LeastLoadedRoutingOptions {
+  clock: Clock;
+  random: RandomSource;
+  /** Slowness against the peers from which a target gets less. @default 2 */
+  reduceRatio?: number;
+  /** Slowness from which it gets only probes. @default 2.5 */
+  ejectRatio?: number;
+  /** Part of failed requests from which it gets only probes. @default 0.3 */
+  ejectFailures?: number;
+  /** Time in ms between probes of an ejected target. @default 1000 */
+  probeIntervalMs?: number;
+  /** Time in ms in which a returning target gets all its slots. @default 3000 */
+  slowStartMs?: number;
+}
+
+interface TargetState {
+  wasAvailable: boolean;
+  isEjected: boolean;
+  goodProbes: number;
+  nextProbeAtMs: number;
+  returnedAtMs: number;
+}
+
+/** Targets examined per choice; more would make a choice cost too much. */
+const MAX_EXAMINED = 32;
+
+/** Good answers in a row after which an ejected target returns. */
+const GOOD_PROBES = 3;
+
+/** Slowness below which a probe counts as good. */
+const GOOD_RATIO = 1.5;
+
+/** With fewer targets there are no peers to compare with. */
+const MIN_PEERS = 3;
+
+/** At most one target in this many is ejected at the same time. */
+const TARGETS_PER_EJECTION = 3;
+
+/**
+ * Chooses the least loaded target. A target that is much slower than its
+ * peers, or fails, gets less and then no new work, is probed, and returns by a
+ * slow start. One instance serves the targets of one service, because the
+ * targets of other services are no peers.
+ */
+export class LeastLoadedRouting implements RoutingPolicy {
+  readonly name = 'least loaded';
+  private readonly comparison = new LatencyComparison();
+  private readonly states = new Map<string, TargetState>();
+  private readonly options: Required<LeastLoadedRoutingOptions>;
+  private ejectedCount = 0;
+
+  constructor(options: LeastLoadedRoutingOptions) {
+    this.options = {
+      reduceRatio: 2,
+      ejectRatio: 2.5,
+      ejectFailures: 0.3,
+      probeIntervalMs: 1000,
+      slowStartMs: 3000,
+      ...options,
+    };
+  }
+
+  choose(
+    candidates: readonly TargetLoad[],
+    request: {urgency: Urgency; attempted: ReadonlySet<string>},
+  ): RoutingChoice | undefined {
+    const nowMs = this.options.clock.nowMs();
+    const count = Math.min(MAX_EXAMINED, candidates.length);
+    const offset = this.options.random.nextInteger(candidates.length);
+    let best: TargetLoad | undefined;
+    let bestScore = Infinity;
+    for (let i = 0; i < count; i++) {
+      // The random offset also breaks ties.
+      const load = candidates[(offset + i) % candidates.length]!;
+      const state = this.stateOf(load, nowMs);
+      if (!load.isAvailable || request.attempted.has(load.target)) continue;
+      if (state.isEjected) {
+        if (this.isProbeDue(load, state, request.urgency)) {
+          return this.probe(load, state);
+        }
+        continue;
+      }
+      const score = this.score(load, state, nowMs);
+      if (score < bestScore) {
+        best = load;
+        bestScore = score;
+      }
+    }
+    return best && {target: best.target, reason: 'least loaded'};
+  }
+
+  completed(result: RoutingResult): void {
+    const nowMs = this.options.clock.nowMs();
+    const state = this.states.get(result.target);
+    if (state?.isEjected) {
+      this.probeEnded(result, state);
+      return;
+    }
+    this.comparison.add(result);
+    if (state && this.mustEject(result.target, nowMs)) this.eject(state);
+  }
+
+  /** Tells whether a target gets only probes at the moment. */
+  isEjected(target: string): boolean {
+    return this.states.get(target)?.isEjected ?? false;
+  }
+
+  /** Forgets a target that is gone. */
+  forget(target: string): void {
+    if (this.isEjected(target)) this.ejectedCount -= 1;
+    this.states.delete(target);
+    this.comparison.forget(target);
+  }
+
+  private stateOf(load: TargetLoad, nowMs: number): TargetState {
+    let state = this.states.get(load.target);
+    if (!state) {
+      state = {
+        wasAvailable: load.isAvailable,
+        isEjected: false,
+        goodProbes: 0,
+        nextProbeAtMs: 0,
+        returnedAtMs: -Infinity,
+      };
+      this.states.set(load.target, state);
+    }
+    if (load.isAvailable && !state.wasAvailable) state.returnedAtMs = nowMs;
+    state.wasAvailable = load.isAvailable;
+    return state;
+  }
+
+  /** Load after the request relative to the slots; infinite if full. */
+  private score(load: TargetLoad, state: TargetState, nowMs: number): number {
+    const ratio = this.comparison.ratio(load.target, nowMs);
+    let limit = load.slots;
+    if (ratio >= this.options.reduceRatio) {
+      limit = Math.max(1, Math.floor(load.slots / (ratio * ratio)));
+    }
+    const returningMs = nowMs - state.returnedAtMs;
+    if (returningMs < this.options.slowStartMs) {
+      const part = returningMs / this.options.slowStartMs;
+      limit = Math.min(limit, Math.max(1, Math.floor(load.slots * part)));
+    }
+    if (load.inUse >= limit) return Infinity;
+    return ((load.inUse + 1) / load.slots) * ratio;
+  }
+
+  private mustEject(target: string, nowMs: number): boolean {
+    const {ejectRatio, ejectFailures} = this.options;
+    const size = this.states.size;
+    const maxEjected = Math.floor(size / TARGETS_PER_EJECTION);
+    if (size < MIN_PEERS || this.ejectedCount >= maxEjected) return false;
+    return (
+      this.comparison.ratio(target, nowMs) >= ejectRatio ||
+      this.comparison.failureFraction(target) >= ejectFailures
+    );
+  }
+
+  private eject(state: TargetState): void {
+    state.isEjected = true;
+    state.goodProbes = 0;
+    state.nextProbeAtMs =
+      this.options.clock.nowMs() + this.options.probeIntervalMs;
+    this.ejectedCount += 1;
+  }
+
+  /** One probe at a time; urgent work is a probe only if nothing else is. */
+  private isProbeDue(
+    load: TargetLoad,
+    state: TargetState,
+    urgency: Urgency,
+  ): boolean {
+    const {clock, probeIntervalMs} = this.options;
+    const patienceMs = urgency === Urgency.URGENT ? probeIntervalMs : 0;
+    return (
+      load.inUse === 0 && clock.nowMs() >= state.nextProbeAtMs + patienceMs
+    );
+  }
+
+  private probe(load: TargetLoad, state: TargetState): RoutingChoice {
+    const {clock, probeIntervalMs} = this.options;
+    state.nextProbeAtMs = clock.nowMs() + probeIntervalMs;
+    return {target: load.target, reason: 'probe of an ejected target'};
+  }
+
+  private probeEnded(result: RoutingResult, state: TargetState): void {
+    const isGood =
+      result.succeeded && this.comparison.resultRatio(result) < GOOD_RATIO;
+    state.goodProbes = isGood ? state.goodProbes + 1 : 0;
+    const nowMs = this.options.clock.nowMs();
+    if (!isGood) return;
+    // After a good answer the next probe follows at once.
+    state.nextProbeAtMs = nowMs;
+    if (state.goodProbes < GOOD_PROBES) return;
+    state.isEjected = false;
+    state.returnedAtMs = nowMs;
+    this.ejectedCount -= 1;
+    this.comparison.forget(result.target);
+  }
+}
--- a/src/routing/routing_policy.ts
+++ b/src/routing/routing_policy.ts
@@ -41,4 +41,9 @@
   latencyMs: number;
   /** True if the whole answer arrived. */
   succeeded: boolean;
+  /**
+   * Class of the request; latencies are compared inside a class, because
+   * classes differ in their usual run time. @default 'standard'
+   */
+  urgency?: Urgency;
 }
