Add weighted fair queueing admission and two baselines

Change: FairQueueingPolicy with floors, classes, customers by share and callers by turns, limits from the contract with a bound per caller, early refusal from the measured pace, constant-time cancellation, and a deadline wheel; BaselinePolicy (first in first out, strict priority). completed() also takes undefined for a taken request that did not run.

--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -25,8 +25,12 @@
   takeExpired(): WaitingRequest[];
   /** Removes a request that its caller gave up; true if it was waiting. */
   cancel(requestId: string): boolean;
-  /** Records that a request ended after it ran for `runTimeMs`. */
-  completed(request: WaitingRequest, runTimeMs: number): void;
+  /**
+   * Records that a taken request ended after it ran for `runTimeMs`, or that
+   * it did not run (undefined). Due exactly once for each taken request,
+   * because its slot counts as used until then.
+   */
+  completed(request: WaitingRequest, runTimeMs: number | undefined): void;
   /** Number of waiting requests of a service, or of all. */
   waitingCount(service?: string): number;
 }
--- /dev/null
+++ b/src/admission/baseline_policy.ts
@@ -0,0 +1,121 @@
+import {Clock} from '../clock/clock.js';
+import {Urgency, URGENCIES} from '../contracts/urgency.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {AdmissionPolicy, AdmissionResult} from './admission_policy.js';
+import {ContractSource} from './contract_source.js';
+import {LinkedItem, LinkedQueue} from './linked_queue.js';
+import {WaitingLimits} from './waiting_limits.js';
+import {WaitingRequest} from './waiting_request.js';
+
+/** Options of {@link BaselinePolicy}. */
+export interface BaselinePolicyOptions {
+  clock: Clock;
+  contracts: ContractSource;
+  order: 'first-in-first-out' | 'strict-priority';
+}
+
+interface Item extends LinkedItem<Item> {
+  request: WaitingRequest;
+  queue: LinkedQueue<Item>;
+}
+
+/** Time in ms after which a refused caller is told to repeat. */
+const RETRY_MS = 100;
+
+/**
+ * Simple admission to compare with: one queue, or one for each class in strict
+ * order. It applies the limit of the contract as a whole, and no other.
+ */
+export class BaselinePolicy implements AdmissionPolicy {
+  private readonly queues = new Map<string, LinkedQueue<Item>>();
+  private readonly waiting = new Map<string, Item>();
+  private readonly counts = new Map<string, number>();
+  private readonly limits = new WaitingLimits(() => 1);
+  private expired: WaitingRequest[] = [];
+
+  constructor(private readonly options: BaselinePolicyOptions) {}
+
+  offer(request: WaitingRequest): AdmissionResult {
+    const contract = this.options.contracts.contract(request.customer);
+    const key = `${request.customer}/${request.urgency}`;
+    const count = this.counts.get(key) ?? 0;
+    if (!contract || count >= this.limits.limit(contract, request.urgency)) {
+      const code = ResultCodes.QUEUE_FULL;
+      const reason = `${count} requests wait`;
+      return {admitted: false, code, retryAfterMs: RETRY_MS, reason};
+    }
+    this.counts.set(key, count + 1);
+    const queue = this.queueOf(request);
+    const item = {request, queue, previous: undefined, next: undefined};
+    queue.push(item);
+    this.waiting.set(request.requestId, item);
+    return {admitted: true};
+  }
+
+  take(service: string): WaitingRequest | undefined {
+    const nowMs = this.options.clock.nowMs();
+    for (const urgency of URGENCIES) {
+      const queue = this.queues.get(this.queueName(service, urgency));
+      for (let item = queue?.peek(); item; item = queue?.peek()) {
+        this.remove(item);
+        if (item.request.deadlineMs > nowMs) return item.request;
+        this.expired.push(item.request);
+      }
+    }
+    return undefined;
+  }
+
+  takeExpired(): WaitingRequest[] {
+    const nowMs = this.options.clock.nowMs();
+    // A scan is acceptable here, because baselines run in measurements only.
+    for (const item of this.waiting.values()) {
+      if (item.request.deadlineMs > nowMs) continue;
+      this.remove(item);
+      this.expired.push(item.request);
+    }
+    const found = this.expired;
+    this.expired = [];
+    return found;
+  }
+
+  cancel(requestId: string): boolean {
+    const item = this.waiting.get(requestId);
+    if (item) this.remove(item);
+    return item !== undefined;
+  }
+
+  completed(): void {
+    // The order of service depends on arrival only.
+  }
+
+  waitingCount(service?: string): number {
+    if (service === undefined) return this.waiting.size;
+    const names = URGENCIES.map((urgency) => this.queueName(service, urgency));
+    return [...new Set(names)]
+      .map((name) => this.queues.get(name)?.size ?? 0)
+      .reduce((sum, size) => sum + size, 0);
+  }
+
+  private remove(item: Item): void {
+    const {request, queue} = item;
+    queue.remove(item);
+    this.waiting.delete(request.requestId);
+    const key = `${request.customer}/${request.urgency}`;
+    this.counts.set(key, (this.counts.get(key) ?? 1) - 1);
+  }
+
+  private queueName(service: string, urgency: Urgency): string {
+    const isStrict = this.options.order === 'strict-priority';
+    return isStrict ? `${service}/${urgency}` : service;
+  }
+
+  private queueOf(request: WaitingRequest): LinkedQueue<Item> {
+    const name = this.queueName(request.service, request.urgency);
+    let queue = this.queues.get(name);
+    if (!queue) {
+      queue = new LinkedQueue();
+      this.queues.set(name, queue);
+    }
+    return queue;
+  }
+}
--- /dev/null
+++ b/src/admission/fair_queueing_policy.ts
@@ -0,0 +1,177 @@
+import {Clock} from '../clock/clock.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {AdmissionPolicy, AdmissionResult} from './admission_policy.js';
+import {ContractSource} from './contract_source.js';
+import {DeadlineWheel} from './deadline_wheel.js';
+import {QueuedRequest, ServiceQueue} from './service_queue.js';
+import {WaitingLimits} from './waiting_limits.js';
+import {WaitingRequest} from './waiting_request.js';
+
+/** Options of {@link FairQueueingPolicy}. */
+export interface FairQueueingPolicyOptions {
+  clock: Clock;
+  contracts: ContractSource;
+  /** Number of entries of the data centre that share the limits. @default 1 */
+  livingEntries?: () => number;
+  /**
+   * Part of the slots that each class keeps as a whole, also without a floor
+   * in any contract, so that an urgent flood can't stop all other work.
+   * @default 0.02
+   */
+  classFloor?: number;
+}
+
+/** Smallest time in ms after which a refused caller is told to repeat. */
+const MIN_RETRY_MS = 10;
+
+/** Largest such time; estimates beyond it are of no use. */
+const MAX_RETRY_MS = 60_000;
+
+/**
+ * Weighted fair queueing within the limits of the contracts: floors first,
+ * then classes by urgency, customers by share, callers by turns.
+ */
+export class FairQueueingPolicy implements AdmissionPolicy {
+  private readonly services = new Map<string, ServiceQueue>();
+  private readonly waiting = new Map<string, QueuedRequest>();
+  private readonly running = new Map<string, QueuedRequest>();
+  private readonly deadlines: DeadlineWheel<QueuedRequest>;
+  private readonly limits: WaitingLimits;
+  private expired: WaitingRequest[] = [];
+
+  constructor(private readonly options: FairQueueingPolicyOptions) {
+    this.deadlines = new DeadlineWheel(options.clock.nowMs());
+    this.limits = new WaitingLimits(options.livingEntries ?? (() => 1));
+  }
+
+  offer(request: WaitingRequest): AdmissionResult {
+    const {requestId, customer} = request;
+    if (this.waiting.has(requestId) || this.running.has(requestId)) {
+      throw new RangeError(
+        `Cannot queue request ${requestId}: this id is in use already`,
+      );
+    }
+    const contract = this.options.contracts.contract(customer);
+    if (!contract) {
+      const reason = `customer ${customer} has no contract`;
+      const code = ResultCodes.FORBIDDEN;
+      return {admitted: false, code, retryAfterMs: MAX_RETRY_MS, reason};
+    }
+    const service = this.serviceOf(request.service);
+    const refusal =
+      this.refuseByLimit(request, service) ??
+      this.refuseByDeadline(request, service);
+    if (refusal) return refusal;
+    const queued = service.add(request, contract);
+    this.waiting.set(requestId, queued);
+    this.deadlines.add(queued);
+    this.limits.add(request);
+    return {admitted: true};
+  }
+
+  take(service: string): WaitingRequest | undefined {
+    const queue = this.services.get(service);
+    const nowMs = this.options.clock.nowMs();
+    for (;;) {
+      const queued = queue?.peek();
+      if (!queue || !queued) return undefined;
+      if (queued.deadlineMs <= nowMs) {
+        queue.remove(queued);
+        this.expire(queued);
+        continue;
+      }
+      queue.take(queued);
+      this.leaves(queued);
+      this.running.set(queued.request.requestId, queued);
+      return queued.request;
+    }
+  }
+
+  takeExpired(): WaitingRequest[] {
+    for (const queued of this.deadlines.due(this.options.clock.nowMs())) {
+      this.services.get(queued.request.service)?.remove(queued);
+      this.expire(queued);
+    }
+    const found = this.expired;
+    this.expired = [];
+    return found;
+  }
+
+  cancel(requestId: string): boolean {
+    const queued = this.waiting.get(requestId);
+    if (!queued) return false;
+    this.services.get(queued.request.service)?.remove(queued);
+    this.leaves(queued);
+    return true;
+  }
+
+  completed(request: WaitingRequest, runTimeMs: number | undefined): void {
+    const queued = this.running.get(request.requestId);
+    if (!queued) return;
+    this.running.delete(request.requestId);
+    this.services.get(request.service)?.ended(queued, runTimeMs);
+  }
+
+  waitingCount(service?: string): number {
+    if (service === undefined) return this.waiting.size;
+    return this.services.get(service)?.waiting ?? 0;
+  }
+
+  private serviceOf(name: string): ServiceQueue {
+    let service = this.services.get(name);
+    if (!service) {
+      service = new ServiceQueue(this.options.classFloor ?? 0.02);
+      this.services.set(name, service);
+    }
+    return service;
+  }
+
+  private refuseByLimit(
+    request: WaitingRequest,
+    service: ServiceQueue,
+  ): AdmissionResult | undefined {
+    const contract = this.options.contracts.contract(request.customer)!;
+    const reason = this.limits.refusal(request, contract);
+    if (reason === undefined) return undefined;
+    const nowMs = this.options.clock.nowMs();
+    const drainMs = service.drainTimeMs(request, nowMs);
+    return refused('QUEUE_FULL', {retryAfterMs: drainMs, reason});
+  }
+
+  private refuseByDeadline(
+    request: WaitingRequest,
+    service: ServiceQueue,
+  ): AdmissionResult | undefined {
+    const nowMs = this.options.clock.nowMs();
+    const remainingMs = request.deadlineMs - nowMs;
+    const waitMs = service.expectedWaitMs(request, nowMs);
+    const neededMs =
+      waitMs === 0 ? 0 : waitMs + service.runTimeMs(request.urgency);
+    if (remainingMs > 0 && neededMs <= remainingMs) return undefined;
+    const reason = `${remainingMs.toFixed(0)} ms remain, expected wait ${waitMs.toFixed(0)} ms`;
+    const retryAfterMs = neededMs - Math.max(0, remainingMs);
+    return refused('DEADLINE_UNREACHABLE', {retryAfterMs, reason});
+  }
+
+  private expire(queued: QueuedRequest): void {
+    this.leaves(queued);
+    this.expired.push(queued.request);
+  }
+
+  private leaves(queued: QueuedRequest): void {
+    this.waiting.delete(queued.request.requestId);
+    this.deadlines.remove(queued);
+    this.limits.remove(queued.request);
+  }
+}
+
+function refused(
+  code: 'QUEUE_FULL' | 'DEADLINE_UNREACHABLE',
+  options: {retryAfterMs: number; reason: string},
+): AdmissionResult {
+  const retryAfterMs = Math.ceil(
+    Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, options.retryAfterMs)),
+  );
+  const {reason} = options;
+  return {admitted: false, code: ResultCodes[code], retryAfterMs, reason};
+}
--- /dev/null
+++ b/src/admission/flow_group.ts
@@ -0,0 +1,93 @@
+import {HeapItem, IndexedHeap} from './indexed_heap.js';
+
+/** One of several parties that share a resource by weight. */
+export interface Flow extends HeapItem {
+  /** Weighted time in ms that the flow has received. */
+  virtualMs: number;
+  weight: number;
+  /** True while the flow has waiting requests. */
+  isActive: boolean;
+}
+
+/** Groups below this size are not searched for idle flows. */
+const MIN_SWEEP_SIZE = 64;
+
+/**
+ * Start-time fair queueing over flows: the active flow that has received the
+ * least weighted time is first. A flow that returns after a pause starts at
+ * the group's virtual time, so that idle time is no credit.
+ */
+export class FlowGroup<F extends Flow> {
+  private readonly flows = new Map<string, F>();
+  private readonly heap = new IndexedHeap<F>((flow) => flow.virtualMs);
+  private virtualMs = 0;
+  private weightSum = 0;
+  private sweepSize = MIN_SWEEP_SIZE;
+
+  /** Sum of the weights of all active flows. */
+  get activeWeight(): number {
+    return this.weightSum;
+  }
+
+  /** Returns a flow if it is known. */
+  get(name: string): F | undefined {
+    return this.flows.get(name);
+  }
+
+  /** Adds a flow. */
+  add(name: string, flow: F): void {
+    if (this.flows.size >= this.sweepSize) this.sweep();
+    this.flows.set(name, flow);
+  }
+
+  /** Records that the flow has waiting requests from now on. */
+  activate(flow: F): void {
+    flow.isActive = true;
+    flow.virtualMs = Math.max(flow.virtualMs, this.virtualMs);
+    this.weightSum += flow.weight;
+    this.heap.update(flow);
+  }
+
+  /** Records that the flow has none; the heap drops it when it comes first. */
+  deactivate(flow: F): void {
+    flow.isActive = false;
+    this.weightSum -= flow.weight;
+  }
+
+  /** Applies a changed weight. */
+  setWeight(flow: F, weight: number): void {
+    if (flow.isActive) this.weightSum += weight - flow.weight;
+    flow.weight = weight;
+  }
+
+  /** Returns the active flow to serve next. */
+  first(): F | undefined {
+    for (;;) {
+      const flow = this.heap.peek();
+      if (!flow || flow.isActive) return flow;
+      this.heap.remove(flow);
+    }
+  }
+
+  /** Charges a flow that is served for `costMs`. */
+  serve(flow: F, costMs: number): void {
+    this.virtualMs = Math.max(this.virtualMs, flow.virtualMs);
+    this.correct(flow, costMs);
+  }
+
+  /** Adds the difference between actual and charged time. */
+  correct(flow: F, differenceMs: number): void {
+    flow.virtualMs += differenceMs / flow.weight;
+    if (flow.heapIndex >= 0) this.heap.update(flow);
+  }
+
+  /** Drops idle flows without debt; amortised over the flows added since. */
+  private sweep(): void {
+    for (const [name, flow] of this.flows) {
+      if (flow.isActive || flow.virtualMs > this.virtualMs) continue;
+      this.heap.remove(flow);
+      this.flows.delete(name);
+    }
+    this.sweepSize = Math.max(MIN_SWEEP_SIZE, 2 * this.flows.size);
+  }
+}
--- /dev/null
+++ b/src/admission/service_queue.ts
@@ -0,0 +1,288 @@
+import {Contract} from '../contracts/contract.js';
+import {URGENCIES, Urgency} from '../contracts/urgency.js';
+import {DrainPace} from './drain_pace.js';
+import {FloorAccount, FloorClock} from './floor_clock.js';
+import {Flow, FlowGroup} from './flow_group.js';
+import {LinkedItem, LinkedQueue} from './linked_queue.js';
+import {RunTimeMean} from './run_time_mean.js';
+import {WaitingRequest} from './waiting_request.js';
+
+/** Waiting requests of one caller in one class. */
+interface CallerFlow extends Flow {
+  queue: LinkedQueue<QueuedRequest>;
+}
+
+/** Waiting requests of one customer in one class. */
+interface CustomerFlow extends Flow {
+  callers: FlowGroup<CallerFlow>;
+  waiting: number;
+  account: Account;
+}
+
+/** Waiting requests of one class. */
+interface ClassQueue {
+  customers: FlowGroup<CustomerFlow>;
+  waiting: number;
+  pace: DrainPace;
+  runTime: RunTimeMean;
+  account: Account;
+}
+
+interface Account extends FloorAccount {
+  classQueue: ClassQueue;
+  /** Undefined for the account of the class itself. */
+  customer: CustomerFlow | undefined;
+}
+
+/** A request in a {@link ServiceQueue}. */
+export interface QueuedRequest extends LinkedItem<QueuedRequest> {
+  readonly request: WaitingRequest;
+  readonly deadlineMs: number;
+  readonly classQueue: ClassQueue;
+  readonly customer: CustomerFlow;
+  readonly caller: CallerFlow;
+  /** Time in ms for which it was charged when it was taken. */
+  chargedMs: number;
+}
+
+const NO_HEAP = {heapIndex: -1, isActive: false};
+
+function newClassQueue(classFloor: number): ClassQueue {
+  const classQueue: ClassQueue = {
+    customers: new FlowGroup(),
+    waiting: 0,
+    pace: new DrainPace(),
+    runTime: new RunTimeMean(),
+    account: undefined as unknown as Account,
+  };
+  const customer = undefined;
+  const floor = classFloor;
+  classQueue.account = {
+    ...NO_HEAP,
+    floor,
+    eligibleMs: 0,
+    classQueue,
+    customer,
+  };
+  return classQueue;
+}
+
+/**
+ * Waiting requests of one service. Classes come by urgency, customers inside a
+ * class by weighted virtual time, callers inside a customer by virtual time;
+ * parties below their floor come before all of these.
+ */
+export class ServiceQueue {
+  private readonly classes = new Map<Urgency, ClassQueue>();
+  private readonly floors = new FloorClock<Account>();
+  private readonly runTime = new RunTimeMean();
+  private inUse = 0;
+  private waitingTotal = 0;
+
+  /** @param classFloor - Part of the slots that each class keeps, 0 to 1. */
+  constructor(classFloor: number) {
+    for (const urgency of URGENCIES) {
+      this.classes.set(urgency, newClassQueue(classFloor));
+    }
+  }
+
+  get waiting(): number {
+    return this.waitingTotal;
+  }
+
+  /** Usual run time of a class in ms. */
+  runTimeMs(urgency: Urgency): number {
+    return this.classes.get(urgency)!.runTime.meanMs ?? this.runTime.typicalMs;
+  }
+
+  /** Adds a request. */
+  add(request: WaitingRequest, contract: Contract): QueuedRequest {
+    const classQueue = this.classes.get(request.urgency)!;
+    const customer = this.customerOf(classQueue, request, contract);
+    const caller = this.callerOf(customer, request);
+    const {deadlineMs} = request;
+    const queued: QueuedRequest = {
+      request,
+      deadlineMs,
+      classQueue,
+      customer,
+      caller,
+      chargedMs: 0,
+      previous: undefined,
+      next: undefined,
+    };
+    this.count(queued);
+    caller.queue.push(queued);
+    return queued;
+  }
+
+  /** Removes a waiting request in constant time. */
+  remove(queued: QueuedRequest): void {
+    const {classQueue, customer, caller} = queued;
+    caller.queue.remove(queued);
+    this.waitingTotal -= 1;
+    classQueue.waiting -= 1;
+    customer.waiting -= 1;
+    if (caller.queue.size === 0) customer.callers.deactivate(caller);
+    if (customer.waiting === 0) {
+      classQueue.customers.deactivate(customer);
+      this.floors.deactivate(customer.account);
+    }
+    if (classQueue.waiting === 0) this.floors.deactivate(classQueue.account);
+  }
+
+  /** Returns the request to serve next; it stays in the queue. */
+  peek(): QueuedRequest | undefined {
+    if (this.waitingTotal === 0) return undefined;
+    const entitled = this.floors.entitled();
+    const classQueue = entitled?.classQueue ?? this.mostUrgentClass();
+    const customer = entitled?.customer ?? classQueue?.customers.first();
+    return customer?.callers.first()?.queue.peek();
+  }
+
+  /** Takes a request out to be served. */
+  take(queued: QueuedRequest): void {
+    const {classQueue, customer, caller} = queued;
+    const costMs = this.runTimeMs(queued.request.urgency);
+    this.remove(queued);
+    this.inUse += 1;
+    queued.chargedMs = costMs;
+    classQueue.pace.record();
+    classQueue.customers.serve(customer, costMs);
+    customer.callers.serve(caller, costMs);
+    this.chargeFloors(queued, costMs);
+  }
+
+  /** Records the end of a request that was taken. */
+  ended(queued: QueuedRequest, runTimeMs: number | undefined): void {
+    const {classQueue, customer, caller} = queued;
+    this.inUse -= 1;
+    const differenceMs = (runTimeMs ?? 0) - queued.chargedMs;
+    classQueue.customers.correct(customer, differenceMs);
+    customer.callers.correct(caller, differenceMs);
+    this.floors.advance(differenceMs);
+    this.floors.correct(customer.account, differenceMs);
+    this.floors.correct(classQueue.account, differenceMs);
+    if (runTimeMs === undefined) return;
+    this.runTime.add(runTimeMs);
+    classQueue.runTime.add(runTimeMs);
+  }
+
+  /**
+   * Estimates how long a further request would wait, from its position among
+   * the fair shares and the measured pace of its class.
+   */
+  expectedWaitMs(request: WaitingRequest, nowMs: number): number {
+    const classQueue = this.classes.get(request.urgency)!;
+    if (classQueue.waiting === 0) return 0;
+    return (
+      this.position(classQueue, request) * this.intervalMs(classQueue, nowMs)
+    );
+  }
+
+  /** Time in ms until about a quarter of the customer's requests has gone. */
+  drainTimeMs(request: WaitingRequest, nowMs: number): number {
+    const classQueue = this.classes.get(request.urgency)!;
+    const customer = classQueue.customers.get(request.customer);
+    const {activeWeight} = classQueue.customers;
+    if (!customer?.isActive) return this.runTimeMs(request.urgency);
+    const turns = (customer.waiting / 4) * (activeWeight / customer.weight);
+    const requests = Math.min(classQueue.waiting, turns);
+    return requests * this.intervalMs(classQueue, nowMs);
+  }
+
+  private position(classQueue: ClassQueue, request: WaitingRequest): number {
+    const customer = classQueue.customers.get(request.customer);
+    if (!customer) return 1;
+    const caller = customer.callers.get(request.caller);
+    const ownWaiting = caller?.queue.size ?? 0;
+    const callers = customer.callers.activeWeight;
+    const ahead = Math.min(customer.waiting, ownWaiting * callers);
+    const weights = classQueue.customers.activeWeight / customer.weight;
+    return 1 + Math.min(classQueue.waiting, ahead * Math.max(1, weights));
+  }
+
+  private intervalMs(classQueue: ClassQueue, nowMs: number): number {
+    // Before the pace is known, the class is assumed to get all slots.
+    const runTimeMs = this.runTime.typicalMs;
+    const byRunTimeMs = runTimeMs / Math.max(1, this.inUse);
+    return classQueue.pace.intervalMs(nowMs, 2 * runTimeMs) ?? byRunTimeMs;
+  }
+
+  private chargeFloors(queued: QueuedRequest, costMs: number): void {
+    this.floors.advance(costMs);
+    // Service beyond a floor is forgotten once all slots have turned over.
+    const memoryMs = this.inUse * this.runTime.typicalMs;
+    this.floors.charge(queued.customer.account, {costMs, memoryMs});
+    this.floors.charge(queued.classQueue.account, {costMs, memoryMs});
+  }
+
+  private mostUrgentClass(): ClassQueue | undefined {
+    for (const classQueue of this.classes.values()) {
+      if (classQueue.waiting > 0) return classQueue;
+    }
+    return undefined;
+  }
+
+  private customerOf(
+    classQueue: ClassQueue,
+    request: WaitingRequest,
+    contract: Contract,
+  ): CustomerFlow {
+    const {floor} = contract.urgencies[request.urgency];
+    let customer = classQueue.customers.get(request.customer);
+    if (!customer) {
+      const callers = new FlowGroup<CallerFlow>();
+      const weight = contract.share;
+      const account: Account = {
+        ...NO_HEAP,
+        floor,
+        eligibleMs: 0,
+        classQueue,
+        customer: undefined,
+      };
+      customer = {
+        ...NO_HEAP,
+        virtualMs: 0,
+        weight,
+        callers,
+        waiting: 0,
+        account,
+      };
+      account.customer = customer;
+      classQueue.customers.add(request.customer, customer);
+    }
+    classQueue.customers.setWeight(customer, contract.share);
+    this.floors.setFloor(customer.account, floor);
+    return customer;
+  }
+
+  private callerOf(
+    customer: CustomerFlow,
+    request: WaitingRequest,
+  ): CallerFlow {
+    let caller = customer.callers.get(request.caller);
+    if (!caller) {
+      const queue = new LinkedQueue<QueuedRequest>();
+      caller = {...NO_HEAP, virtualMs: 0, weight: 1, queue};
+      customer.callers.add(request.caller, caller);
+    }
+    return caller;
+  }
+
+  private count(queued: QueuedRequest): void {
+    const {classQueue, customer, caller, request} = queued;
+    if (classQueue.waiting === 0) {
+      this.floors.activate(classQueue.account);
+      classQueue.pace.start(request.arrivedMs);
+    }
+    if (customer.waiting === 0) {
+      classQueue.customers.activate(customer);
+      this.floors.activate(customer.account);
+    }
+    if (caller.queue.size === 0) customer.callers.activate(caller);
+    this.waitingTotal += 1;
+    classQueue.waiting += 1;
+    customer.waiting += 1;
+  }
+}
