Look at each slot of the deadline wheel once per round

Cause: the current slot was scanned again at each look, which touches all requests that share it. Change: slots of 4 ms, looked at once they have passed; take() still compares the exact deadline.

--- a/src/admission/deadline_wheel.ts
+++ b/src/admission/deadline_wheel.ts
@@ -4,10 +4,10 @@
   deadlineMs: number;
 }
 
-const SLOT_MS = 16;
+const SLOT_MS = 4;
 
 /** Slots of the wheel; later deadlines share slots with earlier rounds. */
-const SLOT_COUNT = 1024;
+const SLOT_COUNT = 4096;
 
 /**
  * Finds items whose deadline has passed. Adding and removing take constant
@@ -38,14 +38,16 @@
     if (items.size === 0) this.slots.delete(slot);
   }
 
-  /** Returns items whose deadline is `nowMs` or earlier; they stay. */
+  /**
+   * Returns items whose deadline has passed; they stay. An item is found at
+   * most one slot late, because each slot is looked at once per round.
+   */
   due(nowMs: number): T[] {
     const tick = Math.floor(nowMs / SLOT_MS);
-    // The current slot is looked at again, as it has passed only in part.
-    const first = Math.max(this.nextTick, tick - SLOT_COUNT + 1);
+    const first = Math.max(this.nextTick, tick - SLOT_COUNT);
     this.nextTick = tick;
     const found: T[] = [];
-    for (let i = first; i <= tick; i++) {
+    for (let i = first; i < tick; i++) {
       for (const item of this.slots.get(i % SLOT_COUNT) ?? []) {
         if (item.deadlineMs <= nowMs) found.push(item);
       }
