--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,130 @@
+import {Clock} from '../clock/clock.js';
+import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
+import {Heartbeat} from './heartbeat.js';
+import {LivingPeer, PeerTable} from './peer_table.js';
+
+/** Parts of a heartbeat that other modules provide. */
+export interface HeartbeatContents {
+  ownershipRevision: number;
+  configurationRevision: number;
+  load: unknown;
+}
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+  network: PeerNetwork;
+  /** Other members of the same role and data centre. */
+  peers: readonly PeerAddress[];
+  /** Further receivers of heartbeats, for example schedulers. @default none */
+  listeners?: readonly PeerAddress[];
+  clock: Clock;
+  /** Time between heartbeats in ms. @default 400 */
+  heartbeatMs?: number;
+  /** Silence in ms after which a member is suspected. @default 1200 */
+  suspectAfterMs?: number;
+  /** Provides what other modules add to each heartbeat. */
+  contents: () => HeartbeatContents;
+}
+
+/** Name of the message that carries a {@link Heartbeat}. */
+export const HEARTBEAT_MESSAGE = 'heartbeat';
+
+/** Exchanges heartbeats with the members of the same role and data centre. */
+export class Membership {
+  readonly table: PeerTable;
+  private readonly startMs: number;
+  private readonly timer: NodeJS.Timeout;
+  private readonly tickListeners = new Set<() => void>();
+  private readonly heartbeatListeners = new Set<(beat: Heartbeat) => void>();
+  private sequence = 0;
+  private isLeaving = false;
+
+  constructor(private readonly options: MembershipOptions) {
+    const {network, peers, clock} = options;
+    this.startMs = clock.nowMs();
+    this.table = new PeerTable({
+      self: network.identity.member,
+      peers: peers.map((peer) => peer.member),
+      suspectAfterMs: options.suspectAfterMs,
+      startMs: this.startMs,
+    });
+    network.onMessage(HEARTBEAT_MESSAGE, (body) =>
+      this.receive(body as Heartbeat),
+    );
+    for (const peer of [...peers, ...(options.listeners ?? [])]) {
+      network.connect(peer);
+    }
+    this.timer = setInterval(() => this.tick(), options.heartbeatMs ?? 400);
+  }
+
+  /** Name of this member. */
+  get self(): string {
+    return this.options.network.identity.member;
+  }
+
+  /** This member and its living peers, in the order of their names. */
+  living(): LivingPeer[] {
+    const {clock, network} = this.options;
+    const nowMs = clock.nowMs();
+    const own: LivingPeer = {
+      member: this.self,
+      incarnation: network.identity.incarnation,
+      upMs: nowMs - this.startMs,
+      isLeaving: this.isLeaving,
+    };
+    return [...this.table.livingPeers(nowMs), own].sort((a, b) =>
+      a.member < b.member ? -1 : 1,
+    );
+  }
+
+  /** Tells peers that this member takes no more shards; sent at once. */
+  leave(): void {
+    this.isLeaving = true;
+    this.sendHeartbeats();
+  }
+
+  /** Calls `listener` at each heartbeat interval. */
+  onTick(listener: () => void): void {
+    this.tickListeners.add(listener);
+  }
+
+  /** Calls `listener` for each new heartbeat, also of other roles. */
+  onHeartbeat(listener: (heartbeat: Heartbeat) => void): void {
+    this.heartbeatListeners.add(listener);
+  }
+
+  /** Sends a heartbeat before the interval has passed. */
+  sendHeartbeats(): void {
+    const {network, clock, contents, peers, listeners = []} = this.options;
+    const nowMs = clock.nowMs();
+    this.sequence += 1;
+    const heartbeat: Heartbeat = {
+      member: this.self,
+      incarnation: network.identity.incarnation,
+      sequence: this.sequence,
+      heardAgesMs: this.table.heardAgesMs(nowMs),
+      upMs: Math.round(nowMs - this.startMs),
+      isLeaving: this.isLeaving,
+      ...contents(),
+    };
+    for (const peer of [...peers, ...listeners]) {
+      network.send(peer, HEARTBEAT_MESSAGE, heartbeat);
+    }
+  }
+
+  /** Stops sending. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private tick(): void {
+    this.table.tick(this.options.clock.nowMs());
+    this.sendHeartbeats();
+    for (const listener of this.tickListeners) listener();
+  }
+
+  private receive(heartbeat: Heartbeat): void {
+    this.table.record(heartbeat, this.options.clock.nowMs());
+    for (const listener of this.heartbeatListeners) listener(heartbeat);
+  }
+}
--- /dev/null
+++ b/src/membership/peer_table.ts
@@ -0,0 +1,141 @@
+import {Heartbeat} from './heartbeat.js';
+
+/** Options of {@link PeerTable}. */
+export interface PeerTableOptions {
+  /** Name of this member. */
+  self: string;
+  /** Names of the other members that settings give. */
+  peers: readonly string[];
+  /** Silence in ms after which a member is suspected. @default 1200 */
+  suspectAfterMs?: number;
+  /** Monotonic time in ms at which the table starts. */
+  startMs: number;
+}
+
+interface PeerState {
+  heartbeat: Heartbeat | undefined;
+  heardMs: number;
+}
+
+/** Latest heartbeat of a living member. */
+export interface LivingPeer {
+  member: string;
+  incarnation: string;
+  /** Time in ms since the member started. */
+  upMs: number;
+  isLeaving: boolean;
+}
+
+/**
+ * Latest heartbeats of the members of one role in one data centre, and which
+ * members are alive. A member that any directly heard member still hears is
+ * alive, so that a partition between two members alone raises no suspicion.
+ */
+export class PeerTable {
+  private readonly peers = new Map<string, PeerState>();
+  private readonly suspectAfterMs: number;
+  private lastTickMs: number;
+
+  constructor(private readonly options: PeerTableOptions) {
+    this.suspectAfterMs = options.suspectAfterMs ?? 1200;
+    this.lastTickMs = options.startMs;
+    for (const peer of options.peers) {
+      this.peers.set(peer, {heartbeat: undefined, heardMs: options.startMs});
+    }
+  }
+
+  /**
+   * Records a heartbeat.
+   *
+   * @returns False if it is older than the one known.
+   */
+  record(heartbeat: Heartbeat, nowMs: number): boolean {
+    const known = this.peers.get(heartbeat.member);
+    if (!known) return false;
+    const isOlder =
+      known.heartbeat?.incarnation === heartbeat.incarnation &&
+      known.heartbeat.sequence >= heartbeat.sequence;
+    if (isOlder) return false;
+    this.peers.set(heartbeat.member, {heartbeat, heardMs: nowMs});
+    return true;
+  }
+
+  /**
+   * Must be called at each heartbeat interval. After a pause of this process
+   * its peers count as heard again: they were not silent, it did not listen.
+   */
+  tick(nowMs: number): void {
+    const gapMs = nowMs - this.lastTickMs;
+    this.lastTickMs = nowMs;
+    if (gapMs < this.suspectAfterMs) return;
+    for (const state of this.peers.values()) {
+      state.heardMs += gapMs;
+    }
+  }
+
+  /** Time in ms since each peer was heard directly. */
+  heardAgesMs(nowMs: number): Record<string, number> {
+    const ages: Record<string, number> = {};
+    for (const [member, state] of this.peers) {
+      if (state.heartbeat) ages[member] = Math.round(nowMs - state.heardMs);
+    }
+    return ages;
+  }
+
+  /** Tells whether a member was heard, directly or by a member heard here. */
+  isLiving(member: string, nowMs: number): boolean {
+    if (member === this.options.self) return true;
+    const state = this.peers.get(member);
+    if (!state?.heartbeat) return false;
+    if (this.isHeard(state, nowMs)) return true;
+    return [...this.peers.values()].some((witness) => {
+      const age = witness.heartbeat?.heardAgesMs[member];
+      if (age === undefined || !this.isHeard(witness, nowMs)) return false;
+      return age + nowMs - witness.heardMs < this.suspectAfterMs;
+    });
+  }
+
+  /** True while a peer has not been heard yet and may still be starting. */
+  isSettling(nowMs: number): boolean {
+    return [...this.peers.values()].some(
+      (state) => !state.heartbeat && this.isHeard(state, nowMs),
+    );
+  }
+
+  /** Living peers, without this member. */
+  livingPeers(nowMs: number): LivingPeer[] {
+    const living: LivingPeer[] = [];
+    for (const [member, {heartbeat}] of this.peers) {
+      if (!heartbeat || !this.isLiving(member, nowMs)) continue;
+      const {incarnation, upMs, isLeaving} = heartbeat;
+      living.push({member, incarnation, upMs, isLeaving});
+    }
+    return living;
+  }
+
+  /** Latest heartbeat of a peer. */
+  latest(member: string): Heartbeat | undefined {
+    return this.peers.get(member)?.heartbeat;
+  }
+
+  /**
+   * Tells whether a link problem concerns this member: it misses one of
+   * `members`, or one of them reports that it misses this member.
+   */
+  hasLostContact(members: readonly string[], nowMs: number): boolean {
+    const limitMs = this.suspectAfterMs / 2;
+    return members.some((member) => {
+      const state = this.peers.get(member);
+      if (!state) return false;
+      if (nowMs - state.heardMs > limitMs) return true;
+      if (!state.heartbeat) return false;
+      // A peer that never heard this member reports no age for it.
+      const {heardAgesMs, upMs} = state.heartbeat;
+      return (heardAgesMs[this.options.self] ?? upMs) > limitMs;
+    });
+  }
+
+  private isHeard(state: PeerState, nowMs: number): boolean {
+    return nowMs - state.heardMs < this.suspectAfterMs;
+  }
+}
--- /dev/null
+++ b/src/ownership/ownership_keeper.ts
@@ -0,0 +1,307 @@
+import {Logger} from 'pino';
+
+import {Clock} from '../clock/clock.js';
+import {PeerNetwork} from '../links/peer_network.js';
+import {Membership} from '../membership/membership.js';
+import {LivingPeer} from '../membership/peer_table.js';
+import {PlatformService} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {assignShards} from './assign_shards.js';
+import {LivenessWitness} from './liveness_witness.js';
+import {
+  EMPTY_OWNERSHIP,
+  OwnershipRecord,
+  ownershipRecordSchema,
+} from './ownership_record.js';
+import {OwnedShard, OwnershipView, ShardOwner} from './ownership_view.js';
+
+/** Options of {@link OwnershipKeeper}. */
+export interface OwnershipKeeperOptions {
+  platform: PlatformService;
+  membership: Membership;
+  network: PeerNetwork;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** Shards of this role and data centre as the VM list gives them. */
+  shards: () => readonly string[];
+  /** Time in ms a member is up before it gets shards. @default 3000 */
+  joinAfterMs?: number;
+}
+
+/** Ownership record as members pass it on. */
+interface OwnershipNews {
+  record: OwnershipRecord;
+  revision: number;
+}
+
+const NEWS_MESSAGE = 'ownership';
+const NEWS_REQUEST = 'ownershipRecord';
+const NEWS_TIMEOUT_MS = 500;
+
+// A lower-ranked member writes the record only when those before it have not
+// done so within this time each, for example because they lost the platform.
+const RANK_DELAY_MS = 1000;
+
+const RETRY_MIN_MS = 500;
+const RETRY_SPREAD_MS = 1500;
+
+/**
+ * Keeps the ownership record of one role in one data centre: follows it,
+ * replaces owners that died, and writes changes by compare-and-swap.
+ */
+export class OwnershipKeeper implements OwnershipView {
+  private record: OwnershipRecord = EMPTY_OWNERSHIP;
+  private recordRevision = 0;
+  private isLoaded = false;
+  private isStepping = false;
+  private needSinceMs: number | undefined;
+  private retryAtMs = 0;
+  private readonly key: string;
+  private readonly witness: LivenessWitness;
+  private readonly listeners = new Set<() => void>();
+
+  constructor(private readonly options: OwnershipKeeperOptions) {
+    const {network, membership, platform, clock} = options;
+    const {dataCentre, role} = network.identity;
+    this.key = `ownership/${dataCentre}/${role}`;
+    this.witness = new LivenessWitness({
+      platform,
+      clock,
+      keyPrefix: `liveness/${dataCentre}/${role}/`,
+      self: membership.self,
+    });
+    network.onMessage(NEWS_MESSAGE, (body) =>
+      this.adopt(body as OwnershipNews),
+    );
+    network.onRequest(NEWS_REQUEST, () => Promise.resolve(this.news()));
+    membership.onHeartbeat((heartbeat) => {
+      const isPeer = membership.table.latest(heartbeat.member) !== undefined;
+      if (isPeer && heartbeat.ownershipRevision > this.recordRevision) {
+        void this.fetchFrom(heartbeat.member);
+      }
+    });
+    membership.onTick(() => void this.step());
+  }
+
+  /** Platform revision of the record that is known here. */
+  get revision(): number {
+    return this.recordRevision;
+  }
+
+  ownedShards(): readonly OwnedShard[] {
+    const {member, incarnation} = this.options.network.identity;
+    return Object.entries(this.record.shards)
+      .filter(
+        ([, owner]) =>
+          owner.member === member && owner.incarnation === incarnation,
+      )
+      .map(([shard, owner]) => ({shard, epoch: owner.epoch}));
+  }
+
+  ownerOf(shard: string): ShardOwner | undefined {
+    return this.record.shards[shard];
+  }
+
+  livingMembers(): readonly string[] {
+    return this.options.membership.living().map((peer) => peer.member);
+  }
+
+  async confirm(owned: OwnedShard): Promise<boolean> {
+    await this.load();
+    return this.ownedShards().some(
+      (current) =>
+        current.shard === owned.shard && current.epoch === owned.epoch,
+    );
+  }
+
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Reads the record at once, after a worker or target refused an epoch. */
+  async noteFenced(): Promise<void> {
+    await this.load().catch(() => undefined);
+  }
+
+  /**
+   * Hands all shards of this member over, as a planned stop does.
+   *
+   * @returns True if the record without this member was written.
+   */
+  async handOver(): Promise<boolean> {
+    this.options.membership.leave();
+    for (let attempt = 0; attempt < 3; attempt++) {
+      if (this.ownedShards().length === 0) return true;
+      const next = this.desired();
+      if (!next) return false;
+      await this.write(next).catch(() => undefined);
+    }
+    return this.ownedShards().length === 0;
+  }
+
+  /** Follows the record until the membership stops. */
+  private async step(): Promise<void> {
+    if (this.isStepping) return;
+    this.isStepping = true;
+    try {
+      await this.announceLiveness();
+      if (this.options.clock.nowMs() < this.retryAtMs) return;
+      if (!this.isLoaded) await this.load();
+      await this.replaceOwners();
+    } catch (error) {
+      this.retryAtMs =
+        this.options.clock.nowMs() +
+        RETRY_MIN_MS +
+        RETRY_SPREAD_MS * this.options.random.next();
+      this.options.logger.warn(
+        {error: (error as Error).message},
+        'ownership record not reachable',
+      );
+    } finally {
+      this.isStepping = false;
+    }
+  }
+
+  private async announceLiveness(): Promise<void> {
+    const {membership, clock} = this.options;
+    const owners = Object.values(this.record.shards).map(
+      (owner) => owner.member,
+    );
+    const isMissed = membership.table.hasLostContact(owners, clock.nowMs());
+    if (isMissed) await this.witness.announce();
+  }
+
+  private async replaceOwners(): Promise<void> {
+    const {membership, clock} = this.options;
+    if (membership.table.isSettling(clock.nowMs())) return;
+    if (!this.desired()) {
+      this.needSinceMs = undefined;
+      return;
+    }
+    this.needSinceMs ??= clock.nowMs();
+    if (clock.nowMs() - this.needSinceMs < this.rank() * RANK_DELAY_MS) return;
+    await this.verifySuspects();
+    const next = this.desired();
+    if (next) await this.write(next);
+  }
+
+  private rank(): number {
+    const {membership} = this.options;
+    const staying = membership.living().filter((peer) => !peer.isLeaving);
+    return Math.max(
+      0,
+      staying.findIndex((peer) => peer.member === membership.self),
+    );
+  }
+
+  private desired(): OwnershipRecord | undefined {
+    return assignShards({
+      current: this.record,
+      shards: this.options.shards(),
+      living: this.livingOrProtected(),
+      joinAfterMs: this.options.joinAfterMs,
+    });
+  }
+
+  /** Adds owners whose liveness key proved that they still work. */
+  private livingOrProtected(): LivingPeer[] {
+    const living = this.options.membership.living();
+    const names = new Set(living.map((peer) => peer.member));
+    for (const {member, incarnation} of Object.values(this.record.shards)) {
+      if (names.has(member) || !this.witness.isProtected(member)) continue;
+      names.add(member);
+      living.push({
+        member,
+        incarnation,
+        upMs: Number.MAX_SAFE_INTEGER,
+        isLeaving: false,
+      });
+    }
+    return living;
+  }
+
+  private async verifySuspects(): Promise<void> {
+    const names = new Set(
+      this.options.membership.living().map((peer) => peer.member),
+    );
+    const suspects = new Set(
+      Object.values(this.record.shards)
+        .map((owner) => owner.member)
+        .filter((member) => !names.has(member)),
+    );
+    await Promise.all(
+      [...suspects].map((member) => this.witness.verify(member)),
+    );
+  }
+
+  private async load(): Promise<void> {
+    const entry = await this.options.platform.read(this.key);
+    this.isLoaded = true;
+    if (!entry) return;
+    const record = ownershipRecordSchema.parse(JSON.parse(entry.value));
+    this.adopt({record, revision: entry.revision});
+  }
+
+  private async write(next: OwnershipRecord): Promise<void> {
+    const value = JSON.stringify(next);
+    const expectedRevision = this.recordRevision;
+    try {
+      const result = await this.options.platform.write({
+        key: this.key,
+        value,
+        expectedRevision,
+      });
+      if (result.written) {
+        this.adopt({record: next, revision: result.revision});
+      } else {
+        await this.load();
+      }
+    } catch (error) {
+      // The write may have taken effect; the record itself tells.
+      await this.load();
+      if (this.recordRevision === expectedRevision) throw error;
+    }
+    this.announceRecord();
+  }
+
+  private announceRecord(): void {
+    const {membership, network, logger} = this.options;
+    logger.info(
+      {epoch: this.record.epoch, owned: this.ownedShards()},
+      'ownership record changed',
+    );
+    const {role} = network.identity;
+    for (const {member} of membership.living()) {
+      if (member === membership.self) continue;
+      network.send({role, member}, NEWS_MESSAGE, this.news());
+    }
+  }
+
+  private async fetchFrom(member: string): Promise<void> {
+    const {network} = this.options;
+    const {role} = network.identity;
+    try {
+      const news = await network.request({role, member}, NEWS_REQUEST, {
+        body: {},
+        timeoutMs: NEWS_TIMEOUT_MS,
+      });
+      this.adopt(news as OwnershipNews);
+    } catch {
+      // The next heartbeat leads to another attempt.
+    }
+  }
+
+  private news(): OwnershipNews {
+    return {record: this.record, revision: this.recordRevision};
+  }
+
+  private adopt(news: OwnershipNews): void {
+    if (news.revision <= this.recordRevision) return;
+    this.record = news.record;
+    this.recordRevision = news.revision;
+    this.isLoaded = true;
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/platform/call_budget.ts
@@ -0,0 +1,46 @@
+import {Clock} from '../clock/clock.js';
+
+/** Options of {@link CallBudget}. */
+export interface CallBudgetOptions {
+  clock: Clock;
+  /** Calls per second on average. @default 20 */
+  callsPerSecond?: number;
+  /** Calls that may be made at once after a quiet time. @default 10 */
+  burst?: number;
+}
+
+/** Token bucket that bounds the calls of a process to the platform. */
+export class CallBudget {
+  private tokens: number;
+  private updatedMs: number;
+  private readonly ratePerMs: number;
+  private readonly burst: number;
+
+  constructor(private readonly options: CallBudgetOptions) {
+    this.ratePerMs = (options.callsPerSecond ?? 20) / 1000;
+    this.burst = options.burst ?? 10;
+    this.tokens = this.burst;
+    this.updatedMs = options.clock.nowMs();
+  }
+
+  /** Takes a call from the budget if there is one left. */
+  tryTake(): boolean {
+    this.refill();
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  /** Time in ms until a call will be available. */
+  waitMs(): number {
+    this.refill();
+    return this.tokens >= 1 ? 0 : (1 - this.tokens) / this.ratePerMs;
+  }
+
+  private refill(): void {
+    const nowMs = this.options.clock.nowMs();
+    const gained = (nowMs - this.updatedMs) * this.ratePerMs;
+    this.tokens = Math.min(this.burst, this.tokens + gained);
+    this.updatedMs = nowMs;
+  }
+}
