--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -40,6 +40,9 @@
   timer: NodeJS.Timeout;
 }
 
+/** Bytes that may wait for a peer that reads slowly before it is cut off. */
+const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+
 const CODES_BY_NUMBER = new Map<number, ResultCode>(
   Object.values(ResultCodes).map((code) => [code.number, code]),
 );
@@ -148,7 +151,11 @@
   }
 
   private write(frame: LinkFrame): void {
-    if (!this.socket.destroyed) this.socket.write(encodeFrame(frame));
+    if (this.socket.destroyed) return;
+    this.socket.write(encodeFrame(frame));
+    if (this.socket.writableLength > MAX_UNSENT_BYTES) {
+      this.close('the other side reads too slowly');
+    }
   }
 
   private receive(chunk: Buffer): void {
