Add a caller that checks its answers

Cause: tests and measurements need callers that tell a whole answer of their own from any other. Change: testing/caller.ts.

--- /dev/null
+++ b/testing/caller.ts
@@ -0,0 +1,172 @@
+import {createHash, randomUUID} from 'node:crypto';
+
+import {Agent, request} from 'undici';
+
+/** One request of a {@link Caller}. */
+export interface CallerRequest {
+  /** Body to send. @default '' */
+  body?: string;
+  /** Time in ms that the target works on it. @default the target's own */
+  workMs?: number;
+  /** Urgency class. @default 'standard' */
+  urgency?: string;
+  /** Deadline in ms. @default 5000 */
+  timeoutMs?: number;
+  /** Key of a non-idempotent request. @default idempotent */
+  nonIdempotentKey?: string;
+  /** Bytes of padding in the answer. @default 0 */
+  answerBytes?: number;
+  /** Entry to use instead of the next one in turn. */
+  origin?: string;
+}
+
+/** What a caller got. */
+export interface CallerResult {
+  /** 'ran', 'did-not-run', 'may-have-run', or 'no-answer'. */
+  outcome: string;
+  /** Number of the result code; 0 without an answer. */
+  code: number;
+  status: number;
+  /** False if the answer is cut short or belongs to another request. */
+  isRight: boolean;
+  latencyMs: number;
+}
+
+/** Options of {@link Caller}. */
+export interface CallerOptions {
+  /** Entries, used in turn as a balancer does. */
+  origins: readonly string[];
+  /** Key of the caller. */
+  key: string;
+  /** Service that requests go to. @default 'portal' */
+  service?: string;
+  /** Most connections to each entry. @default 64 */
+  connections?: number;
+}
+
+const UNANSWERED: Omit<CallerResult, 'latencyMs'> = {
+  outcome: 'no-answer',
+  code: 0,
+  status: 0,
+  isRight: true,
+};
+
+/** Sends requests through a balancer's rotation and checks the answers. */
+export class Caller {
+  private readonly agent: Agent;
+  private next = 0;
+
+  constructor(private readonly options: CallerOptions) {
+    this.agent = new Agent({connections: options.connections ?? 64});
+  }
+
+  /** Sends one request to a service. */
+  async call(input: CallerRequest = {}): Promise<CallerResult> {
+    const startMs = performance.now();
+    try {
+      const result = await this.send(input);
+      return {...result, latencyMs: performance.now() - startMs};
+    } catch {
+      return {...UNANSWERED, latencyMs: performance.now() - startMs};
+    }
+  }
+
+  /** Sends a JSON call to the job interface. */
+  async job(
+    method: 'GET' | 'POST' | 'DELETE',
+    call: {path?: string; body?: unknown; idempotencyKey?: string},
+  ): Promise<{status: number; code: number; body: Record<string, unknown>}> {
+    const headers: Record<string, string> = {
+      authorization: `Bearer ${this.options.key}`,
+      'content-type': 'application/json',
+    };
+    if (call.idempotencyKey) headers['idempotency-key'] = call.idempotencyKey;
+    const answer = await request(
+      `${this.nextOrigin()}/v1/jobs${call.path ?? ''}`,
+      {
+        method,
+        dispatcher: this.agent,
+        headers,
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        headersTimeout: 15_000,
+      },
+    );
+    const text = await answer.body.text();
+    return {
+      status: answer.statusCode,
+      code: Number(answer.headers['banyanmux-code'] ?? 0),
+      body: (text === '' ? {} : JSON.parse(text)) as Record<string, unknown>,
+    };
+  }
+
+  /** Closes all connections. */
+  stop(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private nextOrigin(): string {
+    const {origins} = this.options;
+    this.next = (this.next + 1) % origins.length;
+    return origins[this.next]!;
+  }
+
+  private async send(
+    input: CallerRequest,
+  ): Promise<Omit<CallerResult, 'latencyMs'>> {
+    const {body = '', timeoutMs = 5000} = input;
+    const echo = randomUUID();
+    const service = this.options.service ?? 'portal';
+    const origin = input.origin ?? this.nextOrigin();
+    const answer = await request(`${origin}/v1/services/${service}/work`, {
+      method: 'POST',
+      dispatcher: this.agent,
+      headers: this.headersFor(input, echo),
+      body,
+      headersTimeout: timeoutMs + 3000,
+      bodyTimeout: timeoutMs + 3000,
+    });
+    const text = await answer.body.text();
+    const outcome = String(answer.headers['banyanmux-outcome'] ?? '');
+    const isAnswer = outcome === 'ran' && answer.statusCode === 200;
+    return {
+      outcome,
+      code: Number(answer.headers['banyanmux-code'] ?? 0),
+      status: answer.statusCode,
+      isRight: !isAnswer || isOwnAnswer(text, {body, echo}),
+    };
+  }
+
+  private headersFor(
+    input: CallerRequest,
+    echo: string,
+  ): Record<string, string> {
+    const headers: Record<string, string> = {
+      authorization: `Bearer ${this.options.key}`,
+      'banyanmux-urgency': input.urgency ?? 'standard',
+      'banyanmux-timeout-ms': String(input.timeoutMs ?? 5000),
+      'x-echo': echo,
+    };
+    if (input.workMs !== undefined) headers['x-work-ms'] = String(input.workMs);
+    if (input.answerBytes) {
+      headers['x-answer-bytes'] = String(input.answerBytes);
+    }
+    if (input.nonIdempotentKey) {
+      headers['banyanmux-idempotent'] = 'false';
+      headers['idempotency-key'] = input.nonIdempotentKey;
+    }
+    return headers;
+  }
+}
+
+function isOwnAnswer(
+  text: string,
+  expected: {body: string; echo: string},
+): boolean {
+  try {
+    const parsed = JSON.parse(text) as {digest?: string; echo?: string};
+    const digest = createHash('sha256').update(expected.body).digest('hex');
+    return parsed.digest === digest && parsed.echo === expected.echo;
+  } catch {
+    return false;
+  }
+}
