Place by first fit with shared capacity accounting

Cause: the scheduler needs a policy and measurements need a baseline. Change: CapacityLedger accounts in whole thousandths and throws beyond a worker's capacity; FirstFit finds the first worker by a tree in O(log n). Conclusion: the scheduler can build on FirstFit.

--- /dev/null
+++ b/src/placement/capacity_ledger.ts
@@ -0,0 +1,186 @@
+import {CommittedTask, PlacementWorker} from './placement_request.js';
+import {CapacityShapes} from './capacity_shapes.js';
+import {ResourceUnits} from './resource_units.js';
+import {TaskRecord} from './task_record.js';
+import {WorkerIndex} from './worker_index.js';
+import {WorkerRecord} from './worker_record.js';
+
+/** Sums of free units over the workers that accept work. */
+export interface FreeUnits {
+  processors: number;
+  memory: number;
+  accelerators: number;
+}
+
+/** Accounts for the resources of workers and refuses to exceed them. */
+export class CapacityLedger {
+  readonly shapes = new CapacityShapes();
+  private readonly workers = new Map<string, WorkerRecord>();
+  private readonly tasks = new Map<string, TaskRecord>();
+  private readonly free: FreeUnits = {
+    processors: 0,
+    memory: 0,
+    accelerators: 0,
+  };
+
+  /** @param index - Index that is told of each change of a worker. */
+  constructor(private readonly index: WorkerIndex) {}
+
+  /** Number of workers. */
+  get size(): number {
+    return this.workers.size;
+  }
+
+  worker(worker: string): WorkerRecord | undefined {
+    return this.workers.get(worker);
+  }
+
+  task(taskId: string): TaskRecord | undefined {
+    return this.tasks.get(taskId);
+  }
+
+  /** Free units over the workers that accept work. */
+  freeUnits(): Readonly<FreeUnits> {
+    return this.free;
+  }
+
+  /**
+   * Adds a worker or changes its capacity. A capacity that shrinks below what
+   * is committed leaves negative free amounts, so nothing is added until
+   * enough tasks have been released.
+   */
+  addWorker(worker: PlacementWorker): WorkerRecord {
+    const existing = this.workers.get(worker.worker);
+    if (!existing) return this.insert(WorkerRecord.of(worker));
+    if (existing.rack !== worker.rack) {
+      throw new RangeError(
+        `Cannot move worker "${worker.worker}" to rack "${worker.rack}": it is in rack "${existing.rack}"`,
+      );
+    }
+    this.resize(existing, WorkerRecord.of(worker).capacity);
+    return existing;
+  }
+
+  /**
+   * @returns The record that was removed, or undefined if there was none.
+   * @throws RangeError if tasks are still committed on the worker.
+   */
+  removeWorker(worker: string): WorkerRecord | undefined {
+    const record = this.workers.get(worker);
+    if (!record) return undefined;
+    if (record.tasks.size > 0) {
+      throw new RangeError(
+        `Cannot remove worker "${worker}": ${record.tasks.size} tasks are committed on it`,
+      );
+    }
+    this.setAccepting(worker, false);
+    this.workers.delete(worker);
+    this.shapes.remove(record.capacity);
+    return record;
+  }
+
+  setAccepting(worker: string, isAccepting: boolean): void {
+    const record = this.workers.get(worker);
+    if (!record || record.isAccepting === isAccepting) return;
+    this.addToFree(record, isAccepting ? 1 : -1);
+    record.isAccepting = isAccepting;
+    this.refresh(record);
+  }
+
+  /**
+   * @throws RangeError if the worker is unknown, the task is already
+   *     committed, or the worker would be committed beyond its capacity.
+   */
+  commit(task: CommittedTask): TaskRecord {
+    const record = this.workers.get(task.worker);
+    const units = ResourceUnits.needed(task.resources);
+    units.check(`task "${task.taskId}"`);
+    this.checkCommit(task, {record, units});
+    const entry: TaskRecord = {task, units, record: record!};
+    this.tasks.set(task.taskId, entry);
+    record!.tasks.add(entry);
+    this.take(record!, units, 1);
+    return entry;
+  }
+
+  /** @returns The commitment that was released, if there was one. */
+  release(taskId: string): TaskRecord | undefined {
+    const entry = this.tasks.get(taskId);
+    if (!entry) return undefined;
+    this.tasks.delete(taskId);
+    entry.record.tasks.delete(entry);
+    this.take(entry.record, entry.units, -1);
+    return entry;
+  }
+
+  private checkCommit(
+    task: CommittedTask,
+    state: {record: WorkerRecord | undefined; units: ResourceUnits},
+  ): void {
+    const where = `Cannot commit task "${task.taskId}" on worker "${task.worker}"`;
+    const {record, units} = state;
+    if (!record) throw new RangeError(`${where}: the worker is unknown`);
+    const existing = this.tasks.get(task.taskId);
+    if (existing) {
+      throw new RangeError(
+        `${where}: it is committed on "${existing.task.worker}"`,
+      );
+    }
+    if (!record.fits(units)) {
+      throw new RangeError(
+        `${where}: it needs ${describe(units)}, free are ${describe({
+          processors: record.freeProcessors,
+          memory: record.freeMemory,
+          accelerators: record.freeAccelerators,
+        })}`,
+      );
+    }
+  }
+
+  private insert(record: WorkerRecord): WorkerRecord {
+    this.workers.set(record.worker, record);
+    this.shapes.add(record.capacity);
+    this.addToFree(record, 1);
+    this.refresh(record);
+    return record;
+  }
+
+  private resize(record: WorkerRecord, capacity: ResourceUnits): void {
+    if (record.isAccepting) this.addToFree(record, -1);
+    this.shapes.remove(record.capacity);
+    this.shapes.add(capacity);
+    record.freeProcessors += capacity.processors - record.capacity.processors;
+    record.freeMemory += capacity.memory - record.capacity.memory;
+    record.freeAccelerators +=
+      capacity.accelerators - record.capacity.accelerators;
+    record.capacity = capacity;
+    if (record.isAccepting) this.addToFree(record, 1);
+    this.refresh(record);
+  }
+
+  private take(record: WorkerRecord, units: ResourceUnits, sign: 1 | -1): void {
+    if (record.isAccepting) this.addToFree(record, -1);
+    record.freeProcessors -= sign * units.processors;
+    record.freeMemory -= sign * units.memory;
+    record.freeAccelerators -= sign * units.accelerators;
+    if (record.isAccepting) this.addToFree(record, 1);
+    this.refresh(record);
+  }
+
+  private addToFree(record: WorkerRecord, sign: 1 | -1): void {
+    this.free.processors += sign * record.freeProcessors;
+    this.free.memory += sign * record.freeMemory;
+    this.free.accelerators += sign * record.freeAccelerators;
+  }
+
+  private refresh(record: WorkerRecord): void {
+    if (record.isAccepting) this.index.update(record);
+    else this.index.remove(record);
+  }
+}
+
+function describe(units: FreeUnits): string {
+  const processors = ResourceUnits.toWhole(units.processors);
+  const memory = ResourceUnits.toWhole(units.memory);
+  return `${processors} processors, ${memory} MB, ${units.accelerators} accelerators`;
+}
--- /dev/null
+++ b/src/placement/capacity_shapes.ts
@@ -0,0 +1,77 @@
+import {ResourceUnits} from './resource_units.js';
+
+/**
+ * The different capacities of workers. A data centre has few of them, so a
+ * check against all of them does not depend on the number of workers; only
+ * capacities that no other one covers are kept for the check.
+ */
+export class CapacityShapes {
+  private readonly counts = new Map<
+    string,
+    {units: ResourceUnits; count: number}
+  >();
+  private largest: ResourceUnits[] | undefined = [];
+
+  add(units: ResourceUnits): void {
+    const entry = this.counts.get(keyOf(units));
+    if (entry) entry.count += 1;
+    else {
+      this.counts.set(keyOf(units), {units, count: 1});
+      this.largest = undefined;
+    }
+  }
+
+  remove(units: ResourceUnits): void {
+    const entry = this.counts.get(keyOf(units));
+    if (!entry) return;
+    entry.count -= 1;
+    if (entry.count > 0) return;
+    this.counts.delete(keyOf(units));
+    this.largest = undefined;
+  }
+
+  /**
+   * Tells why no worker can hold the need even when it is empty.
+   *
+   * @returns The reason; undefined if one can, or if no worker is known yet.
+   */
+  whyNeverFits(need: ResourceUnits): string | undefined {
+    const shapes = (this.largest ??= this.findLargest());
+    if (shapes.length === 0 || shapes.some((shape) => covers(shape, need))) {
+      return undefined;
+    }
+    for (const [name, unit] of DIMENSIONS) {
+      const most = Math.max(...shapes.map((shape) => shape[name]));
+      if (need[name] > most) {
+        const scale = name === 'accelerators' ? 1 : ResourceUnits.toWhole(1);
+        return `needs ${need[name] * scale} ${unit}, the largest worker has ${most * scale}`;
+      }
+    }
+    return 'needs more processors, memory and accelerators together than any one worker has';
+  }
+
+  private findLargest(): ResourceUnits[] {
+    const all = [...this.counts.values()].map((entry) => entry.units);
+    return all.filter(
+      (shape) => !all.some((other) => other !== shape && covers(other, shape)),
+    );
+  }
+}
+
+const DIMENSIONS = [
+  ['processors', 'processors'],
+  ['memory', 'MB of memory'],
+  ['accelerators', 'accelerators'],
+] as const;
+
+function covers(shape: ResourceUnits, need: ResourceUnits): boolean {
+  return (
+    shape.processors >= need.processors &&
+    shape.memory >= need.memory &&
+    shape.accelerators >= need.accelerators
+  );
+}
+
+function keyOf(units: ResourceUnits): string {
+  return `${units.processors}/${units.memory}/${units.accelerators}`;
+}
--- /dev/null
+++ b/src/placement/first_fit.ts
@@ -0,0 +1,33 @@
+import {FirstFitIndex} from './first_fit_index.js';
+import {LedgerPlacement} from './ledger_placement.js';
+import {Placement, PlacementRequest} from './placement_request.js';
+import {ResourceUnits} from './resource_units.js';
+
+const MOST_CANDIDATES = 32;
+
+/** Baseline: the first worker, in the order of addition, that fits. */
+export class FirstFit extends LedgerPlacement {
+  readonly name = 'first fit';
+
+  constructor(private readonly index = new FirstFitIndex()) {
+    super(index);
+  }
+
+  place(request: PlacementRequest): Placement | undefined {
+    const passedOver: Array<{candidate: string; reason: string}> = [];
+    let worker: string | undefined;
+    this.index.search(ResourceUnits.needed(request.resources), {
+      limit: MOST_CANDIDATES,
+      examine: (record) => {
+        if (request.excludedWorkers?.has(record.worker)) {
+          passedOver.push({candidate: record.worker, reason: 'excluded'});
+          return false;
+        }
+        worker = record.worker;
+        return true;
+      },
+    });
+    if (worker === undefined) return undefined;
+    return {worker, reason: 'first that fits', victims: [], passedOver};
+  }
+}
--- /dev/null
+++ b/src/placement/first_fit_index.ts
@@ -0,0 +1,95 @@
+import {ResourceUnits} from './resource_units.js';
+import {WorkerIndex} from './worker_index.js';
+import {WorkerRecord} from './worker_record.js';
+
+const ABSENT = -1;
+
+/**
+ * Tree over workers in the order in which they were added. Each node holds the
+ * largest free amounts below it, so the first worker that fits is found without
+ * a scan.
+ */
+export class FirstFitIndex implements WorkerIndex {
+  private slots: Array<WorkerRecord | undefined> = [];
+  private width = 1;
+  private processors = new Float64Array(2).fill(ABSENT);
+  private memory = new Float64Array(2).fill(ABSENT);
+  private accelerators = new Float64Array(2).fill(ABSENT);
+
+  update(record: WorkerRecord): void {
+    if (record.indexCell < 0) {
+      record.indexCell = this.slots.length;
+      this.slots.push(record);
+      if (this.slots.length > this.width) this.rebuild();
+    }
+    this.write(record.indexCell, record);
+  }
+
+  remove(record: WorkerRecord): void {
+    if (record.indexCell < 0) return;
+    this.write(record.indexCell, undefined);
+    this.slots[record.indexCell] = undefined;
+    record.indexCell = -1;
+  }
+
+  /**
+   * Calls `examine` with workers that fit, in order, until it returns true or
+   * `limit` of them or 8 nodes per candidate have been looked at.
+   */
+  search(
+    need: ResourceUnits,
+    options: {limit: number; examine: (record: WorkerRecord) => boolean},
+  ): void {
+    let candidates = options.limit;
+    let nodes = options.limit * 8 + 64;
+    const pending = [1];
+    while (pending.length > 0 && candidates > 0 && nodes > 0) {
+      const node = pending.pop()!;
+      nodes -= 1;
+      if (!this.mayFit(node, need)) continue;
+      if (node < this.width) {
+        pending.push(2 * node + 1, 2 * node);
+        continue;
+      }
+      const record = this.slots[node - this.width];
+      candidates -= 1;
+      if (record && options.examine(record)) return;
+    }
+  }
+
+  private mayFit(node: number, need: ResourceUnits): boolean {
+    return (
+      this.processors[node]! >= need.processors &&
+      this.memory[node]! >= need.memory &&
+      this.accelerators[node]! >= need.accelerators
+    );
+  }
+
+  /**
+   * Drops empty slots and doubles the tree if it stays more than half full,
+   * so that workers that come and go don't cause a rebuild each.
+   */
+  private rebuild(): void {
+    this.slots = this.slots.filter((record) => record !== undefined);
+    while (this.width < 2 * this.slots.length) this.width *= 2;
+    this.processors = new Float64Array(2 * this.width).fill(ABSENT);
+    this.memory = new Float64Array(2 * this.width).fill(ABSENT);
+    this.accelerators = new Float64Array(2 * this.width).fill(ABSENT);
+    this.slots.forEach((record, slot) => {
+      record!.indexCell = slot;
+      this.write(slot, record);
+    });
+  }
+
+  private write(slot: number, record: WorkerRecord | undefined): void {
+    let node = this.width + slot;
+    this.processors[node] = record?.freeProcessors ?? ABSENT;
+    this.memory[node] = record?.freeMemory ?? ABSENT;
+    this.accelerators[node] = record?.freeAccelerators ?? ABSENT;
+    for (node >>= 1; node >= 1; node >>= 1) {
+      for (const amounts of [this.processors, this.memory, this.accelerators]) {
+        amounts[node] = Math.max(amounts[2 * node]!, amounts[2 * node + 1]!);
+      }
+    }
+  }
+}
