Place by best fit over a grid of free resources

Cause: a decision must not scan all workers. Change: GridIndex keeps workers in cells by free processors and memory, one grid per number of free accelerators; BestFit takes the best of at most 32 candidates.

--- /dev/null
+++ b/src/placement/best_fit.ts
@@ -0,0 +1,47 @@
+import {fitLeftover} from './fit_leftover.js';
+import {GridIndex} from './grid_index.js';
+import {LedgerPlacement} from './ledger_placement.js';
+import {Placement, PlacementRequest} from './placement_request.js';
+import {ResourceUnits} from './resource_units.js';
+import {WorkerRecord} from './worker_record.js';
+
+const MOST_CANDIDATES = 32;
+
+/** Baseline: of the candidates, the worker that keeps least free. */
+export class BestFit extends LedgerPlacement {
+  readonly name = 'best fit';
+
+  constructor(
+    private readonly index = new GridIndex({
+      place: 0,
+      amounts: (record) => record.free,
+    }),
+  ) {
+    super(index);
+  }
+
+  place(request: PlacementRequest): Placement | undefined {
+    const need = ResourceUnits.needed(request.resources);
+    const passedOver: Array<{candidate: string; reason: string}> = [];
+    let best: WorkerRecord | undefined;
+    let bestLeftover = Infinity;
+    this.index.search(need, {
+      limit: MOST_CANDIDATES,
+      examine: (record) => {
+        if (request.excludedWorkers?.has(record.worker)) {
+          passedOver.push({candidate: record.worker, reason: 'excluded'});
+          return false;
+        }
+        const leftover = fitLeftover(record, need);
+        if (leftover < bestLeftover) {
+          best = record;
+          bestLeftover = leftover;
+        }
+        return false;
+      },
+    });
+    if (!best) return undefined;
+    const reason = `least left over (${bestLeftover.toFixed(3)})`;
+    return {worker: best.worker, reason, victims: [], passedOver};
+  }
+}
--- a/src/placement/capacity_ledger.ts
+++ b/src/placement/capacity_ledger.ts
@@ -1,17 +1,12 @@
+import {Urgency} from '../contracts/urgency.js';
 import {CommittedTask, PlacementWorker} from './placement_request.js';
 import {CapacityShapes} from './capacity_shapes.js';
+import {FreeUnits} from './free_units.js';
 import {ResourceUnits} from './resource_units.js';
 import {TaskRecord} from './task_record.js';
 import {WorkerIndex} from './worker_index.js';
 import {WorkerRecord} from './worker_record.js';
 
-/** Sums of free units over the workers that accept work. */
-export interface FreeUnits {
-  processors: number;
-  memory: number;
-  accelerators: number;
-}
-
 /** Accounts for the resources of workers and refuses to exceed them. */
 export class CapacityLedger {
   readonly shapes = new CapacityShapes();
@@ -96,10 +91,11 @@
     const units = ResourceUnits.needed(task.resources);
     units.check(`task "${task.taskId}"`);
     this.checkCommit(task, {record, units});
-    const entry: TaskRecord = {task, units, record: record!};
+    const isEvictable = task.urgency !== Urgency.URGENT;
+    const entry: TaskRecord = {task, units, record: record!, isEvictable};
     this.tasks.set(task.taskId, entry);
     record!.tasks.add(entry);
-    this.take(record!, units, 1);
+    this.take(entry, 1);
     return entry;
   }
 
@@ -109,7 +105,7 @@
     if (!entry) return undefined;
     this.tasks.delete(taskId);
     entry.record.tasks.delete(entry);
-    this.take(entry.record, entry.units, -1);
+    this.take(entry, -1);
     return entry;
   }
 
@@ -128,11 +124,7 @@
     }
     if (!record.fits(units)) {
       throw new RangeError(
-        `${where}: it needs ${describe(units)}, free are ${describe({
-          processors: record.freeProcessors,
-          memory: record.freeMemory,
-          accelerators: record.freeAccelerators,
-        })}`,
+        `${where}: it needs ${describe(units)}, free are ${describe(record.free)}`,
       );
     }
   }
@@ -149,28 +141,26 @@
     if (record.isAccepting) this.addToFree(record, -1);
     this.shapes.remove(record.capacity);
     this.shapes.add(capacity);
-    record.freeProcessors += capacity.processors - record.capacity.processors;
-    record.freeMemory += capacity.memory - record.capacity.memory;
-    record.freeAccelerators +=
-      capacity.accelerators - record.capacity.accelerators;
+    for (const sum of [record.free, record.reclaimable]) {
+      addTo(sum, {units: record.capacity, sign: -1});
+      addTo(sum, {units: capacity, sign: 1});
+    }
     record.capacity = capacity;
     if (record.isAccepting) this.addToFree(record, 1);
     this.refresh(record);
   }
 
-  private take(record: WorkerRecord, units: ResourceUnits, sign: 1 | -1): void {
+  private take(entry: TaskRecord, sign: 1 | -1): void {
+    const {record, units, isEvictable} = entry;
     if (record.isAccepting) this.addToFree(record, -1);
-    record.freeProcessors -= sign * units.processors;
-    record.freeMemory -= sign * units.memory;
-    record.freeAccelerators -= sign * units.accelerators;
+    addTo(record.free, {units, sign: -sign});
+    if (!isEvictable) addTo(record.reclaimable, {units, sign: -sign});
     if (record.isAccepting) this.addToFree(record, 1);
     this.refresh(record);
   }
 
   private addToFree(record: WorkerRecord, sign: 1 | -1): void {
-    this.free.processors += sign * record.freeProcessors;
-    this.free.memory += sign * record.freeMemory;
-    this.free.accelerators += sign * record.freeAccelerators;
+    addTo(this.free, {units: record.free, sign});
   }
 
   private refresh(record: WorkerRecord): void {
@@ -179,6 +169,13 @@
   }
 }
 
+function addTo(sum: FreeUnits, change: {units: FreeUnits; sign: number}): void {
+  const {units, sign} = change;
+  sum.processors += sign * units.processors;
+  sum.memory += sign * units.memory;
+  sum.accelerators += sign * units.accelerators;
+}
+
 function describe(units: FreeUnits): string {
   const processors = ResourceUnits.toWhole(units.processors);
   const memory = ResourceUnits.toWhole(units.memory);
--- a/src/placement/first_fit_index.ts
+++ b/src/placement/first_fit_index.ts
@@ -17,19 +17,19 @@
   private accelerators = new Float64Array(2).fill(ABSENT);
 
   update(record: WorkerRecord): void {
-    if (record.indexCell < 0) {
-      record.indexCell = this.slots.length;
+    if (record.places[0]!.cell < 0) {
+      record.places[0]!.cell = this.slots.length;
       this.slots.push(record);
       if (this.slots.length > this.width) this.rebuild();
     }
-    this.write(record.indexCell, record);
+    this.write(record.places[0]!.cell, record);
   }
 
   remove(record: WorkerRecord): void {
-    if (record.indexCell < 0) return;
-    this.write(record.indexCell, undefined);
-    this.slots[record.indexCell] = undefined;
-    record.indexCell = -1;
+    if (record.places[0]!.cell < 0) return;
+    this.write(record.places[0]!.cell, undefined);
+    this.slots[record.places[0]!.cell] = undefined;
+    record.places[0]!.cell = -1;
   }
 
   /**
@@ -76,16 +76,16 @@
     this.memory = new Float64Array(2 * this.width).fill(ABSENT);
     this.accelerators = new Float64Array(2 * this.width).fill(ABSENT);
     this.slots.forEach((record, slot) => {
-      record!.indexCell = slot;
+      record!.places[0]!.cell = slot;
       this.write(slot, record);
     });
   }
 
   private write(slot: number, record: WorkerRecord | undefined): void {
     let node = this.width + slot;
-    this.processors[node] = record?.freeProcessors ?? ABSENT;
-    this.memory[node] = record?.freeMemory ?? ABSENT;
-    this.accelerators[node] = record?.freeAccelerators ?? ABSENT;
+    this.processors[node] = record?.free.processors ?? ABSENT;
+    this.memory[node] = record?.free.memory ?? ABSENT;
+    this.accelerators[node] = record?.free.accelerators ?? ABSENT;
     for (node >>= 1; node >= 1; node >>= 1) {
       for (const amounts of [this.processors, this.memory, this.accelerators]) {
         amounts[node] = Math.max(amounts[2 * node]!, amounts[2 * node + 1]!);
--- /dev/null
+++ b/src/placement/free_units.ts
@@ -0,0 +1,6 @@
+/** Amounts in the whole units of {@link ResourceUnits}. */
+export interface FreeUnits {
+  processors: number;
+  memory: number;
+  accelerators: number;
+}
--- a/src/placement/task_record.ts
+++ b/src/placement/task_record.ts
@@ -7,4 +7,6 @@
   task: CommittedTask;
   readonly units: ResourceUnits;
   readonly record: WorkerRecord;
+  /** True if urgent work may take its place. */
+  readonly isEvictable: boolean;
 }
--- a/src/placement/worker_record.ts
+++ b/src/placement/worker_record.ts
@@ -1,26 +1,35 @@
 import {PlacementWorker} from './placement_request.js';
+import {FreeUnits} from './free_units.js';
 import {ResourceUnits} from './resource_units.js';
 import {TaskRecord} from './task_record.js';
 
+/** Where an index keeps a worker; cell -1 means nowhere. */
+export interface IndexPlace {
+  cell: number;
+  position: number;
+}
+
 /** State of one worker in the ledger. Only the ledger changes the amounts. */
 export class WorkerRecord {
   isAccepting = true;
-  freeProcessors: number;
-  freeMemory: number;
-  freeAccelerators: number;
+  readonly free: FreeUnits;
+  /** Free amounts plus what evictable tasks hold. */
+  readonly reclaimable: FreeUnits;
   readonly tasks = new Set<TaskRecord>();
-  /** Place in the index that the policy keeps; -1 if it is in none. */
-  indexCell = -1;
-  indexPosition = -1;
+  /** Places in the indexes of the policy, by the number of the index. */
+  readonly places: IndexPlace[] = [
+    {cell: -1, position: -1},
+    {cell: -1, position: -1},
+    {cell: -1, position: -1},
+  ];
 
   constructor(
     readonly worker: string,
     readonly rack: string,
     public capacity: ResourceUnits,
   ) {
-    this.freeProcessors = capacity.processors;
-    this.freeMemory = capacity.memory;
-    this.freeAccelerators = capacity.accelerators;
+    this.free = amountsOf(capacity);
+    this.reclaimable = amountsOf(capacity);
   }
 
   /** Creates the record of a worker that runs nothing yet. */
@@ -31,11 +40,16 @@
   }
 
   /** True if the free resources cover the need. */
-  fits(need: ResourceUnits): boolean {
+  fits(need: FreeUnits): boolean {
     return (
-      this.freeProcessors >= need.processors &&
-      this.freeMemory >= need.memory &&
-      this.freeAccelerators >= need.accelerators
+      this.free.processors >= need.processors &&
+      this.free.memory >= need.memory &&
+      this.free.accelerators >= need.accelerators
     );
   }
 }
+
+function amountsOf(units: ResourceUnits): FreeUnits {
+  const {processors, memory, accelerators} = units;
+  return {processors, memory, accelerators};
+}
