Report only missed members in heartbeats; measure slopes of membership

Change: a heartbeat lists only members that its sender misses; a witness that lists nothing counts as having heard the member within half the suspicion time.

--- /dev/null
+++ b/measure/fit_line.ts
@@ -0,0 +1,33 @@
+/** A straight line fitted to measured points by least squares. */
+export interface FittedLine {
+  slope: number;
+  intercept: number;
+  /** Largest distance of a point from the line, as part of the largest value. */
+  residual: number;
+}
+
+/**
+ * Fits a line to points.
+ *
+ * @param points - Pairs of size and measured value; two or more sizes.
+ */
+export function fitLine(
+  points: ReadonlyArray<readonly [number, number]>,
+): FittedLine {
+  const count = points.length;
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / count;
+  let covariance = 0;
+  let variance = 0;
+  for (const [x, y] of points) {
+    covariance += (x - meanX) * (y - meanY);
+    variance += (x - meanX) ** 2;
+  }
+  const slope = covariance / variance;
+  const intercept = meanY - slope * meanX;
+  const largest = Math.max(...points.map(([, y]) => Math.abs(y)));
+  const distance = Math.max(
+    ...points.map(([x, y]) => Math.abs(y - (slope * x + intercept))),
+  );
+  return {slope, intercept, residual: largest > 0 ? distance / largest : 0};
+}
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -3,7 +3,9 @@
 import {Scenario} from './scenario.js';
 
 /** Loads each scenario only when it is asked for. */
-const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {};
+const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+};
 
 function fail(text: string): never {
   process.stderr.write(`${text}\n`);
--- /dev/null
+++ b/measure/scenarios/slopes.ts
@@ -0,0 +1,41 @@
+import {fitLine} from '../fit_line.js';
+import {Scenario} from '../scenario.js';
+import {MEMBERSHIP_SLOPES} from '../slopes/membership_slopes.js';
+import {SlopeCase} from '../slopes/slope_case.js';
+
+const CASES: readonly SlopeCase[] = [...MEMBERSHIP_SLOPES];
+
+function measureCase(slopeCase: SlopeCase): Record<string, unknown> {
+  const points = slopeCase.sizes.map((size) => ({
+    size,
+    ...slopeCase.run(size),
+  }));
+  const bytes = fitLine(points.map((point) => [point.size, point.bytes]));
+  const time = fitLine(points.map((point) => [point.size, point.microseconds]));
+  return {
+    name: slopeCase.name,
+    per: slopeCase.per,
+    bytesAre: slopeCase.bytesAre,
+    sizes: slopeCase.sizes,
+    bytesEach: round(bytes.slope),
+    bytesFixed: round(bytes.intercept),
+    bytesResidual: round(bytes.residual),
+    microsecondsEach: round(time.slope),
+    microsecondsFixed: round(time.intercept),
+    microsecondsResidual: round(time.residual),
+  };
+}
+
+function round(value: number): number {
+  return Number(value.toPrecision(4));
+}
+
+/** Measures how memory, messages and processor time of each role grow. */
+export const runSlopes: Scenario = (options) => {
+  const slopes = CASES.map((slopeCase) => {
+    const result = measureCase(slopeCase);
+    options.progress(JSON.stringify(result));
+    return result;
+  });
+  return Promise.resolve({violations: 0, slopes});
+};
--- a/src/membership/heartbeat.ts
+++ b/src/membership/heartbeat.ts
@@ -5,8 +5,12 @@
   incarnation: string;
   /** Increases with each heartbeat of an incarnation. */
   sequence: number;
-  /** Time in ms since the sender heard each peer directly. */
-  heardAgesMs: Record<string, number>;
+  /**
+   * Time in ms since the sender heard each peer directly, only for peers that
+   * it misses. A healthy data centre sends an empty record, so that the size
+   * of a heartbeat does not grow with the number of members.
+   */
+  missedAgesMs: Record<string, number>;
   /** Time in ms since the sender started. */
   upMs: number;
   /** True once the sender is shutting down. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -102,7 +102,7 @@
       member: this.self,
       incarnation: network.identity.incarnation,
       sequence: this.sequence,
-      heardAgesMs: this.table.heardAgesMs(nowMs),
+      missedAgesMs: this.table.missedAgesMs(nowMs),
       upMs: Math.round(nowMs - this.startMs),
       isLeaving: this.isLeaving,
       ...contents(),
--- a/src/membership/peer_table.ts
+++ b/src/membership/peer_table.ts
@@ -34,10 +34,12 @@
 export class PeerTable {
   private readonly peers = new Map<string, PeerState>();
   private readonly suspectAfterMs: number;
+  private readonly missedAfterMs: number;
   private lastTickMs: number;
 
   constructor(private readonly options: PeerTableOptions) {
     this.suspectAfterMs = options.suspectAfterMs ?? 1200;
+    this.missedAfterMs = this.suspectAfterMs / 2;
     this.lastTickMs = options.startMs;
     for (const peer of options.peers) {
       this.peers.set(peer, {heartbeat: undefined, heardMs: options.startMs});
@@ -73,11 +75,13 @@
     }
   }
 
-  /** Time in ms since each peer was heard directly. */
-  heardAgesMs(nowMs: number): Record<string, number> {
+  /** Time in ms since each peer was heard directly, for those missed. */
+  missedAgesMs(nowMs: number): Record<string, number> {
     const ages: Record<string, number> = {};
     for (const [member, state] of this.peers) {
-      if (state.heartbeat) ages[member] = Math.round(nowMs - state.heardMs);
+      const ageMs = nowMs - state.heardMs;
+      const isMissed = !state.heartbeat || ageMs > this.missedAfterMs;
+      if (isMissed) ages[member] = Math.round(ageMs);
     }
     return ages;
   }
@@ -89,9 +93,11 @@
     if (!state?.heartbeat) return false;
     if (this.isHeard(state, nowMs)) return true;
     return [...this.peers.values()].some((witness) => {
-      const age = witness.heartbeat?.heardAgesMs[member];
-      if (age === undefined || !this.isHeard(witness, nowMs)) return false;
-      return age + nowMs - witness.heardMs < this.suspectAfterMs;
+      if (!witness.heartbeat || witness === state) return false;
+      // A witness that does not report an age heard the member more recently.
+      const ageMs =
+        witness.heartbeat.missedAgesMs[member] ?? this.missedAfterMs;
+      return ageMs + nowMs - witness.heardMs < this.suspectAfterMs;
     });
   }
 
@@ -123,15 +129,12 @@
    * `members`, or one of them reports that it misses this member.
    */
   hasLostContact(members: readonly string[], nowMs: number): boolean {
-    const limitMs = this.suspectAfterMs / 2;
     return members.some((member) => {
       const state = this.peers.get(member);
       if (!state) return false;
-      if (nowMs - state.heardMs > limitMs) return true;
-      if (!state.heartbeat) return false;
-      // A peer that never heard this member reports no age for it.
-      const {heardAgesMs, upMs} = state.heartbeat;
-      return (heardAgesMs[this.options.self] ?? upMs) > limitMs;
+      if (nowMs - state.heardMs > this.missedAfterMs) return true;
+      const missed = state.heartbeat?.missedAgesMs ?? {};
+      return this.options.self in missed;
     });
   }
 
