--- a/src/platform/http_platform_service.ts
+++ b/src/platform/http_platform_service.ts
@@ -24,10 +24,18 @@
   method: Dispatcher.HttpMethod;
   path: string;
   body?: unknown;
+  headers?: Record<string, string>;
   timeoutMs?: number;
   signal?: AbortSignal;
 }
 
+interface CallAnswer {
+  status: number;
+  body: unknown;
+  entityTag: string | undefined;
+}
+
+const NOT_MODIFIED_STATUS = 304;
 const CONFLICT_STATUS = 409;
 const NOT_FOUND_STATUS = 404;
 
@@ -43,6 +51,10 @@
 export class HttpPlatformService implements PlatformService {
   private readonly agent: Agent;
   private readonly timeoutMs: number;
+  private readonly vmLists = new Map<
+    string,
+    {entityTag: string; vms: readonly VmEntry[]}
+  >();
 
   constructor(private readonly options: HttpPlatformServiceOptions) {
     this.timeoutMs = options.timeoutMs ?? 1000;
@@ -113,9 +125,17 @@
     return body as {changes: PlatformChange[]; revision: number};
   }
 
-  async listVms(): Promise<VmEntry[]> {
-    const {body} = await this.call({method: 'GET', path: '/vms'});
-    return (body as {vms: VmEntry[]}).vms;
+  async listVms(dataCentre: string): Promise<readonly VmEntry[]> {
+    const known = this.vmLists.get(dataCentre);
+    const {status, body, entityTag} = await this.call({
+      method: 'GET',
+      path: `/vms?dataCentre=${encodeURIComponent(dataCentre)}`,
+      headers: known ? {'if-none-match': known.entityTag} : {},
+    });
+    if (status === NOT_MODIFIED_STATUS && known) return known.vms;
+    const {vms} = body as {vms: VmEntry[]};
+    if (entityTag) this.vmLists.set(dataCentre, {entityTag, vms});
+    return vms;
   }
 
   /** Closes all connections. */
@@ -123,26 +143,32 @@
     await this.agent.destroy();
   }
 
-  private async call(call: Call): Promise<{status: number; body: unknown}> {
+  private async call(call: Call): Promise<CallAnswer> {
     const timeoutMs = call.timeoutMs ?? this.timeoutMs;
     try {
       const answer = await request(this.options.origin + call.path, {
         method: call.method,
         dispatcher: this.agent,
-        headers: {'content-type': 'application/json'},
+        headers: {'content-type': 'application/json', ...call.headers},
         body: call.body === undefined ? null : JSON.stringify(call.body),
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
         signal: call.signal,
       });
-      const body: unknown = await answer.body.json();
+      const text = await answer.body.text();
       const {statusCode} = answer;
       const isExpected =
         statusCode < 300 ||
+        statusCode === NOT_MODIFIED_STATUS ||
         statusCode === CONFLICT_STATUS ||
         statusCode === NOT_FOUND_STATUS;
       if (!isExpected) throw new Error(`status ${statusCode}`);
-      return {status: statusCode, body};
+      const entityTag = answer.headers['etag'];
+      return {
+        status: statusCode,
+        body: text === '' ? {} : JSON.parse(text),
+        entityTag: typeof entityTag === 'string' ? entityTag : undefined,
+      };
     } catch (error) {
       throw this.toResultError(call, error as NodeJS.ErrnoException);
     }
--- a/src/platform/inventory.ts
+++ b/src/platform/inventory.ts
@@ -62,7 +62,8 @@
 
   private async poll(): Promise<void> {
     try {
-      this.apply(await this.options.platform.listVms());
+      const {platform, dataCentre} = this.options;
+      this.apply(await platform.listVms(dataCentre));
     } catch {
       // The last list stays valid while the platform can't be reached.
     }
@@ -73,10 +74,7 @@
     );
   }
 
-  private apply(entries: readonly VmEntry[]): void {
-    const own = entries.filter(
-      (entry) => entry.dataCentre === this.options.dataCentre,
-    );
+  private apply(own: readonly VmEntry[]): void {
     for (const entry of own) this.seen.add(entry.vm);
     const next = new Map(own.map((entry) => [entry.vm, entry]));
     const hasChanged =
--- a/src/platform/platform_service.ts
+++ b/src/platform/platform_service.ts
@@ -74,8 +74,11 @@
     prefix: string,
     options: WatchOptions,
   ): Promise<{changes: PlatformChange[]; revision: number}>;
-  /** Returns the lagging list of VMs. */
-  listVms(): Promise<VmEntry[]>;
+  /**
+   * Returns the lagging list of VMs of a data centre. An unchanged list costs
+   * a call but is not transferred again.
+   */
+  listVms(dataCentre: string): Promise<readonly VmEntry[]>;
 }
 
 /** Arguments of {@link PlatformService.write}. */
--- a/testing/platform_stand_in.ts
+++ b/testing/platform_stand_in.ts
@@ -71,6 +71,7 @@
   private readonly vmListLagMs: number;
   private vms: VmEntry[] = [];
   private visibleVms: VmEntry[] = [];
+  private visibleVersion = 0;
   private revision = 0;
   private currentSecond = {startMs: 0, reads: 0, writes: 0};
 
@@ -111,6 +112,7 @@
     this.vms = vms;
     setTimeout(() => {
       this.visibleVms = vms;
+      this.visibleVersion += 1;
     }, this.vmListLagMs).unref();
   }
 
@@ -150,12 +152,30 @@
     } else if (url.pathname === '/watch') {
       this.watch(url, response);
     } else if (url.pathname === '/vms') {
-      writeJson(response, 200, {vms: this.visibleVms});
+      this.answerVms(message, response, url);
     } else {
       writeJson(response, 404, {});
     }
   }
 
+  private answerVms(
+    message: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+  ): void {
+    const entityTag = `"${this.visibleVersion}"`;
+    if (message.headers['if-none-match'] === entityTag) {
+      response.writeHead(304, {etag: entityTag}).end();
+      return;
+    }
+    const dataCentre = url.searchParams.get('dataCentre');
+    const vms = this.visibleVms.filter(
+      (entry) => dataCentre === null || entry.dataCentre === dataCentre,
+    );
+    response.setHeader('etag', entityTag);
+    writeJson(response, 200, {vms});
+  }
+
   private async control(
     message: IncomingMessage,
     response: ServerResponse,
