Place with headroom, spreading, interference cost and preemption

Cause: best fit leaves no room for urgent work and puts replicas on one rack. Change: HeadroomFit reserves a part of the pool for urgent work, spreads groups over racks by RackIndex, takes workers with accelerators last, adds a cost for neighbours, and lets urgent work evict the cheapest lower tasks.

--- a/src/placement/capacity_ledger.ts
+++ b/src/placement/capacity_ledger.ts
@@ -18,6 +18,12 @@
     accelerators: 0,
   };
 
+  private readonly accepting: FreeUnits = {
+    processors: 0,
+    memory: 0,
+    accelerators: 0,
+  };
+
   /** @param index - Index that is told of each change of a worker. */
   constructor(private readonly index: WorkerIndex) {}
 
@@ -34,6 +40,11 @@
     return this.tasks.get(taskId);
   }
 
+  /** Capacity of the workers that accept work. */
+  acceptingUnits(): Readonly<FreeUnits> {
+    return this.accepting;
+  }
+
   /** Free units over the workers that accept work. */
   freeUnits(): Readonly<FreeUnits> {
     return this.free;
@@ -77,7 +88,7 @@
   setAccepting(worker: string, isAccepting: boolean): void {
     const record = this.workers.get(worker);
     if (!record || record.isAccepting === isAccepting) return;
-    this.addToFree(record, isAccepting ? 1 : -1);
+    this.addToSums(record, isAccepting ? 1 : -1);
     record.isAccepting = isAccepting;
     this.refresh(record);
   }
@@ -132,13 +143,13 @@
   private insert(record: WorkerRecord): WorkerRecord {
     this.workers.set(record.worker, record);
     this.shapes.add(record.capacity);
-    this.addToFree(record, 1);
+    this.addToSums(record, 1);
     this.refresh(record);
     return record;
   }
 
   private resize(record: WorkerRecord, capacity: ResourceUnits): void {
-    if (record.isAccepting) this.addToFree(record, -1);
+    if (record.isAccepting) this.addToSums(record, -1);
     this.shapes.remove(record.capacity);
     this.shapes.add(capacity);
     for (const sum of [record.free, record.reclaimable]) {
@@ -146,7 +157,7 @@
       addTo(sum, {units: capacity, sign: 1});
     }
     record.capacity = capacity;
-    if (record.isAccepting) this.addToFree(record, 1);
+    if (record.isAccepting) this.addToSums(record, 1);
     this.refresh(record);
   }
 
@@ -159,6 +170,11 @@
     this.refresh(record);
   }
 
+  private addToSums(record: WorkerRecord, sign: 1 | -1): void {
+    this.addToFree(record, sign);
+    addTo(this.accepting, {units: record.capacity, sign});
+  }
+
   private addToFree(record: WorkerRecord, sign: 1 | -1): void {
     addTo(this.free, {units: record.free, sign});
   }
--- /dev/null
+++ b/src/placement/headroom_fit.ts
@@ -0,0 +1,239 @@
+import {Urgency} from '../contracts/urgency.js';
+import {chooseVictims, VictimChoice} from './choose_victims.js';
+import {fitLeftover} from './fit_leftover.js';
+import {GridIndex} from './grid_index.js';
+import {LedgerPlacement} from './ledger_placement.js';
+import {neighbourCost} from './neighbour_cost.js';
+import {
+  CommittedTask,
+  Placement,
+  PlacementRequest,
+} from './placement_request.js';
+import {RackIndex} from './rack_index.js';
+import {ResourceUnits} from './resource_units.js';
+import {SpreadGroups} from './spread_groups.js';
+import {WorkerIndex} from './worker_index.js';
+import {WorkerRecord} from './worker_record.js';
+
+const MOST_CANDIDATES = 32;
+/** Half of the candidates may come from racks that a group doesn't use yet. */
+const MOST_RACK_CANDIDATES = 16;
+const PER_RACK = 3;
+/** Candidates of one cell are alike in size; more cells give more choice. */
+const PER_CELL = 8;
+const PER_CELL_OF_VICTIMS = 2;
+const SAME_RACK_COST = 4;
+const SAME_WORKER_COST = 16;
+/** Above every other cost, so that such workers are the last choice. */
+const ACCELERATOR_COST = 1_000;
+/** Reasons kept for the log; more would cost more than the decision. */
+const MOST_REASONS = 4;
+
+/** Options of {@link HeadroomFit}. */
+export interface HeadroomFitOptions {
+  /**
+   * Part of the processors and memory that only urgent work may take, 0 to 1.
+   *
+   * @default 0.04
+   */
+  headroom?: number;
+  /**
+   * Slowdown of a kind by one neighbour of another kind; 1 means none.
+   *
+   * @default no slowdown
+   */
+  slowdown?: (kind: string, neighbour: string) => number;
+  /** Weight of the interference against the fit. @default 1 */
+  interferenceWeight?: number;
+  /** See {@link ChooseVictimsOptions.overShare}. @default all at their share */
+  overShare?: (customer: string) => number;
+  /** Whether urgent work may evict other work. @default true */
+  preempts?: boolean;
+}
+
+interface Scored {
+  record: WorkerRecord;
+  cost: number;
+}
+
+/**
+ * Best fit with headroom for urgent work, spreading over racks, and learned
+ * interference. Urgent work that finds no room evicts the cheapest work of
+ * lower urgency; evicted work evicts nothing itself.
+ */
+export class HeadroomFit extends LedgerPlacement {
+  readonly name = 'headroom fit';
+  private readonly groups = new SpreadGroups();
+  private readonly free: GridIndex;
+  private readonly reclaimable: GridIndex;
+  private readonly racks: RackIndex;
+  private readonly headroom: number;
+
+  constructor(private readonly options: HeadroomFitOptions = {}) {
+    const free = new GridIndex({place: 0, amounts: (record) => record.free});
+    const reclaimable = new GridIndex({
+      place: 1,
+      amounts: (record) => record.reclaimable,
+    });
+    const racks = new RackIndex();
+    super(allOf([free, reclaimable, racks]));
+    this.free = free;
+    this.reclaimable = reclaimable;
+    this.racks = racks;
+    this.headroom = options.headroom ?? 0.04;
+  }
+
+  place(request: PlacementRequest): Placement | undefined {
+    const need = ResourceUnits.needed(request.resources);
+    const isUrgent = request.urgency === Urgency.URGENT;
+    if (!isUrgent && this.wouldTakeHeadroom(need)) return undefined;
+    const passedOver: Array<{candidate: string; reason: string}> = [];
+    const best = this.bestCandidate(request, {need, passedOver});
+    if (best) {
+      const reason = `lowest cost (${best.cost.toFixed(3)})`;
+      return {worker: best.record.worker, reason, victims: [], passedOver};
+    }
+    if (!isUrgent || this.options.preempts === false) return undefined;
+    return this.preempt(request, {need, passedOver});
+  }
+
+  override commit(task: CommittedTask): void {
+    super.commit(task);
+    this.countGroup(task, 1);
+  }
+
+  override release(taskId: string): void {
+    const task = this.committed(taskId);
+    super.release(taskId);
+    if (task) this.countGroup(task, -1);
+  }
+
+  private countGroup(task: CommittedTask, change: 1 | -1): void {
+    if (task.spreadGroup === undefined) return;
+    const {rack} = this.ledger.worker(task.worker)!;
+    this.groups.count(task.spreadGroup, {rack, worker: task.worker, change});
+  }
+
+  private wouldTakeHeadroom(need: ResourceUnits): boolean {
+    const free = this.ledger.freeUnits();
+    const total = this.ledger.acceptingUnits();
+    return (['processors', 'memory'] as const).some((name) => {
+      // A task that leaves too little even of an empty pool would never start.
+      const left = Math.max(0, total[name] - need[name]);
+      const reserved = Math.min(this.headroom * total[name], left);
+      return free[name] - need[name] < reserved;
+    });
+  }
+
+  private bestCandidate(
+    request: PlacementRequest,
+    state: {
+      need: ResourceUnits;
+      passedOver: Array<{candidate: string; reason: string}>;
+    },
+  ): Scored | undefined {
+    const {need, passedOver} = state;
+    let best: Scored | undefined;
+    const examine = (record: WorkerRecord): boolean => {
+      if (request.excludedWorkers?.has(record.worker)) {
+        note(passedOver, {candidate: record.worker, reason: 'excluded'});
+        return false;
+      }
+      const cost = this.costOf(record, {request, need});
+      if (!best || cost < best.cost) best = {record, cost};
+      else note(passedOver, {candidate: record.worker, reason: 'higher cost'});
+      return false;
+    };
+    const used = this.searchRacks(request, {need, examine});
+    this.free.search(need, {
+      limit: MOST_CANDIDATES - used,
+      perCell: PER_CELL,
+      examine,
+    });
+    return best;
+  }
+
+  /** Looks at racks that hold no task of the request's group. */
+  private searchRacks(
+    request: PlacementRequest,
+    state: {need: ResourceUnits; examine: (record: WorkerRecord) => boolean},
+  ): number {
+    const group = request.spreadGroup;
+    if (group === undefined) return 0;
+    return this.racks.search({
+      limit: MOST_RACK_CANDIDATES,
+      perRack: PER_RACK,
+      skipsRack: (rack) => this.groups.inRack(group, rack) > 0,
+      examine: (record) => {
+        if (record.fits(state.need)) state.examine(record);
+      },
+    });
+  }
+
+  private costOf(
+    record: WorkerRecord,
+    {request, need}: {request: PlacementRequest; need: ResourceUnits},
+  ): number {
+    let cost = fitLeftover(record, need);
+    if (need.accelerators === 0 && record.capacity.accelerators > 0) {
+      cost += ACCELERATOR_COST;
+    }
+    const group = request.spreadGroup;
+    if (group !== undefined) {
+      cost +=
+        SAME_RACK_COST * this.groups.inRack(group, record.rack) +
+        SAME_WORKER_COST * this.groups.onWorker(group, record.worker);
+    }
+    const {slowdown, interferenceWeight = 1} = this.options;
+    if (!slowdown) return cost;
+    return (
+      cost + interferenceWeight * neighbourCost(record, {request, slowdown})
+    );
+  }
+
+  private preempt(
+    request: PlacementRequest,
+    state: {
+      need: ResourceUnits;
+      passedOver: Array<{candidate: string; reason: string}>;
+    },
+  ): Placement | undefined {
+    const {need, passedOver} = state;
+    let best: {record: WorkerRecord; choice: VictimChoice} | undefined;
+    this.reclaimable.search(need, {
+      limit: MOST_CANDIDATES,
+      perCell: PER_CELL_OF_VICTIMS,
+      largestFirst: true,
+      examine: (record) => {
+        if (request.excludedWorkers?.has(record.worker)) return false;
+        const choice = chooseVictims(record, need, this.options);
+        if (choice && (!best || choice.cost < best.choice.cost)) {
+          best = {record, choice};
+        }
+        return false;
+      },
+    });
+    if (!best) return undefined;
+    const {record, choice} = best;
+    return {
+      worker: record.worker,
+      reason: `evicts for a cost of ${choice.cost.toFixed(0)}`,
+      victims: choice.victims.map((entry) => entry.task.taskId),
+      passedOver,
+    };
+  }
+}
+
+function allOf(indexes: readonly WorkerIndex[]): WorkerIndex {
+  return {
+    update: (record) => indexes.forEach((index) => index.update(record)),
+    remove: (record) => indexes.forEach((index) => index.remove(record)),
+  };
+}
+
+function note(
+  reasons: Array<{candidate: string; reason: string}>,
+  reason: {candidate: string; reason: string},
+): void {
+  if (reasons.length < MOST_REASONS) reasons.push(reason);
+}
--- /dev/null
+++ b/src/placement/headroom_fit_test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {Urgency} from '../contracts/urgency.js';
+import {HeadroomFit, HeadroomFitOptions} from './headroom_fit.js';
+import {PlacementRequest} from './placement_request.js';
+
+function request(overrides: Partial<PlacementRequest>): PlacementRequest {
+  return {
+    taskId: 't',
+    customer: 'a',
+    kind: 'render',
+    urgency: Urgency.BATCH,
+    resources: {processors: 4, memoryMegabytes: 100, accelerators: 0},
+    runTimeMs: 1000,
+    value: 1,
+    ...overrides,
+  };
+}
+
+function policyOf(workers: number, options: HeadroomFitOptions): HeadroomFit {
+  const policy = new HeadroomFit(options);
+  for (let i = 0; i < workers; i++) {
+    policy.addWorker({
+      worker: `w${i}`,
+      rack: `r${i % 4}`,
+      capacity: {
+        processors: 8,
+        memoryMegabytes: 1000,
+        accelerators: i === 0 ? 1 : 0,
+      },
+    });
+  }
+  return policy;
+}
+
+function fill(policy: HeadroomFit, wanted: Partial<PlacementRequest>): string {
+  const placement = policy.place(request(wanted));
+  assert.ok(placement);
+  const {worker} = placement;
+  policy.commit({...request(wanted), worker, lostWorkMs: 0});
+  return worker;
+}
+
+// Guards against one rack failure that ends several replicas of a job.
+test('spreads a group over all racks before it uses one twice', () => {
+  const policy = policyOf(16, {});
+  const racks = [0, 1, 2, 3].map((i) => {
+    const worker = fill(policy, {taskId: `t${i}`, spreadGroup: 'watcher'});
+    return Number(worker.slice(1)) % 4;
+  });
+  assert.deepEqual(racks.sort(), [0, 1, 2, 3]);
+});
+
+// Guards against plain work that blocks accelerators while other workers are free.
+test('takes workers with accelerators last', () => {
+  const policy = policyOf(3, {headroom: 0});
+  const workers = [0, 1, 2, 3, 4].map((i) => fill(policy, {taskId: `t${i}`}));
+  assert.ok(!workers.slice(0, 4).includes('w0'));
+  assert.equal(workers[4], 'w0');
+});
+
+// Guards against urgent work that waits because batch work fills everything.
+test('keeps headroom for urgent work', () => {
+  const policy = policyOf(4, {headroom: 0.25});
+  for (let i = 0; i < 6; i++) fill(policy, {taskId: `t${i}`});
+  assert.equal(policy.place(request({taskId: 'more'})), undefined);
+  const urgent = policy.place(request({urgency: Urgency.URGENT}));
+  assert.deepEqual(urgent?.victims, []);
+});
+
+// Guards against headroom that keeps a task as large as the pool waiting forever.
+test('lets a task start that would never leave the headroom', () => {
+  const policy = policyOf(1, {headroom: 0.25});
+  const resources = {processors: 8, memoryMegabytes: 1000, accelerators: 0};
+  assert.ok(policy.place(request({resources})));
+});
+
+// Guards against evictions that lose more work than needed, and against the
+// eviction of urgent work by urgent work.
+test('evicts the cheapest task and never urgent work', () => {
+  const policy = policyOf(2, {headroom: 0});
+  const wanted = {urgency: Urgency.URGENT};
+  for (let i = 0; i < 4; i++) fill(policy, {taskId: `t${i}`});
+  for (const [i, lostMs] of [9000, 100, 5000, 7000].entries()) {
+    policy.setLostWork(`t${i}`, lostMs);
+  }
+  const placement = policy.place(request(wanted));
+  assert.deepEqual(placement?.victims, ['t1']);
+  for (let i = 0; i < 4; i++) {
+    policy.release(`t${i}`);
+    fill(policy, {taskId: `u${i}`, ...wanted});
+  }
+  assert.equal(policy.place(request(wanted)), undefined);
+});
+
+// Guards against a customer within its share that pays for one beyond it.
+test('evicts work of the customer that is over its share first', () => {
+  const overShare = (customer: string): number => (customer === 'b' ? 3 : 1);
+  const policy = policyOf(1, {headroom: 0, overShare});
+  fill(policy, {taskId: 'ta', customer: 'a'});
+  fill(policy, {taskId: 'tb', customer: 'b'});
+  policy.setLostWork('tb', 1000);
+  const placement = policy.place(request({urgency: Urgency.URGENT}));
+  assert.deepEqual(placement?.victims, ['tb']);
+});
+
+// Guards against sensitive work that is placed beside noisy work.
+test('keeps away from neighbours that slow the task down', () => {
+  const slowdown = (kind: string, neighbour: string): number =>
+    kind === 'preview' && neighbour === 'render' ? 2 : 1;
+  const policy = policyOf(3, {slowdown});
+  const noisy = fill(policy, {taskId: 'noisy'});
+  const quiet = fill(policy, {taskId: 'quiet', kind: 'preview'});
+  assert.notEqual(quiet, noisy);
+});
