Learn sizes, run times, slowdowns and broken workers

Cause: declared sizes are wrong, neighbours disturb each other and some workers fail everything. Conclusion: the scheduler can use all three; none performs I/O.

--- /dev/null
+++ b/src/interference/slowdown_model.ts
@@ -0,0 +1,160 @@
+import {Clock} from '../clock/clock.js';
+
+/** A running task as its worker reports it. */
+export interface SpeedReport {
+  taskId: string;
+  kind: string;
+  /** Lagging speed relative to an undisturbed run. */
+  speed: number;
+  /** Share of its speed that a throttled task keeps; 1 means no throttle. */
+  throttle: number;
+}
+
+/** Options of {@link SlowdownModel}. */
+export interface SlowdownModelOptions {
+  /** Time in ms that speeds lag behind the tasks of a worker. @default 2500 */
+  lagMs?: number;
+  /** Time in ms in which half of what was learned is forgotten. @default 600000 */
+  halfLifeMs?: number;
+  /** Pairs of kinds that are remembered. @default 20000 */
+  mostPairs?: number;
+}
+
+interface Pair {
+  /** Logarithm of the slowdown by one neighbour. */
+  mean: number;
+  variance: number;
+  /** Slowdown by one neighbour, from the mean. */
+  factor: number;
+  updatedMs: number;
+}
+
+interface WorkerState {
+  signature: string;
+  sinceMs: number;
+}
+
+/** Mean of most pairs: most kinds hardly disturb each other. */
+const PRIOR_MEAN = 0.02;
+const PRIOR_VARIANCE = 0.03;
+/** Variance of one lagging measurement of the logarithm of a speed. */
+const NOISE_VARIANCE = 0.02;
+const MOST_SLOWDOWN = 4;
+const LEAST_SPEED = 0.02;
+
+/**
+ * Learns the slowdown of a kind by a neighbour of another kind from lagging
+ * speeds. Slowdowns of several neighbours multiply, so their logarithms add up
+ * and a Kalman filter with a diagonal covariance assigns an observed slowdown
+ * to the neighbours. With few samples the prior decides (shrinkage); with time
+ * the estimate returns to the prior, because interference shifts with load.
+ */
+export class SlowdownModel {
+  private readonly pairs = new Map<string, Map<string, Pair>>();
+  private readonly workers = new Map<string, WorkerState>();
+  private readonly lagMs: number;
+  private readonly halfLifeMs: number;
+  private readonly mostPairs: number;
+  private pairCount = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    options: SlowdownModelOptions = {},
+  ) {
+    this.lagMs = options.lagMs ?? 2_500;
+    this.halfLifeMs = options.halfLifeMs ?? 600_000;
+    this.mostPairs = options.mostPairs ?? 20_000;
+  }
+
+  /** Slowdown of a kind by one neighbour; at least 1, and 1 means none. */
+  slowdown(kind: string, neighbour: string): number {
+    return this.pairs.get(kind)?.get(neighbour)?.factor ?? 1;
+  }
+
+  /**
+   * Takes in the report of one worker. Speeds lag, so a report teaches only if
+   * the same tasks ran for longer than the lag.
+   */
+  observeWorker(worker: string, tasks: readonly SpeedReport[]): void {
+    const signature = tasks
+      .map((task) => `${task.taskId}*${task.throttle}`)
+      .sort()
+      .join();
+    const nowMs = this.clock.nowMs();
+    const state = this.workers.get(worker);
+    if (state?.signature !== signature) {
+      this.workers.set(worker, {signature, sinceMs: nowMs});
+      return;
+    }
+    if (nowMs - state.sinceMs < this.lagMs) return;
+    const counts = new Map<string, number>();
+    for (const {kind} of tasks) counts.set(kind, (counts.get(kind) ?? 0) + 1);
+    for (const task of tasks) this.observeTask(task, counts);
+  }
+
+  /** Forgets a worker that is gone. */
+  removeWorker(worker: string): void {
+    this.workers.delete(worker);
+  }
+
+  private observeTask(
+    task: SpeedReport,
+    counts: ReadonlyMap<string, number>,
+  ): void {
+    const inputs: Array<{pair: Pair; count: number}> = [];
+    for (const [kind, all] of counts) {
+      const count = kind === task.kind ? all - 1 : all;
+      const pair = count > 0 && this.pairOf(task.kind, kind);
+      if (pair) inputs.push({pair, count});
+    }
+    const speed = Math.max(LEAST_SPEED, task.speed / task.throttle);
+    const expected = inputs.reduce(
+      (sum, {pair, count}) => sum + count * pair.mean,
+      0,
+    );
+    const variance = inputs.reduce(
+      (sum, {pair, count}) => sum + count * count * pair.variance,
+      NOISE_VARIANCE,
+    );
+    const error = -Math.log(speed) - expected;
+    for (const {pair, count} of inputs) {
+      const gain = (count * pair.variance) / variance;
+      pair.mean += gain * error;
+      pair.variance -= gain * count * pair.variance;
+      pair.factor = Math.min(MOST_SLOWDOWN, Math.max(1, Math.exp(pair.mean)));
+    }
+  }
+
+  /** The pair with what was learned aged up to now. */
+  private pairOf(kind: string, neighbour: string): Pair | undefined {
+    let row = this.pairs.get(kind);
+    if (!row) this.pairs.set(kind, (row = new Map<string, Pair>()));
+    const nowMs = this.clock.nowMs();
+    let pair = row.get(neighbour);
+    if (!pair) {
+      if (this.pairCount >= this.mostPairs) this.dropOldestRow(kind);
+      pair = {
+        mean: PRIOR_MEAN,
+        variance: PRIOR_VARIANCE,
+        factor: 1,
+        updatedMs: nowMs,
+      };
+      row.set(neighbour, pair);
+      this.pairCount += 1;
+    }
+    const kept = 0.5 ** ((nowMs - pair.updatedMs) / this.halfLifeMs);
+    pair.mean = PRIOR_MEAN + (pair.mean - PRIOR_MEAN) * kept;
+    pair.variance = PRIOR_VARIANCE + (pair.variance - PRIOR_VARIANCE) * kept;
+    pair.updatedMs = nowMs;
+    return pair;
+  }
+
+  private dropOldestRow(keptKind: string): void {
+    for (const [kind, row] of this.pairs) {
+      if (kind === keptKind) continue;
+      this.pairs.delete(kind);
+      this.pairCount -= row.size;
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/src/interference/slowdown_model_test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {ManualClock} from '../clock/manual_clock.js';
+import {SeededRandom} from '../random/seeded_random.js';
+import {SlowdownModel, SpeedReport} from './slowdown_model.js';
+
+const KINDS = ['preview', 'render', 'watch'];
+const ACTUAL: Readonly<Record<string, number>> = {
+  'preview/render': 1.8,
+  'render/render': 1.2,
+};
+
+function speedOf(kinds: readonly string[], index: number): number {
+  const slowdowns = kinds
+    .toSpliced(index, 1)
+    .map((kind) => ACTUAL[`${kinds[index]}/${kind}`] ?? 1);
+  return 1 / slowdowns.reduce((product, factor) => product * factor, 1);
+}
+
+/** Reports one worker with random tasks, twice with the lag in between. */
+function observe(
+  state: {model: SlowdownModel; clock: ManualClock; random: SeededRandom},
+  worker: string,
+): void {
+  const {model, clock, random} = state;
+  const kinds = Array.from({length: 3}, () => KINDS[random.nextInteger(3)]!);
+  const tasks: SpeedReport[] = kinds.map((kind, index) => ({
+    taskId: `${worker}/${clock.nowMs()}/${index}`,
+    kind,
+    speed: speedOf(kinds, index) * (0.9 + 0.2 * random.next()),
+    throttle: 1,
+  }));
+  model.observeWorker(worker, tasks);
+  clock.advance(3000);
+  model.observeWorker(worker, tasks);
+}
+
+function setUp(): {
+  model: SlowdownModel;
+  clock: ManualClock;
+  random: SeededRandom;
+} {
+  const clock = new ManualClock();
+  return {clock, model: new SlowdownModel(clock), random: new SeededRandom(5)};
+}
+
+// Guards against slowdowns assigned to the wrong neighbour.
+test('learns each ordered pair from mixed neighbours', () => {
+  const state = setUp();
+  for (let i = 0; i < 120; i++) observe(state, 'w');
+  const {model} = state;
+  assert.ok(Math.abs(model.slowdown('preview', 'render') - 1.8) < 0.25);
+  assert.ok(Math.abs(model.slowdown('render', 'render') - 1.2) < 0.15);
+  assert.ok(model.slowdown('render', 'preview') < 1.1);
+  assert.ok(model.slowdown('watch', 'render') < 1.1);
+});
+
+// Guards against one odd measurement that keeps work off most workers.
+test('believes a single measurement only in part', () => {
+  const {model, clock} = setUp();
+  const tasks = ['preview', 'render'].map((kind) => {
+    return {taskId: kind, kind, speed: 0.2, throttle: 1};
+  });
+  model.observeWorker('w', tasks);
+  clock.advance(1000);
+  model.observeWorker('w', tasks);
+  assert.equal(model.slowdown('preview', 'render'), 1, 'lag not awaited');
+  clock.advance(2000);
+  model.observeWorker('w', tasks);
+  assert.ok(model.slowdown('preview', 'render') > 1.5);
+  assert.ok(model.slowdown('preview', 'render') < 4);
+});
+
+// Guards against a throttle that is taken for interference.
+test('leaves the throttle out of the slowdown', () => {
+  const {model, clock} = setUp();
+  const tasks = ['preview', 'render'].map((kind) => {
+    return {taskId: kind, kind, speed: 0.25, throttle: 0.25};
+  });
+  for (let i = 0; i < 4; i++) {
+    model.observeWorker('w', tasks);
+    clock.advance(3000);
+  }
+  assert.ok(model.slowdown('preview', 'render') < 1.05);
+});
+
+// Guards against estimates that outlive the load they were learned under.
+test('returns to the prior when nothing is measured', () => {
+  const state = setUp();
+  for (let i = 0; i < 60; i++) observe(state, 'w');
+  state.clock.advance(6_000_000);
+  const quiet = {kind: 'preview', speed: 1, throttle: 1};
+  const tasks = [
+    {...quiet, taskId: 'a'},
+    {...quiet, taskId: 'b', kind: 'render'},
+  ];
+  state.model.observeWorker('w', tasks);
+  state.clock.advance(3000);
+  state.model.observeWorker('w', tasks);
+  assert.ok(state.model.slowdown('preview', 'render') < 1.1);
+});
+
+// Guards against memory that grows with the square of the number of kinds.
+test('keeps at most the given number of pairs', () => {
+  const clock = new ManualClock();
+  const model = new SlowdownModel(clock, {mostPairs: 10});
+  for (let i = 0; i < 50; i++) {
+    const tasks = [`a${i}`, `b${i}`].map((kind) => {
+      return {taskId: kind, kind, speed: 0.3, throttle: 1};
+    });
+    model.observeWorker('w', tasks);
+    clock.advance(3000);
+    model.observeWorker('w', tasks);
+  }
+  assert.equal(model.slowdown('a0', 'b0'), 1);
+  assert.ok(model.slowdown('a49', 'b49') > 1);
+});
--- /dev/null
+++ b/src/placement/learned_estimates_test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {Resources} from '../workers/resources.js';
+import {SeededRandom} from '../random/seeded_random.js';
+import {LearnedEstimates, SizeOutcome} from './learned_estimates.js';
+
+const DECLARED = {processors: 8, memoryMegabytes: 8000, accelerators: 1};
+const TASK = {kind: 'render', declared: DECLARED, runTimeMs: 60_000};
+
+let nextTask = 0;
+
+/** Runs a task with the estimate; the worker's guard enforces its memory. */
+function run(estimates: LearnedEstimates, needed: Partial<Resources>): boolean {
+  const taskId = `t${nextTask++}`;
+  const committed = estimates.estimate(TASK).resources;
+  const need = {...DECLARED, ...needed};
+  const usage = {
+    processors: Math.min(committed.processors, need.processors),
+    memoryMegabytes: Math.min(committed.memoryMegabytes, need.memoryMegabytes),
+    accelerators: 1,
+  };
+  estimates.report({...TASK, taskId, committed, usage, speed: 0.5});
+  const fits = need.memoryMegabytes <= committed.memoryMegabytes;
+  const outcome = fits ? SizeOutcome.FINISHED : SizeOutcome.OUT_OF_MEMORY;
+  estimates.end(taskId, {outcome, ranMs: 40_000});
+  return fits;
+}
+
+// Guards against resources held for work that declares far too much.
+test('learns that tasks need less than declared', () => {
+  const estimates = new LearnedEstimates();
+  assert.deepEqual(estimates.estimate(TASK).resources, DECLARED);
+  for (let i = 0; i < 100; i++) {
+    run(estimates, {processors: 2, memoryMegabytes: 1000});
+  }
+  const {resources, runTimeMs} = estimates.estimate(TASK);
+  assert.ok(resources.processors >= 2 && resources.processors < 3);
+  assert.ok(resources.memoryMegabytes >= 1000);
+  assert.ok(resources.memoryMegabytes < 1600);
+  assert.equal(resources.accelerators, 1);
+  assert.ok(runTimeMs > 18_000 && runTimeMs < 25_000);
+});
+
+// Guards against tasks that are killed again and again for too little memory.
+test('grows until tasks fit that declared too little', () => {
+  const estimates = new LearnedEstimates();
+  const needed = {processors: 12, memoryMegabytes: 30_000};
+  for (let i = 0; i < 60; i++) run(estimates, needed);
+  assert.ok(run(estimates, needed));
+  assert.ok(estimates.estimate(TASK).resources.processors >= 12);
+});
+
+// Guards against a margin that kills more work than the memory it frees is worth.
+test('kills few tasks of a kind that varies', () => {
+  const estimates = new LearnedEstimates();
+  const random = new SeededRandom(3);
+  const need = (): number => 2000 * Math.exp(random.next() + random.next());
+  for (let i = 0; i < 300; i++) run(estimates, {memoryMegabytes: need()});
+  let killed = 0;
+  for (let i = 0; i < 1000; i++) {
+    if (!run(estimates, {memoryMegabytes: need()})) killed += 1;
+  }
+  assert.ok(killed <= 20, `${killed} of 1000 killed`);
+});
+
+// Guards against estimates that never forget an earlier load.
+test('follows a shift of the load', () => {
+  const estimates = new LearnedEstimates();
+  for (let i = 0; i < 300; i++) run(estimates, {memoryMegabytes: 6000});
+  for (let i = 0; i < 500; i++) run(estimates, {memoryMegabytes: 600});
+  assert.ok(estimates.estimate(TASK).resources.memoryMegabytes < 1000);
+});
+
+// Guards against memory that grows with the number of kinds.
+test('drops the kind that was least recently used', () => {
+  const estimates = new LearnedEstimates({mostKinds: 2});
+  const usage = {processors: 1, memoryMegabytes: 100, accelerators: 0};
+  for (const kind of ['a', 'b', 'a', 'c']) {
+    const task = {...TASK, kind, taskId: kind};
+    estimates.report({...task, committed: DECLARED, usage, speed: 1});
+    estimates.end(kind, {outcome: SizeOutcome.FINISHED, ranMs: 1});
+  }
+  const samples = ['a', 'b', 'c'].map(
+    (kind) => estimates.estimate({...TASK, kind}).samples,
+  );
+  assert.deepEqual(samples, [2, 0, 1]);
+});
--- /dev/null
+++ b/src/placement/worker_health.ts
@@ -0,0 +1,219 @@
+import {Clock} from '../clock/clock.js';
+import {StateChart} from '../state_charts/state_chart.js';
+import {JobFailures} from './job_failures.js';
+import {KindFailures} from './kind_failures.js';
+import chart from './worker_health_chart.json' with {type: 'json'};
+
+/** What may be placed on a worker. */
+export const HealthState = {
+  /** Takes all work. */
+  HEALTHY: 'healthy',
+  /** Takes no new work. */
+  DRAINING: 'draining',
+  /** Takes one cheap task at a time. */
+  PROBING: 'probing',
+} as const;
+
+/** One of the values of {@link HealthState}. */
+export type HealthState = (typeof HealthState)[keyof typeof HealthState];
+
+type HealthEvent = 'condemn' | 'rested' | 'takeBack' | 'probeFailed';
+
+/** End of a task, as far as it tells something about its worker. */
+export interface TaskEnd {
+  worker: string;
+  kind: string;
+  /** Job of the task; its repeats on one worker count as one failure. */
+  job: string;
+  hasFailed: boolean;
+}
+
+/** Options of {@link WorkerHealth}. */
+export interface WorkerHealthOptions {
+  /** Evidence (logarithm of odds) at which a worker is drained. @default 6 */
+  threshold?: number;
+  /** First time in ms without work before a probe; doubles. @default 15000 */
+  restMs?: number;
+  /** Longest time in ms between probes. @default 300000 */
+  longestRestMs?: number;
+  /** Probes in a row that must succeed. @default 2 */
+  probes?: number;
+  /** Largest part of the workers that is drained at once. @default 0.25 */
+  largestPart?: number;
+}
+
+interface WorkerState {
+  state: HealthState;
+  evidence: number;
+  failedJobs: Set<string>;
+  restMs: number;
+  restedAtMs: number;
+  probesPassed: number;
+}
+
+const FAILURE_RATE_IF_BROKEN = 0.95;
+/** Failed jobs remembered for each worker. */
+const MOST_FAILED_JOBS = 32;
+/** A job that failed on as many healthy workers is at fault itself. */
+const WORKERS_TO_BLAME_JOB = 3;
+const STATES = new StateChart<HealthState, HealthEvent>(chart);
+
+/**
+ * Finds workers on which everything fails. Each end of a task is weighed
+ * against the failure rate of its kind on other workers (a sequential
+ * likelihood test): a kind that fails everywhere is no evidence, a kind that
+ * succeeds elsewhere is.
+ */
+export class WorkerHealth {
+  private readonly workers = new Map<string, WorkerState>();
+  private readonly kinds = new KindFailures();
+  private readonly jobs = new JobFailures();
+  private readonly options: Required<WorkerHealthOptions>;
+  private notHealthy = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    options: WorkerHealthOptions = {},
+  ) {
+    this.options = {
+      threshold: 6,
+      restMs: 15_000,
+      longestRestMs: 300_000,
+      probes: 2,
+      largestPart: 0.25,
+      ...options,
+    };
+  }
+
+  /** Adds a worker; a known one keeps its state. */
+  addWorker(worker: string): void {
+    if (this.workers.has(worker)) return;
+    this.workers.set(worker, {
+      state: STATES.initial,
+      evidence: 0,
+      failedJobs: new Set(),
+      restMs: this.options.restMs,
+      restedAtMs: 0,
+      probesPassed: 0,
+    });
+  }
+
+  removeWorker(worker: string): void {
+    const state = this.workers.get(worker);
+    if (state && state.state !== HealthState.HEALTHY) this.notHealthy -= 1;
+    this.workers.delete(worker);
+  }
+
+  /** State of a worker now; an unknown worker is healthy. */
+  state(worker: string): HealthState {
+    const state = this.workers.get(worker);
+    if (!state) return HealthState.HEALTHY;
+    const isRested = this.clock.nowMs() >= state.restedAtMs;
+    if (state.state === HealthState.DRAINING && isRested) {
+      this.change(state, 'rested');
+    }
+    return state.state;
+  }
+
+  /** Takes in the end of a task. Ends by eviction or cancellation don't count. */
+  record(end: TaskEnd): void {
+    this.addWorker(end.worker);
+    const state = this.workers.get(end.worker)!;
+    if (this.state(end.worker) === HealthState.PROBING) {
+      this.probeEnded(state, end);
+    } else if (!(end.hasFailed && state.failedJobs.has(end.job))) {
+      this.weigh(state, end);
+    }
+    this.kinds.record(end);
+  }
+
+  /**
+   * Tells whether a job failed on three different workers that are healthy, so
+   * that it should end as failed.
+   */
+  jobFailsEverywhere(job: string): boolean {
+    let healthy = 0;
+    for (const worker of this.jobs.of(job).keys()) {
+      if (this.state(worker) === HealthState.HEALTHY) healthy += 1;
+    }
+    return healthy >= WORKERS_TO_BLAME_JOB;
+  }
+
+  /** Forgets a job that has ended for good. */
+  forgetJob(job: string): void {
+    this.jobs.delete(job);
+  }
+
+  private weigh(state: WorkerState, end: TaskEnd): void {
+    const elsewhere = this.kinds.rateElsewhere(end);
+    const odds = end.hasFailed
+      ? FAILURE_RATE_IF_BROKEN / elsewhere
+      : (1 - FAILURE_RATE_IF_BROKEN) / (1 - elsewhere);
+    const evidence = Math.log(odds);
+    state.evidence = Math.max(0, state.evidence + evidence);
+    if (end.hasFailed) this.blame(state, {...end, evidence});
+    else state.failedJobs.clear();
+    const isBroken = state.evidence >= this.options.threshold;
+    if (isBroken && state.state === HealthState.HEALTHY && this.mayDrain()) {
+      this.change(state, 'condemn');
+      this.rest(state);
+    }
+  }
+
+  /** Takes the evidence back from all workers once the job itself is at fault. */
+  private blame(
+    state: WorkerState,
+    failure: {worker: string; job: string; evidence: number},
+  ): void {
+    remember(state.failedJobs, failure.job);
+    this.jobs.add(failure.job, failure);
+    if (!this.jobFailsEverywhere(failure.job)) return;
+    for (const [worker, evidence] of this.jobs.of(failure.job)) {
+      const other = this.workers.get(worker);
+      if (!other) continue;
+      other.evidence = Math.max(0, other.evidence - Math.max(0, evidence));
+      this.jobs.add(failure.job, {worker, evidence: 0});
+    }
+  }
+
+  /** A cause that many workers share is not cured by draining them all. */
+  private mayDrain(): boolean {
+    const most = Math.max(1, this.options.largestPart * this.workers.size);
+    return this.notHealthy + 1 <= most;
+  }
+
+  private probeEnded(state: WorkerState, end: TaskEnd): void {
+    if (end.hasFailed) {
+      state.restMs = Math.min(state.restMs * 2, this.options.longestRestMs);
+      this.change(state, 'probeFailed');
+      this.rest(state);
+      return;
+    }
+    state.probesPassed += 1;
+    if (state.probesPassed < this.options.probes) return;
+    this.change(state, 'takeBack');
+    state.restMs = this.options.restMs;
+    // A relapse is recognized after fewer failures than the first time.
+    state.evidence = this.options.threshold / 2;
+    state.failedJobs.clear();
+  }
+
+  private rest(state: WorkerState): void {
+    state.restedAtMs = this.clock.nowMs() + state.restMs;
+    state.probesPassed = 0;
+  }
+
+  private change(state: WorkerState, event: HealthEvent): void {
+    const next = STATES.next(state.state, event);
+    if (next === undefined) return;
+    const wasHealthy = state.state === HealthState.HEALTHY;
+    const isHealthy = next === HealthState.HEALTHY;
+    this.notHealthy += Number(wasHealthy) - Number(isHealthy);
+    state.state = next;
+  }
+}
+
+function remember(jobs: Set<string>, job: string): void {
+  if (jobs.size >= MOST_FAILED_JOBS) jobs.delete(jobs.values().next().value!);
+  jobs.add(job);
+}
