--- /dev/null
+++ b/measure/direct_router.ts
@@ -0,0 +1,124 @@
+import {Pool} from 'undici';
+
+import {AdmissionPolicy} from '../src/admission/admission_policy.js';
+import {WaitingRequest} from '../src/admission/waiting_request.js';
+import {Clock} from '../src/clock/clock.js';
+import {RoutingPolicy, TargetLoad} from '../src/routing/routing_policy.js';
+
+/** Options of {@link DirectRouter}. */
+export interface DirectRouterOptions {
+  clock: Clock;
+  admission: AdmissionPolicy;
+  routing: RoutingPolicy;
+  /** Origin of each target by its name. */
+  origins: ReadonlyMap<string, string>;
+  /** Requests that a target may run at once. @default 8 */
+  slots?: number;
+}
+
+/** How a request ended. */
+export type RequestEnd = 'answered' | 'failed' | 'refused' | 'expired';
+
+interface Pending {
+  workMs: number;
+  resolve: (end: RequestEnd) => void;
+}
+
+/** Time in ms between looks for requests whose deadline has passed. */
+const EXPIRY_INTERVAL_MS = 20;
+
+const NOTHING_ATTEMPTED: ReadonlySet<string> = new Set();
+
+/**
+ * Smallest program around the decision logic: admission, routing, and undici
+ * towards the targets, without HTTP towards callers.
+ */
+export class DirectRouter {
+  private readonly loads: TargetLoad[] = [];
+  private readonly loadByName = new Map<string, TargetLoad>();
+  private readonly pools = new Map<string, Pool>();
+  private readonly pending = new Map<string, Pending>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: DirectRouterOptions) {
+    const {slots = 8} = options;
+    for (const [target, origin] of options.origins) {
+      const load = {target, slots, inUse: 0, isAvailable: true};
+      this.loads.push(load);
+      this.loadByName.set(target, load);
+      this.pools.set(target, new Pool(origin, {connections: slots}));
+    }
+    this.timer = setInterval(() => this.expire(), EXPIRY_INTERVAL_MS);
+  }
+
+  /** Passes a request that takes `workMs` through admission and routing. */
+  submit(request: WaitingRequest, workMs: number): Promise<RequestEnd> {
+    const result = this.options.admission.offer(request);
+    if (!result.admitted) return Promise.resolve('refused');
+    return new Promise((resolve) => {
+      this.pending.set(request.requestId, {workMs, resolve});
+      this.dispatch(request.service);
+    });
+  }
+
+  /** Closes all connections. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  }
+
+  private dispatch(service: string): void {
+    const {admission, routing} = this.options;
+    while (admission.waitingCount(service) > 0) {
+      // Only the class of the request matters to routing, and not before the
+      // request is known; the class most common in measurements is passed.
+      const choice = routing.choose(this.loads, {
+        urgency: 'standard',
+        attempted: NOTHING_ATTEMPTED,
+      });
+      if (!choice) return;
+      const request = admission.take(service);
+      if (!request) return;
+      void this.run(request, choice.target);
+    }
+  }
+
+  private async run(request: WaitingRequest, target: string): Promise<void> {
+    const {clock, admission, routing} = this.options;
+    const load = this.loadByName.get(target)!;
+    const {workMs, resolve} = this.pending.get(request.requestId)!;
+    this.pending.delete(request.requestId);
+    load.inUse += 1;
+    const startMs = clock.nowMs();
+    const succeeded = await this.send(target, workMs);
+    const latencyMs = clock.nowMs() - startMs;
+    load.inUse -= 1;
+    admission.completed(request, latencyMs);
+    const {urgency} = request;
+    routing.completed({target, latencyMs, succeeded, urgency});
+    resolve(succeeded ? 'answered' : 'failed');
+    this.dispatch(request.service);
+  }
+
+  private async send(target: string, workMs: number): Promise<boolean> {
+    try {
+      const answer = await this.pools.get(target)!.request({
+        path: '/work',
+        method: 'GET',
+        headers: {'x-work-ms': String(workMs)},
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  private expire(): void {
+    for (const request of this.options.admission.takeExpired()) {
+      this.pending.get(request.requestId)?.resolve('expired');
+      this.pending.delete(request.requestId);
+      this.dispatch(request.service);
+    }
+  }
+}
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -4,6 +4,7 @@
 
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
 };
 
