--- a/measure/direct_router.ts
+++ b/measure/direct_router.ts
@@ -34,6 +34,9 @@
  * towards the targets, without HTTP towards callers.
  */
 export class DirectRouter {
+  /** Most requests that waited at once, by customer and class. */
+  readonly waitingMax = new Map<string, number>();
+  private readonly waitingNow = new Map<string, number>();
   private readonly loads: TargetLoad[] = [];
   private readonly loadByName = new Map<string, TargetLoad>();
   private readonly pools = new Map<string, Pool>();
@@ -55,6 +58,7 @@
   submit(request: WaitingRequest, workMs: number): Promise<RequestEnd> {
     const result = this.options.admission.offer(request);
     if (!result.admitted) return Promise.resolve('refused');
+    this.countWaiting(request, 1);
     return new Promise((resolve) => {
       this.pending.set(request.requestId, {workMs, resolve});
       this.dispatch(request.service);
@@ -88,6 +92,7 @@
     const load = this.loadByName.get(target)!;
     const {workMs, resolve} = this.pending.get(request.requestId)!;
     this.pending.delete(request.requestId);
+    this.countWaiting(request, -1);
     load.inUse += 1;
     const startMs = clock.nowMs();
     const succeeded = await this.send(target, workMs);
@@ -114,8 +119,16 @@
     }
   }
 
+  private countWaiting(request: WaitingRequest, change: number): void {
+    const key = `${request.customer}/${request.urgency}`;
+    const now = (this.waitingNow.get(key) ?? 0) + change;
+    this.waitingNow.set(key, now);
+    this.waitingMax.set(key, Math.max(now, this.waitingMax.get(key) ?? 0));
+  }
+
   private expire(): void {
     for (const request of this.options.admission.takeExpired()) {
+      this.countWaiting(request, -1);
       this.pending.get(request.requestId)?.resolve('expired');
       this.pending.delete(request.requestId);
       this.dispatch(request.service);
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -4,6 +4,7 @@
 
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  flood: async () => (await import('./scenarios/flood.js')).runFlood,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
 };
@@ -28,6 +29,7 @@
     options: {
       seed: {type: 'string', default: '1'},
       seconds: {type: 'string', default: '20'},
+      class: {type: 'string', default: 'batch'},
     },
   });
   const name = positionals[0] ?? '';
