--- a/measure/scenarios/slopes.ts
+++ b/measure/scenarios/slopes.ts
@@ -1,9 +1,15 @@
 import {fitLine} from '../fit_line.js';
 import {Scenario} from '../scenario.js';
+import {CONFIGURATION_SLOPES} from '../slopes/configuration_slopes.js';
+import {DECISION_SLOPES} from '../slopes/decision_slopes.js';
 import {MEMBERSHIP_SLOPES} from '../slopes/membership_slopes.js';
 import {SlopeCase} from '../slopes/slope_case.js';
 
-const CASES: readonly SlopeCase[] = [...MEMBERSHIP_SLOPES];
+const CASES: readonly SlopeCase[] = [
+  ...MEMBERSHIP_SLOPES,
+  ...CONFIGURATION_SLOPES,
+  ...DECISION_SLOPES,
+];
 
 function measureCase(slopeCase: SlopeCase): Record<string, unknown> {
   const points = slopeCase.sizes.map((size) => ({
--- /dev/null
+++ b/measure/slopes/decision_slopes.ts
@@ -0,0 +1,122 @@
+import {FairQueueingPolicy} from '../../src/admission/fair_queueing_policy.js';
+import {ManualClock} from '../../src/clock/manual_clock.js';
+import {Contract, contractSchema} from '../../src/contracts/contract.js';
+import {URGENCIES} from '../../src/contracts/urgency.js';
+import {HeadroomFit} from '../../src/placement/headroom_fit.js';
+import {PlacementRequest} from '../../src/placement/placement_request.js';
+import {SeededRandom} from '../../src/random/seeded_random.js';
+import {heapBytes} from '../heap_bytes.js';
+import {eventMicroseconds} from './event_microseconds.js';
+import {SlopeCase, SlopePoint} from './slope_case.js';
+
+const CUSTOMERS = 280;
+const TASKS_PER_WORKER = 10;
+
+function contractOf(customer: string): Contract {
+  return contractSchema.parse({
+    customer,
+    services: ['portal'],
+    callers: [{name: 'counter', keyHash: '0'.repeat(64)}],
+    urgencies: {standard: {maxWaiting: 1_000_000}},
+  });
+}
+
+function placementRequest(index: number, processors: number): PlacementRequest {
+  return {
+    taskId: `job-${index}/0`,
+    customer: `team-${index % CUSTOMERS}`,
+    kind: `kind-${index % 40}`,
+    urgency: URGENCIES[index % URGENCIES.length]!,
+    resources: {
+      processors,
+      memoryMegabytes: processors * 3000,
+      accelerators: 0,
+    },
+    runTimeMs: 600_000,
+    value: 1,
+  };
+}
+
+function measurePlacement(workers: number): SlopePoint {
+  const before = heapBytes();
+  const policy = new HeadroomFit();
+  for (let index = 0; index < workers; index++) {
+    policy.addWorker({
+      worker: `limoilou-worker-${index}`,
+      rack: `limoilou-rack-${Math.floor(index / 11)}`,
+      capacity: {processors: 32, memoryMegabytes: 125_000, accelerators: 1},
+    });
+  }
+  const random = new SeededRandom(1);
+  let next = 0;
+  const placeOne = (): void => {
+    const request = placementRequest(next, 1 + random.nextInteger(4));
+    next += 1;
+    const placement = policy.place(request);
+    if (!placement || placement.victims.length > 0) return;
+    policy.commit({...request, worker: placement.worker, lostWorkMs: 0});
+  };
+  for (let index = 0; index < workers * TASKS_PER_WORKER; index++) placeOne();
+  const bytes = heapBytes() - before;
+  let oldest = 0;
+  const microseconds = eventMicroseconds(() => {
+    policy.release(`job-${oldest}/0`);
+    oldest += 1;
+    placeOne();
+  });
+  return {bytes, microseconds};
+}
+
+function measureWaiting(waiting: number): SlopePoint {
+  const contracts = new Map(
+    Array.from({length: CUSTOMERS}, (_, index) => [
+      `team-${index}`,
+      contractOf(`team-${index}`),
+    ]),
+  );
+  const clock = new ManualClock();
+  const before = heapBytes();
+  const policy = new FairQueueingPolicy({
+    clock,
+    contracts: {contract: (customer) => contracts.get(customer)},
+  });
+  let next = 0;
+  const offerOne = (): void => {
+    next += 1;
+    policy.offer({
+      requestId: `request-${next}`,
+      customer: `team-${next % CUSTOMERS}`,
+      caller: `caller-${next % 7}`,
+      service: 'portal',
+      urgency: 'standard',
+      arrivedMs: clock.nowMs(),
+      deadlineMs: clock.nowMs() + 60_000,
+    });
+  };
+  for (let index = 0; index < waiting; index++) offerOne();
+  const bytes = heapBytes() - before;
+  const microseconds = eventMicroseconds(() => {
+    offerOne();
+    const request = policy.take('portal');
+    if (request) policy.completed(request, 5);
+  });
+  return {bytes, microseconds};
+}
+
+/** Slopes of the decisions of the scheduler and the entry. */
+export const DECISION_SLOPES: readonly SlopeCase[] = [
+  {
+    name: `scheduler: placement with ${TASKS_PER_WORKER} tasks a worker, one start and end`,
+    per: 'worker',
+    bytesAre: 'memory',
+    sizes: [45, 450, 1800, 4500],
+    run: measurePlacement,
+  },
+  {
+    name: 'entry: waiting requests, one offered and taken',
+    per: 'waiting request',
+    bytesAre: 'memory',
+    sizes: [1000, 4000, 16_000, 64_000],
+    run: measureWaiting,
+  },
+];
