--- /dev/null
+++ b/src/entry/compose_entry.ts
@@ -0,0 +1,175 @@
+import 'reflect-metadata';
+
+import {randomUUID} from 'node:crypto';
+
+import {Logger} from 'pino';
+import {container, DependencyContainer, instanceCachingFactory} from 'tsyringe';
+
+import {Clock} from '../clock/clock.js';
+import {SystemClock} from '../clock/system_clock.js';
+import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
+import {createLogger} from '../logging/create_logger.js';
+import {Membership} from '../membership/membership.js';
+import {OwnershipKeeper} from '../ownership/ownership_keeper.js';
+import {HttpPlatformService} from '../platform/http_platform_service.js';
+import {Inventory} from '../platform/inventory.js';
+import {VmKind} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {SeededRandom} from '../random/seeded_random.js';
+import {LeastLoadedRouting} from '../routing/least_loaded_routing.js';
+import {EntryProcess} from './entry_process.js';
+import {EntrySettings} from './entry_settings.js';
+import {FifoAdmission} from './fifo_admission.js';
+import {RefusedKeyedCalls} from './keyed_calls.js';
+import {PolledConfiguration} from './polled_configuration.js';
+
+/** Load that entries report in heartbeats. */
+export interface EntryLoad {
+  /** Free slots by service. */
+  free: Record<string, number>;
+}
+
+/** Registers all parts of the entry program; instances are made on demand. */
+export function composeEntry(settings: EntrySettings): DependencyContainer {
+  const parts = container.createChildContainer();
+  const provide = <T>(
+    token: new (...given: never[]) => T,
+    create: () => T,
+  ): void => {
+    parts.register(token as new (...given: unknown[]) => T, {
+      useFactory: instanceCachingFactory(create),
+    });
+  };
+  const clock = new SystemClock();
+  const logger = createLogger('banyanmux-entry', {
+    level: settings.logging.level,
+    fields: {member: settings.member},
+  });
+  const random = createRandom(settings, clock);
+  const platform = new HttpPlatformService(settings.platform);
+  const context = {settings, clock, logger, random};
+  provide(HttpPlatformService, () => platform);
+  provide(PeerNetwork, () => createNetwork(context));
+  provide(Inventory, () => {
+    const {dataCentre, platform: given} = settings;
+    const intervalMs = given.vmListIntervalMs;
+    return new Inventory({platform, dataCentre, intervalMs});
+  });
+  provide(Membership, () => createMembership(context, parts));
+  provide(OwnershipKeeper, () => createOwnership(context, parts));
+  provide(PolledConfiguration, () => new PolledConfiguration(platform, clock));
+  provide(EntryProcess, () => createProcess(context, parts));
+  return parts;
+}
+
+interface Context {
+  settings: EntrySettings;
+  clock: Clock;
+  logger: Logger;
+  random: RandomSource;
+}
+
+const ROLE = 'entry';
+
+function createRandom(settings: EntrySettings, clock: Clock): RandomSource {
+  const {seed} = settings.entry;
+  return new SeededRandom(seed === 0 ? Math.floor(clock.wallMs()) : seed);
+}
+
+function createNetwork({settings, clock, random}: Context): PeerNetwork {
+  return new PeerNetwork({
+    identity: {
+      member: settings.member,
+      incarnation: randomUUID(),
+      role: ROLE,
+      dataCentre: settings.dataCentre,
+      token: settings.linkToken,
+    },
+    clock,
+    random,
+  });
+}
+
+/** Links to the entries or schedulers of this data centre. */
+function addressesOf(
+  settings: EntrySettings,
+  role: 'entry' | 'scheduler',
+): PeerAddress[] {
+  return settings.members
+    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
+    .filter(({member}) => role !== ROLE || member !== settings.member)
+    .map(({member, dataCentre, host, entryLinkPort, schedulerLinkPort}) => ({
+      member,
+      role,
+      dataCentre,
+      host,
+      port: role === ROLE ? entryLinkPort : schedulerLinkPort,
+    }));
+}
+
+function createMembership(
+  {settings, clock}: Context,
+  parts: DependencyContainer,
+): Membership {
+  return new Membership({
+    network: parts.resolve(PeerNetwork),
+    peers: addressesOf(settings, 'entry'),
+    listeners: addressesOf(settings, 'scheduler'),
+    clock,
+    heartbeatMs: settings.membership.heartbeatMs,
+    suspectAfterMs: settings.membership.suspectAfterMs,
+    contents: () => ({
+      ownershipRevision: parts.resolve(OwnershipKeeper).revision,
+      configurationRevision: parts.resolve(PolledConfiguration).revision,
+      load: {free: parts.resolve(EntryProcess).fleet.freeSlots()},
+    }),
+  });
+}
+
+function createOwnership(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): OwnershipKeeper {
+  const inventory = parts.resolve(Inventory);
+  return new OwnershipKeeper({
+    platform: parts.resolve(HttpPlatformService),
+    membership: parts.resolve(Membership),
+    network: parts.resolve(PeerNetwork),
+    clock,
+    random,
+    logger,
+    shards: () => targetShards(inventory),
+    joinAfterMs: settings.membership.joinAfterMs,
+  });
+}
+
+function targetShards(inventory: Inventory): string[] {
+  const targets = inventory.list().filter(({kind}) => kind === VmKind.TARGET);
+  return [...new Set(targets.map(({shard}) => shard))];
+}
+
+function createProcess(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): EntryProcess {
+  const configuration = parts.resolve(PolledConfiguration);
+  const entry = new EntryProcess({
+    settings,
+    clock,
+    random,
+    logger,
+    network: parts.resolve(PeerNetwork),
+    inventory: parts.resolve(Inventory),
+    ownership: parts.resolve(OwnershipKeeper),
+    configuration,
+    admission: new FifoAdmission(clock),
+    createRouting: () => new LeastLoadedRouting({clock, random}),
+    keyedCalls: new RefusedKeyedCalls(),
+    isReady: () => configuration.ageMs() < Infinity,
+  });
+  parts.resolve(Membership).onHeartbeat(({member, load}) => {
+    const {free} = (load ?? {}) as Partial<EntryLoad>;
+    if (free) entry.peers.noteLoad(member, free);
+  });
+  return entry;
+}
--- /dev/null
+++ b/src/entry/entry_http.ts
@@ -0,0 +1,190 @@
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
+import {AddressInfo, Socket} from 'node:net';
+
+import {App, Request, Response} from '@tinyhttp/app';
+
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {EntryLimits} from './entry_settings.js';
+import {CallerResult, resultHeaders, writeResult} from './result_headers.js';
+
+/** Handles one HTTP request; never rejects. */
+export type HttpHandler = (
+  message: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+/** Options of {@link EntryHttp}. */
+export interface EntryHttpOptions {
+  limits: EntryLimits;
+  /** Adds routes; called once. */
+  mount: (app: App<Request, Response>) => void;
+}
+
+// An answer to a request whose body is still arriving needs the rest to be
+// read, else the caller sees a reset connection instead of the answer.
+const DISCARD_MS = 2000;
+
+/** HTTP server for callers, operators and other entries. */
+export class EntryHttp {
+  private readonly server: Server;
+  /** Connections on which a request is being answered. */
+  private readonly answering = new WeakSet<Socket>();
+
+  constructor(options: EntryHttpOptions) {
+    const app = new App<Request, Response>({
+      settings: {xPoweredBy: false, networkExtensions: false},
+      // Handlers use the plain Node.js interface.
+      applyExtensions: (_request, _response, next) => next(),
+      noMatchHandler: (request, response) => {
+        const text = `Cannot find "${request.method} ${request.url}"`;
+        refuse(response, ResultCodes.NOT_FOUND, text);
+      },
+      onError: (error, _request, response) => {
+        const {message} = error as Error;
+        refuse(response, ResultCodes.INTERNAL, message);
+      },
+    });
+    options.mount(app);
+    const {limits} = options;
+    this.server = createServer({
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headerTimeoutMs,
+      // Bodies have their own limit on each wait.
+      requestTimeout: 0,
+      keepAliveTimeout: limits.idleMs,
+      connectionsCheckingInterval: Math.min(1000, limits.headerTimeoutMs),
+      noDelay: true,
+    });
+    this.server.maxConnections = limits.connections;
+    const listener = app.handler.bind(app) as unknown as RequestListener;
+    this.server.on('request', (message, response) => {
+      this.answering.add(message.socket);
+      response.on('close', () => this.answering.delete(message.socket));
+      discardUnread(message, response);
+      if (!hasValidUrl(message.url ?? '')) {
+        refuse(response, ResultCodes.BAD_REQUEST, 'Cannot read the URL');
+        return;
+      }
+      listener(message, response);
+    });
+    this.server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+      const socket = stream as Socket;
+      // Bytes of an error would become part of the answer under way.
+      if (this.answering.has(socket)) socket.destroy();
+      else answerMalformed(error, socket);
+    });
+  }
+
+  /** Starts to accept connections; returns the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Stops accepting and closes connections once they are idle. */
+  close(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeIdleConnections();
+    return closed;
+  }
+
+  /** Closes all connections at once. */
+  destroy(): void {
+    this.server.closeAllConnections();
+  }
+}
+
+/** Answers with a result code and a text. */
+export function refuse(
+  response: ServerResponse,
+  code: ResultCode,
+  text: string,
+): void {
+  writeResult(response, randomUUID(), {code, text});
+}
+
+function hasValidUrl(url: string): boolean {
+  if (!url.startsWith('/')) return false;
+  try {
+    decodeURIComponent(url.split('?')[0]!);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function discardUnread(
+  message: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.on('finish', () => {
+    if (message.complete || message.destroyed) return;
+    message.resume();
+    const timer = setTimeout(() => message.destroy(), DISCARD_MS);
+    message.on('close', () => clearTimeout(timer));
+  });
+}
+
+function resultOf(error: NodeJS.ErrnoException): CallerResult & {
+  status: number;
+} {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return {
+        code: ResultCodes.TOO_LARGE,
+        status: 431,
+        text: 'Cannot accept request: the head is too large',
+      };
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return {
+        code: ResultCodes.BAD_REQUEST,
+        status: 408,
+        text: 'Cannot read request: the head did not arrive in time',
+      };
+    default:
+      return {
+        code: ResultCodes.BAD_REQUEST,
+        status: 400,
+        text: 'Cannot read request: it is not valid HTTP',
+      };
+  }
+}
+
+/** Answers a request that the HTTP parser refused. */
+function answerMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const {code, status, text} = resultOf(error);
+  const body = JSON.stringify({
+    code: code.number,
+    name: code.name,
+    outcome: code.outcome,
+    message: text,
+  });
+  const headers = {
+    ...resultHeaders(code, randomUUID()),
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(body)),
+    connection: 'close',
+  };
+  const lines = Object.entries(headers).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  socket.end(`HTTP/1.1 ${status} Refused\r\n${lines.join('')}\r\n${body}`);
+}
--- /dev/null
+++ b/src/entry/peer_slot_client.ts
@@ -0,0 +1,203 @@
+import {z} from 'zod';
+
+import {Clock} from '../clock/clock.js';
+import {PeerNetwork} from '../links/peer_network.js';
+import {OwnershipView} from '../ownership/ownership_view.js';
+import {RandomSource} from '../random/random_source.js';
+import {Outcome} from '../result_codes/outcome.js';
+import {ConnectionPool} from '../targets/connection_pool.js';
+import {exchange} from '../targets/http_exchange.js';
+import {
+  AnswerHeaders,
+  AnswerSink,
+  TargetRequest,
+  TargetResult,
+  TargetResultKind,
+} from '../targets/target_client.js';
+import {PeerGrant, PeerSlots, ReservationWish} from './peer_slots.js';
+import {CODE_HEADER, OUTCOME_HEADER} from './result_headers.js';
+
+/** Options of {@link PeerSlotClient}. */
+export interface PeerSlotClientOptions {
+  network: Pick<PeerNetwork, 'identity' | 'isConnected' | 'request' | 'send'>;
+  ownership: OwnershipView;
+  /** Members that own targets of a service. */
+  ownersOf: (service: string) => Set<string>;
+  /** HTTP addresses of the entries of the data centre, by member. */
+  origins: ReadonlyMap<string, string>;
+  clock: Clock;
+  random: RandomSource;
+  /** Called when a peer may have a slot again. */
+  onChange: () => void;
+}
+
+/** Name of the request for a slot. */
+export const RESERVE_REQUEST = 'reserve';
+
+/** Name of the message that gives a reservation back. */
+export const RELEASE_MESSAGE = 'release';
+
+/** Path below which an owner serves reserved requests. */
+export const RESERVED_PATH = '/-/reserved/';
+
+/** Answer to {@link RESERVE_REQUEST}. */
+export const reservedSchema = z.object({
+  /** Undefined if no slot was free. */
+  reservation: z.string().optional(),
+});
+
+const LONGEST_RESERVE_MS = 500;
+const CONNECTIONS_PER_PEER = 64;
+
+// After a refusal a peer is not asked again at once; its heartbeat, or this
+// time, brings the next attempt.
+const BACKOFF_MS = 50;
+
+interface PeerState {
+  /** Free slots by service that the peer reported last. */
+  free: Record<string, number> | undefined;
+  /** Monotonic time in ms until which it is not asked, by service. */
+  backoffUntilMs: Map<string, number>;
+}
+
+/** Reserves slots at other entries over links and forwards by HTTP. */
+export class PeerSlotClient implements PeerSlots {
+  private readonly peers = new Map<string, PeerState>();
+  private readonly pools = new Map<string, ConnectionPool>();
+
+  constructor(private readonly options: PeerSlotClientOptions) {}
+
+  /** Records the free slots that a heartbeat reported. */
+  noteLoad(member: string, free: Record<string, number>): void {
+    this.stateOf(member).free = free;
+    this.options.onChange();
+  }
+
+  mayHaveSlot(service: string): boolean {
+    return this.candidates(service).length > 0;
+  }
+
+  async reserve(wish: ReservationWish): Promise<PeerGrant | undefined> {
+    const {network, clock, random} = this.options;
+    const candidates = this.candidates(wish.service);
+    const member = candidates[random.nextInteger(candidates.length)];
+    if (member === undefined) return undefined;
+    const state = this.stateOf(member);
+    this.changeFree(state, wish.service, -1);
+    try {
+      const answer = await network.request(
+        {role: network.identity.role, member},
+        RESERVE_REQUEST,
+        {
+          body: wish,
+          timeoutMs: Math.max(
+            1,
+            Math.min(LONGEST_RESERVE_MS, wish.remainingMs),
+          ),
+        },
+      );
+      const {reservation} = reservedSchema.parse(answer);
+      if (reservation !== undefined) return {member, reservation};
+    } catch {
+      // A lost grant expires at the peer.
+    }
+    state.backoffUntilMs.set(wish.service, clock.nowMs() + BACKOFF_MS);
+    if (state.free) state.free[wish.service] = 0;
+    return undefined;
+  }
+
+  release(grant: PeerGrant): void {
+    const {network} = this.options;
+    const to = {role: network.identity.role, member: grant.member};
+    network.send(to, RELEASE_MESSAGE, {reservation: grant.reservation});
+  }
+
+  async send(
+    grant: PeerGrant,
+    request: TargetRequest,
+    sink: AnswerSink,
+  ): Promise<TargetResult> {
+    const pool = this.poolOf(grant.member);
+    const connection = pool?.acquire();
+    if (!pool || !connection) {
+      this.release(grant);
+      return {kind: TargetResultKind.NOT_SENT, reason: 'no free connection'};
+    }
+    const path = RESERVED_PATH + grant.reservation + request.path;
+    const result = await exchange(
+      connection.client,
+      {...request, path},
+      {
+        sink,
+        refusalOf: (headers) => describe(headers, Outcome.DID_NOT_RUN),
+        lossOf: lossOf,
+        onReceived: () => {
+          connection.lastReceivedMs = this.options.clock.nowMs();
+        },
+      },
+    );
+    if (result.kind === TargetResultKind.ANSWERED) pool.release(connection);
+    else pool.discard(connection);
+    return result;
+  }
+
+  /** Closes all connections. */
+  stop(): void {
+    for (const pool of this.pools.values()) pool.stop();
+  }
+
+  private candidates(service: string): string[] {
+    const {network, ownersOf, clock} = this.options;
+    const nowMs = clock.nowMs();
+    return [...ownersOf(service)].filter((member) => {
+      if (member === network.identity.member) return false;
+      if (!network.isConnected(network.identity.role, member)) return false;
+      const state = this.stateOf(member);
+      const backoffUntilMs = state.backoffUntilMs.get(service) ?? 0;
+      return nowMs >= backoffUntilMs && state.free?.[service] !== 0;
+    });
+  }
+
+  private changeFree(state: PeerState, service: string, change: number): void {
+    const free = state.free?.[service];
+    if (state.free && free !== undefined) {
+      state.free[service] = Math.max(0, free + change);
+    }
+  }
+
+  private stateOf(member: string): PeerState {
+    let state = this.peers.get(member);
+    if (!state) {
+      state = {free: undefined, backoffUntilMs: new Map()};
+      this.peers.set(member, state);
+    }
+    return state;
+  }
+
+  private poolOf(member: string): ConnectionPool | undefined {
+    const known = this.pools.get(member);
+    const origin = this.options.origins.get(member);
+    if (known || origin === undefined) return known;
+    const pool = new ConnectionPool({
+      origin,
+      clock: this.options.clock,
+      maxConnections: CONNECTIONS_PER_PEER,
+    });
+    this.pools.set(member, pool);
+    return pool;
+  }
+}
+
+function describe(
+  headers: AnswerHeaders,
+  outcome: Outcome,
+): string | undefined {
+  if (headers[OUTCOME_HEADER] !== outcome) return undefined;
+  return `code ${String(headers[CODE_HEADER])} of the owner`;
+}
+
+/** Only an owner that says "ran" passes a target's answer on. */
+function lossOf(headers: AnswerHeaders): string | undefined {
+  if (headers[OUTCOME_HEADER] === Outcome.RAN) return undefined;
+  return `code ${String(headers[CODE_HEADER])} of the owner`;
+}
--- /dev/null
+++ b/src/entry/request_body.ts
@@ -0,0 +1,132 @@
+import {IncomingMessage} from 'node:http';
+import {Readable} from 'node:stream';
+
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+
+/** Options of {@link RequestBody.read}. */
+export interface RequestBodyOptions {
+  /** Bytes that are read ahead and can be sent again. */
+  replayBytes: number;
+  /** Largest body in bytes. */
+  maxBytes: number;
+  /** Longest wait in ms for the next bytes. */
+  timeoutMs: number;
+}
+
+/**
+ * Body of a caller's request. Small bodies are held whole, so that a slow
+ * caller occupies no slot of a target and the request can be sent again; the
+ * rest of a large body is streamed once.
+ */
+export class RequestBody {
+  private isOpened = false;
+
+  private constructor(
+    private readonly prefix: Buffer,
+    private readonly rest: Readable | undefined,
+  ) {}
+
+  /**
+   * Reads ahead.
+   *
+   * @throws ResultError TOO_LARGE or BAD_REQUEST.
+   */
+  static async read(
+    message: IncomingMessage,
+    options: RequestBodyOptions,
+  ): Promise<RequestBody> {
+    const declared = Number(message.headers['content-length'] ?? 0);
+    if (declared > options.maxBytes) throw tooLarge(options.maxBytes);
+    const hasBody =
+      declared > 0 || message.headers['transfer-encoding'] !== undefined;
+    if (!hasBody) return new RequestBody(Buffer.alloc(0), undefined);
+    const source = new TimedSource(message, options);
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    while (bytes <= options.replayBytes) {
+      const chunk = await source.next();
+      if (!chunk) return new RequestBody(Buffer.concat(chunks), undefined);
+      chunks.push(chunk);
+      bytes += chunk.length;
+    }
+    const prefix = Buffer.concat(chunks);
+    return new RequestBody(prefix, streamOf(prefix, source));
+  }
+
+  /** Tells whether {@link open} may be called now. */
+  get canOpen(): boolean {
+    return this.rest === undefined || !this.isOpened;
+  }
+
+  /** The whole body if it is in memory. */
+  get whole(): Buffer | undefined {
+    return this.rest === undefined ? this.prefix : undefined;
+  }
+
+  /** Returns the body to send; a streamed one can be opened once. */
+  open(): Buffer | Readable | undefined {
+    this.isOpened = true;
+    if (this.rest) return this.rest;
+    return this.prefix.length > 0 ? this.prefix : undefined;
+  }
+}
+
+function tooLarge(maxBytes: number): ResultError {
+  return new ResultError(
+    ResultCodes.TOO_LARGE,
+    `Cannot accept body: allowed are ${maxBytes} bytes`,
+  );
+}
+
+/** Chunks of a message with a limit on their sum and on each wait. */
+class TimedSource {
+  private readonly iterator: AsyncIterator<Buffer>;
+  private bytes = 0;
+
+  constructor(
+    message: IncomingMessage,
+    private readonly options: RequestBodyOptions,
+  ) {
+    // The message stays open, so that the caller can still be answered.
+    this.iterator = message.iterator({
+      destroyOnReturn: false,
+    }) as AsyncIterator<Buffer>;
+  }
+
+  async next(): Promise<Buffer | undefined> {
+    const {timeoutMs, maxBytes} = this.options;
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<never>((_, reject) => {
+      timer = setTimeout(() => reject(bodyStalled(timeoutMs)), timeoutMs);
+    });
+    try {
+      const step = await Promise.race([this.iterator.next(), timeout]);
+      if (step.done) return undefined;
+      this.bytes += step.value.length;
+      if (this.bytes > maxBytes) throw tooLarge(maxBytes);
+      return step.value;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+}
+
+function bodyStalled(timeoutMs: number): ResultError {
+  return new ResultError(
+    ResultCodes.BAD_REQUEST,
+    `Cannot read body: no byte within ${timeoutMs} ms`,
+  );
+}
+
+function streamOf(prefix: Buffer, source: TimedSource): Readable {
+  async function* chunks(): AsyncGenerator<Buffer> {
+    yield prefix;
+    for (;;) {
+      const chunk = await source.next();
+      if (!chunk) return;
+      yield chunk;
+    }
+  }
+  return Readable.from(chunks(), {objectMode: false});
+}
--- /dev/null
+++ b/src/entry/reservation_desk.ts
@@ -0,0 +1,171 @@
+import {randomUUID} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+
+import {z} from 'zod';
+
+import {PeerNetwork} from '../links/peer_network.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {RoutingPolicy} from '../routing/routing_policy.js';
+import {TargetResult, TargetResultKind} from '../targets/target_client.js';
+import {TargetFleet, TargetLease} from '../targets/target_fleet.js';
+import {CallerAnswer} from './caller_answer.js';
+import {requestHeaders} from './http_headers.js';
+import {
+  RELEASE_MESSAGE,
+  RESERVE_REQUEST,
+  RESERVED_PATH,
+} from './peer_slot_client.js';
+import {REQUEST_ID_HEADER, TIMEOUT_HEADER} from './result_headers.js';
+
+/** Options of {@link ReservationDesk}. */
+export interface ReservationDeskOptions {
+  network: Pick<PeerNetwork, 'onRequest' | 'onMessage'>;
+  fleet: TargetFleet;
+  /** Returns the routing policy of a service. */
+  routingOf: (service: string) => RoutingPolicy;
+  /** Requests of the service that wait here; they go first. */
+  waitingCount: (service: string) => number;
+  /** Time in ms for which a slot is held. @default 1000 */
+  holdMs?: number;
+}
+
+interface Reservation {
+  lease: TargetLease;
+  timer: NodeJS.Timeout;
+}
+
+const wishSchema = z.object({
+  service: z.string(),
+  customer: z.string(),
+  urgency: z.enum(['urgent', 'standard', 'batch']),
+  remainingMs: z.number(),
+});
+
+const releaseSchema = z.object({reservation: z.string()});
+
+/** Gives slots of owned targets to other entries and serves their requests. */
+export class ReservationDesk {
+  private readonly reservations = new Map<string, Reservation>();
+  private openCount = 0;
+
+  constructor(private readonly options: ReservationDeskOptions) {
+    options.network.onRequest(RESERVE_REQUEST, (body) =>
+      Promise.resolve(this.reserve(body)),
+    );
+    options.network.onMessage(RELEASE_MESSAGE, (body) => {
+      const message = releaseSchema.safeParse(body);
+      if (message.success) this.take(message.data.reservation)?.release();
+    });
+  }
+
+  /** Requests of other entries in flight here, and held slots. */
+  get inFlight(): number {
+    return this.openCount + this.reservations.size;
+  }
+
+  /** Serves a request below {@link RESERVED_PATH}. */
+  async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {id, path} = splitPath(message.url ?? '');
+    const requestId = String(message.headers[REQUEST_ID_HEADER] ?? id);
+    const answer = new CallerAnswer(response, {requestId, holdBytes: 0});
+    const lease = this.take(id);
+    if (!lease) {
+      message.resume();
+      const text = `Cannot serve: the reservation "${id}" has expired`;
+      answer.fail({code: ResultCodes.TARGET_REFUSED, text});
+      return;
+    }
+    this.openCount += 1;
+    try {
+      const result = await this.forward(
+        {message, response, answer},
+        lease,
+        path,
+      );
+      if (result.kind === TargetResultKind.ANSWERED) answer.complete();
+      else answer.fail({code: codeOf(result), text: result.reason});
+    } finally {
+      this.openCount -= 1;
+    }
+  }
+
+  private async forward(
+    call: {
+      message: IncomingMessage;
+      response: ServerResponse;
+      answer: CallerAnswer;
+    },
+    lease: TargetLease,
+    path: string,
+  ): Promise<TargetResult> {
+    const {message, response, answer} = call;
+    const {headers} = message;
+    const gone = new AbortController();
+    response.on('close', () => gone.abort());
+    const length = headers['content-length'];
+    const hasBody = length !== undefined || headers['transfer-encoding'];
+    return lease.send(
+      {
+        method: message.method ?? 'GET',
+        path,
+        headers: {
+          ...requestHeaders(headers),
+          ...(length === undefined ? {} : {'content-length': length}),
+          [REQUEST_ID_HEADER]: String(headers[REQUEST_ID_HEADER]),
+          [TIMEOUT_HEADER]: String(headers[TIMEOUT_HEADER]),
+        },
+        body: hasBody ? message : undefined,
+        remainingMs: Math.max(1, Number(headers[TIMEOUT_HEADER]) || 1),
+        signal: gone.signal,
+      },
+      answer,
+    );
+  }
+
+  private reserve(body: unknown): {reservation?: string} {
+    const {fleet, routingOf, waitingCount, holdMs = 1000} = this.options;
+    const wish = wishSchema.parse(body);
+    if (waitingCount(wish.service) > 0) return {};
+    const choice = routingOf(wish.service).choose(fleet.loads(wish.service), {
+      urgency: wish.urgency,
+      attempted: new Set(),
+    });
+    const id = randomUUID();
+    const lease = choice && fleet.lease(choice.target, id);
+    if (!lease) return {};
+    const timer = setTimeout(() => this.take(id)?.release(), holdMs);
+    this.reservations.set(id, {lease, timer});
+    return {reservation: id};
+  }
+
+  /** Takes a reservation out, so that it can be used once. */
+  private take(id: string): TargetLease | undefined {
+    const reservation = this.reservations.get(id);
+    if (!reservation) return undefined;
+    this.reservations.delete(id);
+    clearTimeout(reservation.timer);
+    return reservation.lease;
+  }
+}
+
+function splitPath(url: string): {id: string; path: string} {
+  const rest = url.slice(RESERVED_PATH.length);
+  const slash = rest.indexOf('/');
+  return slash < 0
+    ? {id: rest, path: '/'}
+    : {id: rest.slice(0, slash), path: rest.slice(slash)};
+}
+
+function codeOf(result: TargetResult): ResultCode {
+  switch (result.kind) {
+    case TargetResultKind.LOST:
+      return result.isTimeout ? ResultCodes.TIMED_OUT : ResultCodes.ANSWER_LOST;
+    case TargetResultKind.NOT_SENT:
+      return ResultCodes.NO_TARGET;
+    default:
+      return ResultCodes.TARGET_REFUSED;
+  }
+}
--- /dev/null
+++ b/src/entry/service_route.ts
@@ -0,0 +1,284 @@
+import {randomUUID} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+
+import {Clock} from '../clock/clock.js';
+import {
+  AuthenticatedCaller,
+  ConfigurationView,
+} from '../contracts/configuration_view.js';
+import {URGENCIES, Urgency} from '../contracts/urgency.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {CallerAnswer} from './caller_answer.js';
+import {EntryMetrics} from './entry_metrics.js';
+import {EntryLimits} from './entry_settings.js';
+import {requestHeaders} from './http_headers.js';
+import {KeyedCall, KeyedCalls} from './keyed_calls.js';
+import {RequestBody} from './request_body.js';
+import {TIMEOUT_HEADER, writeResult} from './result_headers.js';
+import {ServiceCall} from './service_call.js';
+import {ServiceCallEnd, ServiceRouter} from './service_router.js';
+
+/** Options of {@link ServiceRoute}. */
+export interface ServiceRouteOptions {
+  configuration: ConfigurationView;
+  router: ServiceRouter;
+  /** Claims of non-idempotent requests. */
+  keyedCalls: KeyedCalls;
+  metrics: EntryMetrics;
+  clock: Clock;
+  limits: EntryLimits;
+  /** Returns why no new request is accepted, if none is. */
+  refusal: () => {code: ResultCode; text: string} | undefined;
+}
+
+/** A request whose head was checked. */
+interface CheckedHead {
+  caller: AuthenticatedCaller;
+  service: string;
+  path: string;
+  urgency: Urgency;
+  timeoutMs: number;
+  isIdempotent: boolean;
+  key: string | undefined;
+}
+
+/** Path below which the services are. */
+export const SERVICES_PATH = '/v1/services/';
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+const IDEMPOTENCY_KEY = /^[\x20-\x7e]{1,255}$/;
+
+/** Serves `ANY /v1/services/<service>/<path>`. */
+export class ServiceRoute {
+  constructor(private readonly options: ServiceRouteOptions) {}
+
+  /** Serves one request; never rejects. */
+  async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {clock, metrics} = this.options;
+    const requestId = randomUUID();
+    const arrivedMs = clock.nowMs();
+    let head: CheckedHead | undefined;
+    let code: ResultCode;
+    try {
+      head = this.check(message);
+      code = await this.serve({message, response, requestId, arrivedMs}, head);
+    } catch (error) {
+      const known = toResultError(error);
+      code = known.code;
+      writeResult(response, requestId, {
+        code,
+        text: known.message,
+        retryAfterMs: known.retryAfterMs,
+      });
+    }
+    metrics.record({
+      service: head?.service ?? 'none',
+      customer: head?.caller.contract.customer ?? 'none',
+      urgency: head?.urgency ?? 'none',
+      code,
+      latencyMs: clock.nowMs() - arrivedMs,
+    });
+  }
+
+  private check(message: IncomingMessage): CheckedHead {
+    const refusal = this.options.refusal();
+    if (refusal) throw new ResultError(refusal.code, refusal.text);
+    const caller = this.authenticate(message);
+    const {service, path} = splitTarget(message.url ?? '');
+    if (!caller.contract.services.includes(service)) {
+      throw new ResultError(
+        ResultCodes.FORBIDDEN,
+        `Cannot use service "${service}": the contract of "${caller.contract.customer}" does not name it`,
+      );
+    }
+    const urgency = readUrgency(message);
+    const timeoutMs = this.readTimeout(message, caller, urgency);
+    const isIdempotent = readIdempotent(message);
+    const key = readKey(message);
+    if (!isIdempotent && key === undefined) {
+      throw new ResultError(
+        ResultCodes.KEY_REQUIRED,
+        'Cannot accept non-idempotent request: header "idempotency-key" is missing',
+      );
+    }
+    return {caller, service, path, urgency, timeoutMs, isIdempotent, key};
+  }
+
+  private async serve(
+    request: {
+      message: IncomingMessage;
+      response: ServerResponse;
+      requestId: string;
+      arrivedMs: number;
+    },
+    head: CheckedHead,
+  ): Promise<ResultCode> {
+    const {message, response, requestId, arrivedMs} = request;
+    const {limits, router, keyedCalls} = this.options;
+    const gone = new AbortController();
+    response.on('close', () => gone.abort());
+    const body = await RequestBody.read(message, {
+      replayBytes: limits.replayBytes,
+      maxBytes: limits.bodyBytes,
+      timeoutMs: Math.min(limits.bodyTimeoutMs, head.timeoutMs),
+    });
+    const answer = new CallerAnswer(response, {requestId});
+    const {contract, caller} = head.caller;
+    const deadlineMs = arrivedMs + head.timeoutMs;
+    const create = (keyed?: KeyedCall): ServiceCall =>
+      new ServiceCall({
+        waiting: {
+          requestId,
+          customer: contract.customer,
+          caller,
+          service: head.service,
+          urgency: head.urgency,
+          arrivedMs,
+          deadlineMs,
+        },
+        method: message.method ?? 'GET',
+        path: head.path,
+        headers: headersOf(message, body),
+        body,
+        answer,
+        isIdempotent: head.isIdempotent,
+        signal: gone.signal,
+        permission: keyed?.permission,
+      });
+    if (head.isIdempotent || head.key === undefined) {
+      return this.finish(answer, await router.submit(create()));
+    }
+    const end = await keyedCalls.run(
+      {
+        customer: contract.customer,
+        caller,
+        key: head.key,
+        requestId,
+        deadlineMs,
+        content: {method: message.method, path: message.url, body: body.whole},
+      },
+      (keyed) => router.submit(create(keyed)),
+    );
+    if (end.replayed) {
+      answer.replay(end.replayed, end.code);
+      return end.code;
+    }
+    return this.finish(answer, end);
+  }
+
+  private finish(answer: CallerAnswer, end: ServiceCallEnd): ResultCode {
+    if (end.code !== ResultCodes.OK) answer.fail(end);
+    return end.code;
+  }
+
+  private authenticate(message: IncomingMessage): AuthenticatedCaller {
+    const match = BEARER.exec(message.headers.authorization ?? '');
+    const caller = match && this.options.configuration.authenticate(match[1]!);
+    if (caller) return caller;
+    throw new ResultError(
+      ResultCodes.UNAUTHENTICATED,
+      'Cannot authenticate: header "authorization" has no known key',
+    );
+  }
+
+  private readTimeout(
+    message: IncomingMessage,
+    caller: AuthenticatedCaller,
+    urgency: Urgency,
+  ): number {
+    const text = message.headers[TIMEOUT_HEADER];
+    if (text === undefined) return caller.contract.urgencies[urgency].timeoutMs;
+    const longestMs = this.options.limits.timeoutMs;
+    const value = Number(text);
+    const isValid =
+      /^[0-9]{1,10}$/.test(String(text)) && value >= 1 && value <= longestMs;
+    if (isValid) return value;
+    throw badHeader(TIMEOUT_HEADER, text, `1 to ${longestMs}`);
+  }
+}
+
+/** Converts any error into one that may be shown to a caller. */
+export function toResultError(error: unknown): ResultError {
+  if (error instanceof ResultError) return error;
+  return new ResultError(
+    ResultCodes.INTERNAL,
+    `Cannot complete request: ${(error as Error).message}`,
+  );
+}
+
+function badHeader(
+  name: string,
+  value: string | string[] | undefined,
+  allowed: string,
+): ResultError {
+  return new ResultError(
+    ResultCodes.BAD_REQUEST,
+    `Cannot read header "${name}": given "${String(value)}"; allowed: ${allowed}`,
+  );
+}
+
+function readUrgency(message: IncomingMessage): Urgency {
+  const value = message.headers['banyanmux-urgency'];
+  if (value === undefined) return Urgency.STANDARD;
+  const urgency = URGENCIES.find((known) => known === value);
+  if (urgency) return urgency;
+  throw badHeader('banyanmux-urgency', value, URGENCIES.join(', '));
+}
+
+function readIdempotent(message: IncomingMessage): boolean {
+  const value = message.headers['banyanmux-idempotent'] ?? 'true';
+  if (value === 'true' || value === 'false') return value === 'true';
+  throw badHeader('banyanmux-idempotent', value, 'true, false');
+}
+
+function readKey(message: IncomingMessage): string | undefined {
+  const value = message.headers['idempotency-key'];
+  if (value === undefined) return undefined;
+  if (typeof value === 'string' && IDEMPOTENCY_KEY.test(value)) return value;
+  throw badHeader('idempotency-key', value, '1 to 255 visible characters');
+}
+
+function headersOf(
+  message: IncomingMessage,
+  body: RequestBody,
+): Record<string, string | string[]> {
+  const headers = requestHeaders(message.headers);
+  const length = message.headers['content-length'];
+  const isStreamed = body.whole === undefined && length !== undefined;
+  return isStreamed ? {...headers, 'content-length': length} : headers;
+}
+
+function splitTarget(url: string): {service: string; path: string} {
+  const rest = url.slice(SERVICES_PATH.length);
+  const end = rest.search(/[/?]/);
+  const service = end < 0 ? rest : rest.slice(0, end);
+  const tail = end < 0 ? '/' : rest.slice(end);
+  const path = tail.startsWith('/') ? tail : `/${tail}`;
+  if (isReservedPath(path)) {
+    throw new ResultError(
+      ResultCodes.FORBIDDEN,
+      `Cannot use path "${path}": paths below "/-/" belong to the executor`,
+    );
+  }
+  return {service, path};
+}
+
+/** Also finds the path behind dot segments, repeated slashes and escapes. */
+function isReservedPath(path: string): boolean {
+  let pathname = path.split('?')[0]!.replace(/\/+/g, '/');
+  for (let round = 0; round < 3; round++) {
+    pathname = new URL(pathname, 'http://target').pathname.replace(/\/+/g, '/');
+    if (pathname === '/-' || pathname.startsWith('/-/')) return true;
+    try {
+      pathname = decodeURIComponent(pathname).replace(/[\\/]+/g, '/');
+    } catch {
+      return false;
+    }
+    if (!pathname.startsWith('/')) pathname = `/${pathname}`;
+  }
+  return pathname.startsWith('/-/');
+}
--- /dev/null
+++ b/src/entry/service_router.ts
@@ -0,0 +1,403 @@
+import {AdmissionPolicy} from '../admission/admission_policy.js';
+import {Clock} from '../clock/clock.js';
+import {DecisionLog} from '../logging/decision_log.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {RetryBudget} from '../routing/retry_budget.js';
+import {
+  RoutingChoice,
+  RoutingPolicy,
+  TargetLoad,
+} from '../routing/routing_policy.js';
+import {
+  AnswerSink,
+  TargetRequest,
+  TargetResult,
+  TargetResultKind,
+} from '../targets/target_client.js';
+import {TargetFleet} from '../targets/target_fleet.js';
+import {HeldAnswer} from './caller_answer.js';
+import {PeerSlots} from './peer_slots.js';
+import {
+  CallerResult,
+  REQUEST_ID_HEADER,
+  TIMEOUT_HEADER,
+} from './result_headers.js';
+import {ServiceCall} from './service_call.js';
+
+/** How a call ended. */
+export interface ServiceCallEnd extends CallerResult {
+  /** Status of the target's answer. @default none */
+  status?: number;
+  /** The whole answer if it was held in memory. @default none */
+  answer?: HeldAnswer;
+}
+
+/** Options of {@link ServiceRouter}. */
+export interface ServiceRouterOptions {
+  admission: AdmissionPolicy;
+  /** Returns the policy of a service; targets of others are no peers. */
+  routingOf: (service: string) => RoutingPolicy;
+  fleet: TargetFleet;
+  /** Slots at other entries of the data centre. */
+  peers: PeerSlots;
+  clock: Clock;
+  decisions: DecisionLog;
+  /** Attempts for one request, the first one included. @default 3 */
+  maxAttempts?: number;
+}
+
+/** Something that carries one request to a target. */
+interface Carrier {
+  name: string;
+  reason: string;
+  /** False for another entry that forwards the request. */
+  isTarget: boolean;
+  send(request: TargetRequest, sink: AnswerSink): Promise<TargetResult>;
+}
+
+interface PendingCall {
+  call: ServiceCall;
+  resolve(end: ServiceCallEnd): void;
+}
+
+const EXPIRY_INTERVAL_MS = 25;
+
+/** Requests of one service that look for a slot at a peer at the same time. */
+const MOST_RESERVING = 16;
+
+/** Brings waiting requests and free slots together. */
+export class ServiceRouter {
+  private readonly calls = new Map<string, PendingCall>();
+  /** Requests that go before those in admission, by service. */
+  private readonly front = new Map<string, ServiceCall[]>();
+  private readonly reserving = new Map<string, number>();
+  private readonly budget = new RetryBudget();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: ServiceRouterOptions) {
+    this.timer = setInterval(() => this.expire(), EXPIRY_INTERVAL_MS);
+  }
+
+  /** Calls that have not ended. */
+  get openCalls(): ServiceCall[] {
+    return [...this.calls.values()].map(({call}) => call);
+  }
+
+  /** Admits a call and resolves when it has ended; never rejects. */
+  submit(call: ServiceCall): Promise<ServiceCallEnd> {
+    const {admission, fleet} = this.options;
+    if (!fleet.hasTargets(call.service)) {
+      return Promise.resolve({
+        code: ResultCodes.NO_TARGET,
+        text: `Cannot route: no target of service "${call.service}" is known`,
+      });
+    }
+    const result = admission.offer(call.options.waiting);
+    if (!result.admitted) {
+      this.decide('admit', call, {reason: result.reason, code: result.code});
+      return Promise.resolve({
+        code: result.code,
+        text: `Cannot admit: ${result.reason}`,
+        retryAfterMs: result.retryAfterMs,
+      });
+    }
+    call.apply('admitted');
+    this.budget.requestStarted();
+    return new Promise((resolve) => {
+      this.calls.set(call.requestId, {call, resolve});
+      call.options.signal.addEventListener('abort', () => this.abandon(call));
+      if (call.options.signal.aborted) this.abandon(call);
+      this.pump(call.service);
+    });
+  }
+
+  /** Starts waiting requests of all services while there are slots. */
+  pumpAll(): void {
+    const services = new Set(this.front.keys());
+    for (const {call} of this.calls.values()) services.add(call.service);
+    for (const service of services) this.pump(service);
+  }
+
+  /** Starts waiting requests of a service while there are slots. */
+  pump(service: string): void {
+    for (;;) {
+      const loads = this.options.fleet.loads(service);
+      const isFree = loads.some((load) => load.isAvailable);
+      if (!isFree && !this.mayReserve(service)) return;
+      const call = this.next(service);
+      if (!call) return;
+      const choice = isFree ? this.choose(call, loads) : undefined;
+      const lease =
+        choice && this.options.fleet.lease(choice.target, call.requestId);
+      if (lease) {
+        void this.run(call, {
+          name: choice.target,
+          reason: choice.reason,
+          isTarget: true,
+          send: (request, sink) => lease.send(request, sink),
+        });
+      } else if (this.mayReserve(service, call)) {
+        void this.reserve(call);
+      } else {
+        this.putBack(call);
+        return;
+      }
+    }
+  }
+
+  /** Ends the calls that have not been sent; for a stop at once. */
+  refuseWaiting(result: CallerResult): void {
+    for (const {call} of [...this.calls.values()]) {
+      if (call.state === 'sent' || call.state === 'reserving') continue;
+      this.options.admission.cancel(call.requestId);
+      this.end(call, result);
+    }
+  }
+
+  /** Ends the periodic work. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private choose(
+    call: ServiceCall,
+    loads: readonly TargetLoad[],
+  ): RoutingChoice | undefined {
+    const {urgency} = call.options.waiting;
+    const {attempted} = call;
+    const routing = this.options.routingOf(call.service);
+    const fresh = routing.choose(loads, {urgency, attempted});
+    if (fresh || attempted.size === 0) return fresh;
+    return routing.choose(loads, {urgency, attempted: new Set()});
+  }
+
+  private mayReserve(service: string, call?: ServiceCall): boolean {
+    const {peers, admission} = this.options;
+    const waiting =
+      admission.waitingCount(service) + (this.front.get(service)?.length ?? 0);
+    if (!call && waiting === 0) return false;
+    if ((this.reserving.get(service) ?? 0) >= MOST_RESERVING) return false;
+    return peers.mayHaveSlot(service);
+  }
+
+  private next(service: string): ServiceCall | undefined {
+    const front = this.front.get(service);
+    while (front && front.length > 0) {
+      const call = front.shift()!;
+      if (!call.hasEnded) return call;
+    }
+    for (;;) {
+      const waiting = this.options.admission.take(service);
+      if (!waiting) return undefined;
+      const pending = this.calls.get(waiting.requestId);
+      if (!pending) continue;
+      if (pending.call.isPermitted) return pending.call;
+      this.awaitPermission(pending.call);
+    }
+  }
+
+  /** Keeps a call aside that has no claim yet; it holds no slot meanwhile. */
+  private awaitPermission(call: ServiceCall): void {
+    void call.options.permission?.then((isPermitted) => {
+      if (!isPermitted || call.hasEnded) return;
+      call.isPermitted = true;
+      this.putBack(call);
+      this.pump(call.service);
+    });
+  }
+
+  private putBack(call: ServiceCall): void {
+    const front = this.front.get(call.service) ?? [];
+    front.unshift(call);
+    this.front.set(call.service, front);
+  }
+
+  private async reserve(call: ServiceCall): Promise<void> {
+    const {peers, clock} = this.options;
+    const {service} = call;
+    call.apply('reserve');
+    this.reserving.set(service, (this.reserving.get(service) ?? 0) + 1);
+    const {customer, urgency, deadlineMs} = call.options.waiting;
+    const remainingMs = deadlineMs - clock.nowMs();
+    const grant = await peers.reserve({
+      service,
+      customer,
+      urgency,
+      remainingMs,
+    });
+    this.reserving.set(service, (this.reserving.get(service) ?? 1) - 1);
+    if (call.hasEnded) {
+      if (grant) peers.release(grant);
+      this.pump(service);
+      return;
+    }
+    if (grant) {
+      await this.run(call, {
+        name: grant.member,
+        reason: 'own targets are full; reserved there',
+        isTarget: false,
+        send: (request, sink) => peers.send(grant, request, sink),
+      });
+      return;
+    }
+    call.apply('wait');
+    this.putBack(call);
+    this.pump(service);
+  }
+
+  private async run(call: ServiceCall, carrier: Carrier): Promise<void> {
+    const {clock} = this.options;
+    const {waiting, method, path, body, answer, signal} = call.options;
+    const remainingMs = waiting.deadlineMs - clock.nowMs();
+    call.apply('send');
+    call.attempts += 1;
+    call.attempted.add(carrier.name);
+    this.decide('route', call, {chosen: carrier.name, reason: carrier.reason});
+    const startMs = clock.nowMs();
+    const result = await carrier.send(
+      {
+        method,
+        path,
+        headers: {
+          ...call.options.headers,
+          [REQUEST_ID_HEADER]: call.requestId,
+          [TIMEOUT_HEADER]: String(Math.max(1, Math.floor(remainingMs))),
+        },
+        body: body.open(),
+        remainingMs: Math.max(1, remainingMs),
+        signal,
+      },
+      answer,
+    );
+    const latencyMs = clock.nowMs() - startMs;
+    if (carrier.isTarget) {
+      this.learn(call, {target: carrier.name, latencyMs}, result);
+    }
+    this.settle(call, result, latencyMs);
+    this.pump(call.service);
+  }
+
+  private settle(
+    call: ServiceCall,
+    result: TargetResult,
+    latencyMs: number,
+  ): void {
+    if (call.hasEnded) return;
+    if (result.kind === TargetResultKind.ANSWERED) {
+      this.options.admission.completed(call.options.waiting, latencyMs);
+      const answer = call.options.answer.complete();
+      const {status} = result;
+      this.end(call, {code: ResultCodes.OK, text: 'answered', status, answer});
+      return;
+    }
+    if (result.kind === TargetResultKind.LOST) call.mayHaveRun = true;
+    if (this.mayRetry(call, result)) {
+      call.options.answer.reset();
+      call.apply('wait');
+      this.putBack(call);
+      return;
+    }
+    this.end(call, {code: codeOf(call, result), text: textOf(result)});
+  }
+
+  private learn(
+    call: ServiceCall,
+    measured: {target: string; latencyMs: number},
+    result: TargetResult,
+  ): void {
+    this.options.routingOf(call.service).completed({
+      ...measured,
+      succeeded: result.kind === TargetResultKind.ANSWERED,
+      urgency: call.options.waiting.urgency,
+    });
+  }
+
+  private mayRetry(call: ServiceCall, result: TargetResult): boolean {
+    const {waiting, isIdempotent, body, answer, signal} = call.options;
+    const isProvable = result.kind !== TargetResultKind.LOST;
+    const {maxAttempts = 3, clock} = this.options;
+    return (
+      (isIdempotent || isProvable) &&
+      call.attempts < maxAttempts &&
+      !answer.hasPassedBytes &&
+      !signal.aborted &&
+      body.canOpen &&
+      clock.nowMs() < waiting.deadlineMs &&
+      this.budget.tryRetry()
+    );
+  }
+
+  private expire(): void {
+    const {admission, clock} = this.options;
+    const nowMs = clock.nowMs();
+    const expired = admission.takeExpired().map(({requestId}) => requestId);
+    for (const {call} of this.calls.values()) {
+      const isHeldHere = call.state === 'waiting' || call.state === 'reserving';
+      if (isHeldHere && call.options.waiting.deadlineMs <= nowMs) {
+        expired.push(call.requestId);
+      }
+    }
+    for (const requestId of new Set(expired)) {
+      const pending = this.calls.get(requestId);
+      if (!pending) continue;
+      admission.cancel(requestId);
+      const code = pending.call.mayHaveRun
+        ? ResultCodes.TIMED_OUT
+        : ResultCodes.DEADLINE_PASSED_IN_QUEUE;
+      const text = 'Cannot serve: the deadline passed while waiting';
+      this.end(pending.call, {code, text});
+    }
+    if (this.calls.size > 0) this.pumpAll();
+  }
+
+  private abandon(call: ServiceCall): void {
+    if (call.state !== 'waiting' && call.state !== 'reserving') return;
+    this.options.admission.cancel(call.requestId);
+    const code = call.mayHaveRun
+      ? ResultCodes.ANSWER_LOST
+      : ResultCodes.DEADLINE_PASSED_IN_QUEUE;
+    this.end(call, {code, text: 'the caller closed its connection'});
+  }
+
+  private end(call: ServiceCall, end: ServiceCallEnd): void {
+    if (!call.apply('end')) return;
+    const pending = this.calls.get(call.requestId);
+    this.calls.delete(call.requestId);
+    if (end.code !== ResultCodes.OK) {
+      this.decide('end', call, {
+        reason: end.text,
+        code: end.code,
+      });
+    }
+    pending?.resolve(end);
+  }
+
+  private decide(
+    kind: string,
+    call: ServiceCall,
+    decision: {chosen?: string; reason: string; code?: ResultCode},
+  ): void {
+    const {service, customer, caller, urgency} = call.options.waiting;
+    this.options.decisions.record({
+      kind,
+      subject: call.requestId,
+      ...decision,
+      facts: {service, customer, caller, urgency, attempt: call.attempts},
+    });
+  }
+}
+
+function codeOf(call: ServiceCall, result: TargetResult): ResultCode {
+  if (result.kind === TargetResultKind.LOST) {
+    return result.isTimeout ? ResultCodes.TIMED_OUT : ResultCodes.ANSWER_LOST;
+  }
+  if (call.mayHaveRun) return ResultCodes.ANSWER_LOST;
+  if (result.kind === TargetResultKind.NOT_SENT) return ResultCodes.NO_TARGET;
+  const isEpoch = 'reason' in result && result.reason === 'epoch';
+  return isEpoch ? ResultCodes.FENCED : ResultCodes.TARGET_REFUSED;
+}
+
+function textOf(result: TargetResult): string {
+  const reason = 'reason' in result ? result.reason : '';
+  return `Cannot complete request: ${reason}`;
+}
--- /dev/null
+++ b/src/targets/connection_pool.ts
@@ -0,0 +1,104 @@
+import {Client} from 'undici';
+
+import {Clock} from '../clock/clock.js';
+
+/** Options of {@link ConnectionPool}. */
+export interface ConnectionPoolOptions {
+  /** For example "http://10.0.0.7:8080". */
+  origin: string;
+  clock: Clock;
+  /** Most connections open at once. */
+  maxConnections: number;
+  /** Tells whether one more connection may be opened now. @default always */
+  mayOpen?: () => boolean;
+  /**
+   * Time in ms since the last received byte after which an idle connection is
+   * replaced instead of used, because it may be silent. @default 1000
+   */
+  trustMs?: number;
+  /** Longest wait for a connection in ms. @default 1000 */
+  connectTimeoutMs?: number;
+}
+
+/** One connection; carries one request at a time. */
+export interface PooledConnection {
+  readonly client: Client;
+  /** Monotonic time in ms of the last received byte. */
+  lastReceivedMs: number;
+}
+
+// Idle connections are closed before most servers close theirs.
+const KEEP_ALIVE_MS = 4000;
+
+/** Keeps the connections to one server; each carries one request at a time. */
+export class ConnectionPool {
+  private readonly idle: PooledConnection[] = [];
+  private readonly open = new Set<PooledConnection>();
+
+  constructor(private readonly options: ConnectionPoolOptions) {}
+
+  /** Number of connections that are open or being opened. */
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  /** Number of open connections that carry no request. */
+  get idleCount(): number {
+    return this.idle.length;
+  }
+
+  /**
+   * Takes a connection that received bytes recently, or opens a new one.
+   *
+   * @returns The connection, or undefined if none may be opened.
+   */
+  acquire(): PooledConnection | undefined {
+    const {clock, trustMs = 1000, maxConnections} = this.options;
+    const nowMs = clock.nowMs();
+    for (;;) {
+      const connection = this.idle.pop();
+      if (!connection) break;
+      if (nowMs - connection.lastReceivedMs <= trustMs) return connection;
+      this.discard(connection);
+    }
+    if (this.open.size >= maxConnections) return undefined;
+    if (!(this.options.mayOpen?.() ?? true)) return undefined;
+    return this.dial();
+  }
+
+  /** Gives back a connection whose last answer arrived whole. */
+  release(connection: PooledConnection): void {
+    if (this.open.has(connection)) this.idle.push(connection);
+  }
+
+  /** Closes a connection that must not be used again. */
+  discard(connection: PooledConnection): void {
+    if (!this.open.delete(connection)) return;
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+    void connection.client.destroy().catch(() => undefined);
+  }
+
+  /** Closes all connections at once. */
+  stop(): void {
+    for (const connection of [...this.open]) this.discard(connection);
+  }
+
+  private dial(): PooledConnection {
+    const client = new Client(this.options.origin, {
+      pipelining: 1,
+      connect: {timeout: this.options.connectTimeoutMs ?? 1000},
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const connection: PooledConnection = {
+      client,
+      lastReceivedMs: this.options.clock.nowMs(),
+    };
+    this.open.add(connection);
+    client.on('disconnect', () => this.discard(connection));
+    return connection;
+  }
+}
--- /dev/null
+++ b/src/targets/http_exchange.ts
@@ -0,0 +1,188 @@
+import {Client, Dispatcher} from 'undici';
+
+import {
+  AnswerHeaders,
+  AnswerSink,
+  TargetRequest,
+  TargetResult,
+  TargetResultKind,
+} from './target_client.js';
+
+/** Options of {@link exchange}. */
+export interface ExchangeOptions {
+  sink: AnswerSink;
+  /** Returns why the head of an answer is a refusal before start, if it is. */
+  refusalOf: (headers: AnswerHeaders) => string | undefined;
+  /** Returns why the answer of a relay is not whole. @default never */
+  lossOf?: (headers: AnswerHeaders) => string | undefined;
+  /** Called for each byte that arrives. @default none */
+  onReceived?: () => void;
+}
+
+/** Refusals carry little text; more is not read. */
+const NO_BODY_STATUSES = new Set([204, 304]);
+
+class DeadlineError extends Error {}
+
+/**
+ * Sends one request over a connection and reports precisely how it ended. The
+ * caller discards the connection unless the result is ANSWERED or REFUSED.
+ */
+export function exchange(
+  client: Client,
+  request: TargetRequest,
+  options: ExchangeOptions,
+): Promise<TargetResult> {
+  return new Promise((resolve) => {
+    new Exchange(client, {request, options, resolve}).start();
+  });
+}
+
+interface ExchangeContext {
+  request: TargetRequest;
+  options: ExchangeOptions;
+  resolve: (result: TargetResult) => void;
+}
+
+class Exchange implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private hasStarted = false;
+  private isSettled = false;
+  private refusal: string | undefined;
+  private status = 0;
+  private readonly onAbort = (): void =>
+    this.abort(new Error('given up by the caller'));
+
+  constructor(
+    private readonly client: Client,
+    private readonly context: ExchangeContext,
+  ) {}
+
+  start(): void {
+    const {request} = this.context;
+    this.timer = setTimeout(
+      () => this.abort(new DeadlineError('the deadline passed')),
+      request.remainingMs,
+    );
+    request.signal?.addEventListener('abort', this.onAbort, {once: true});
+    if (request.signal?.aborted) {
+      this.onAbort();
+      return;
+    }
+    try {
+      this.client.dispatch(
+        {
+          method: request.method,
+          path: request.path,
+          headers: request.headers,
+          body: request.body ?? null,
+          headersTimeout: 0,
+          bodyTimeout: 0,
+        },
+        this,
+      );
+    } catch (error) {
+      this.fail(error as Error);
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.isSettled || this.hasStarted) {
+      // A request is written at most once, also if the client would repeat it.
+      controller.abort(new Error('already sent'));
+      return;
+    }
+    this.controller = controller;
+    this.hasStarted = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (status < 200) return;
+    const {options, request} = this.context;
+    options.onReceived?.();
+    this.refusal = options.refusalOf(headers);
+    if (this.refusal !== undefined) return;
+    const loss =
+      options.lossOf?.(headers) ?? lengthFault(request, {status, headers});
+    if (loss !== undefined) {
+      controller.abort(new Error(loss));
+      return;
+    }
+    this.status = status;
+    options.sink.onDrain(() => controller.resume());
+    options.sink.begin(status, headers);
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    const {options} = this.context;
+    options.onReceived?.();
+    if (this.refusal !== undefined) return;
+    if (!options.sink.write(chunk)) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    this.context.options.onReceived?.();
+    this.settle(
+      this.refusal === undefined
+        ? {kind: TargetResultKind.ANSWERED, status: this.status}
+        : {kind: TargetResultKind.REFUSED, reason: this.refusal},
+    );
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.fail(error);
+  }
+
+  private abort(error: Error): void {
+    if (this.isSettled) return;
+    if (this.controller) {
+      this.controller.abort(error);
+    } else {
+      // Still connecting: without the connection nothing can be sent later.
+      void this.client.destroy(error).catch(() => undefined);
+    }
+    this.fail(error);
+  }
+
+  private fail(error: Error): void {
+    const reason = error.message;
+    if (!this.hasStarted) {
+      this.settle({kind: TargetResultKind.NOT_SENT, reason});
+    } else if (this.refusal !== undefined) {
+      this.settle({kind: TargetResultKind.REFUSED, reason: this.refusal});
+    } else {
+      const isTimeout = error instanceof DeadlineError;
+      this.settle({kind: TargetResultKind.LOST, reason, isTimeout});
+    }
+  }
+
+  private settle(result: TargetResult): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    clearTimeout(this.timer);
+    const {request, resolve} = this.context;
+    request.signal?.removeEventListener('abort', this.onAbort);
+    resolve(result);
+  }
+}
+
+/** An answer that ends with its connection can't be told from a cut one. */
+function lengthFault(
+  request: TargetRequest,
+  answer: {status: number; headers: AnswerHeaders},
+): string | undefined {
+  const hasLength =
+    answer.headers['content-length'] !== undefined ||
+    answer.headers['transfer-encoding'] !== undefined;
+  const hasNoBody =
+    request.method === 'HEAD' || NO_BODY_STATUSES.has(answer.status);
+  return hasLength || hasNoBody ? undefined : 'the answer gives no length';
+}
--- /dev/null
+++ b/src/targets/http_target_client.ts
@@ -0,0 +1,190 @@
+import {z} from 'zod';
+
+import {Clock} from '../clock/clock.js';
+import {ConnectionPool, PooledConnection} from './connection_pool.js';
+import {exchange} from './http_exchange.js';
+import {
+  AnswerSink,
+  TargetClient,
+  TargetRequest,
+  TargetResult,
+  TargetResultKind,
+} from './target_client.js';
+import {EPOCH_HEADER, REFUSED_HEADER, TargetStatus} from './target_status.js';
+
+/** Options of {@link HttpTargetClient}. */
+export interface HttpTargetClientOptions {
+  /** For example "http://10.0.0.7:8080". */
+  origin: string;
+  clock: Clock;
+  /** Connections for requests. @default 8 */
+  maxConnections?: number;
+  /** Longest wait for a status in ms. @default 1000 */
+  probeTimeoutMs?: number;
+}
+
+const STATUS_PATH = '/-/executor';
+const LARGEST_STATUS_BYTES = 64 * 1024;
+
+// Room for an earlier or later owner that opens its 9 connections between two
+// readings of the executor's count.
+const RESERVED_CONNECTIONS = 9;
+
+const statusSchema = z.object({
+  target: z.string(),
+  incarnation: z.string(),
+  epoch: z.number(),
+  slots: z.int().min(0),
+  slotsInUseByEpoch: z.record(z.string(), z.number()),
+  connections: z.int().min(0),
+  maxConnections: z.int().min(0),
+  leaving: z.boolean(),
+});
+
+/** HTTP adapter to one executor. */
+export class HttpTargetClient implements TargetClient {
+  private readonly pool: ConnectionPool;
+  private readonly probePool: ConnectionPool;
+  private foreignConnections = 0;
+  private connectionLimit = 0;
+
+  constructor(private readonly options: HttpTargetClientOptions) {
+    const {origin, clock, maxConnections = 8} = options;
+    this.pool = new ConnectionPool({
+      origin,
+      clock,
+      maxConnections,
+      mayOpen: () => this.openableCount() > 0,
+    });
+    // The probe connection is used every second and replaced when it fails, so
+    // it is trusted for longer than connections for requests.
+    this.probePool = new ConnectionPool({
+      origin,
+      clock,
+      maxConnections: 1,
+      trustMs: 3000,
+    });
+  }
+
+  availableCount(): number {
+    const {maxConnections = 8} = this.options;
+    const openable = Math.min(
+      maxConnections - this.pool.openCount,
+      this.openableCount(),
+    );
+    return this.pool.idleCount + Math.max(0, openable);
+  }
+
+  async send(
+    request: TargetRequest,
+    sink: AnswerSink,
+    epoch: number,
+  ): Promise<TargetResult> {
+    const connection = this.pool.acquire();
+    if (!connection) {
+      return {kind: TargetResultKind.NOT_SENT, reason: 'no free connection'};
+    }
+    const headers = {...request.headers, [EPOCH_HEADER]: String(epoch)};
+    const result = await exchange(
+      connection.client,
+      {...request, headers},
+      {
+        sink,
+        refusalOf: (answer) => answer[REFUSED_HEADER]?.toString(),
+        onReceived: () => this.noteReceived(connection),
+      },
+    );
+    if (result.kind === TargetResultKind.ANSWERED) {
+      this.pool.release(connection);
+    } else {
+      // A refused request may leave unsent parts of its body behind.
+      this.pool.discard(connection);
+    }
+    return result;
+  }
+
+  async probe(epoch: number): Promise<TargetStatus> {
+    const connection = this.probePool.acquire();
+    if (!connection) throw new Error('a probe is already under way');
+    try {
+      const status = await this.readStatus(connection, epoch);
+      this.probePool.release(connection);
+      return status;
+    } catch (error) {
+      this.probePool.discard(connection);
+      throw error;
+    }
+  }
+
+  stop(): Promise<void> {
+    this.pool.stop();
+    this.probePool.stop();
+    return Promise.resolve();
+  }
+
+  private async readStatus(
+    connection: PooledConnection,
+    epoch: number,
+  ): Promise<TargetStatus> {
+    const sink = new TextSink();
+    const ownConnections = this.pool.openCount + this.probePool.openCount;
+    const result = await exchange(
+      connection.client,
+      {
+        method: 'GET',
+        path: STATUS_PATH,
+        headers: {[EPOCH_HEADER]: String(epoch)},
+        remainingMs: this.options.probeTimeoutMs ?? 1000,
+      },
+      {
+        sink,
+        refusalOf: () => undefined,
+        onReceived: () => this.noteReceived(connection),
+      },
+    );
+    if (result.kind !== TargetResultKind.ANSWERED || result.status !== 200) {
+      const reason = 'reason' in result ? result.reason : result.status;
+      throw new Error(`Cannot read status: ${reason}`);
+    }
+    const status = statusSchema.parse(JSON.parse(sink.text()));
+    this.connectionLimit = status.maxConnections;
+    this.foreignConnections = Math.max(0, status.connections - ownConnections);
+    return status;
+  }
+
+  /** Connections that the executor's own count leaves room for. */
+  private openableCount(): number {
+    const own = this.pool.openCount + this.probePool.openCount;
+    const reserve = Math.min(
+      RESERVED_CONNECTIONS,
+      Math.floor(this.connectionLimit / 4),
+    );
+    return this.connectionLimit - reserve - own - this.foreignConnections;
+  }
+
+  private noteReceived(connection: PooledConnection): void {
+    connection.lastReceivedMs = this.options.clock.nowMs();
+  }
+}
+
+class TextSink implements AnswerSink {
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+
+  begin(): void {
+    this.chunks.length = 0;
+  }
+
+  write(chunk: Buffer): boolean {
+    this.bytes += chunk.length;
+    if (this.bytes > LARGEST_STATUS_BYTES) throw new Error('status too large');
+    this.chunks.push(chunk);
+    return true;
+  }
+
+  onDrain(): void {}
+
+  text(): string {
+    return Buffer.concat(this.chunks).toString('utf8');
+  }
+}
--- /dev/null
+++ b/src/targets/owned_target.ts
@@ -0,0 +1,189 @@
+import {Clock} from '../clock/clock.js';
+import {VmEntry} from '../platform/platform_service.js';
+import {TargetLoad} from '../routing/routing_policy.js';
+import {loadStateChart} from '../state_charts/load_state_chart.js';
+import {SlotAccount} from './slot_account.js';
+import {
+  AnswerSink,
+  TargetClient,
+  TargetRequest,
+  TargetResult,
+  TargetResultKind,
+} from './target_client.js';
+
+/** Whether an owned target takes new work; see owned_target.json. */
+export type OwnedTargetState =
+  'unread' | 'available' | 'unreachable' | 'leaving' | 'fenced';
+
+type OwnedTargetEvent =
+  'statusRead' | 'failed' | 'leavingNoticed' | 'epochRefused';
+
+/** Options of {@link OwnedTarget}. */
+export interface OwnedTargetOptions {
+  vm: VmEntry;
+  /** Epoch of the shard that the target belongs to. */
+  epoch: number;
+  client: TargetClient;
+  clock: Clock;
+  /** Called after each change that may free a slot or end one. */
+  onChange: () => void;
+  /** Called once the target refused this owner's epoch. */
+  onFenced: () => void;
+  /** Time between probes in ms. @default 1000 */
+  probeIntervalMs?: number;
+}
+
+const chart = loadStateChart<OwnedTargetState, OwnedTargetEvent>(
+  'owned_target.json',
+  import.meta.url,
+);
+
+/** A target whose slots this process owns under one epoch. */
+export class OwnedTarget {
+  private readonly account: SlotAccount;
+  private currentState: OwnedTargetState = chart.initial;
+  private timer: NodeJS.Timeout | undefined;
+  private isProbing = false;
+  private isRetired = false;
+
+  constructor(private readonly options: OwnedTargetOptions) {
+    this.account = new SlotAccount(options.clock);
+  }
+
+  get name(): string {
+    return this.options.vm.vm;
+  }
+
+  get vm(): VmEntry {
+    return this.options.vm;
+  }
+
+  get epoch(): number {
+    return this.options.epoch;
+  }
+
+  get state(): OwnedTargetState {
+    return this.currentState;
+  }
+
+  /** Requests that run now on behalf of this owner. */
+  get inFlight(): number {
+    return this.account.inFlight;
+  }
+
+  /** Slots and use as routing sees them. */
+  load(): TargetLoad {
+    const {total, free} = this.account;
+    const usable = Math.min(free, this.options.client.availableCount());
+    return {
+      target: this.name,
+      slots: total,
+      inUse: total - usable,
+      isAvailable:
+        this.currentState === 'available' && !this.isRetired && usable > 0,
+    };
+  }
+
+  /** Starts to probe; the target is available after the first status. */
+  start(): void {
+    void this.probe();
+  }
+
+  /** Takes a slot; the caller has seen a free one in {@link load}. */
+  begin(requestId: string): void {
+    this.account.begin(requestId);
+  }
+
+  /** Gives a slot back that was not used. */
+  cancel(requestId: string): void {
+    this.finish(requestId, true);
+  }
+
+  /** Sends a request for which {@link begin} took a slot. */
+  async send(
+    requestId: string,
+    request: TargetRequest,
+    sink: AnswerSink,
+  ): Promise<TargetResult> {
+    const {client, epoch} = this.options;
+    const result = await client.send(request, sink, epoch);
+    this.learn(result);
+    this.finish(requestId, result.kind !== TargetResultKind.LOST);
+    return result;
+  }
+
+  /** Takes no new work; closes the connections once nothing is in flight. */
+  retire(): void {
+    this.isRetired = true;
+    clearTimeout(this.timer);
+    this.closeIfIdle();
+  }
+
+  private finish(requestId: string, isCertain: boolean): void {
+    this.account.end(requestId, isCertain);
+    this.closeIfIdle();
+    this.options.onChange();
+  }
+
+  private closeIfIdle(): void {
+    if (this.isRetired && this.account.inFlight === 0) {
+      void this.options.client.stop();
+    }
+  }
+
+  private learn(result: TargetResult): void {
+    switch (result.kind) {
+      case TargetResultKind.REFUSED:
+        if (result.reason === 'leaving') this.apply('leavingNoticed');
+        if (result.reason === 'epoch') this.apply('epochRefused');
+        break;
+      case TargetResultKind.NOT_SENT:
+        if (result.reason.includes('ECONNREFUSED')) this.apply('failed');
+        void this.probe();
+        break;
+      case TargetResultKind.LOST:
+        if (!result.isTimeout) void this.probe();
+        break;
+      default:
+    }
+  }
+
+  private apply(event: OwnedTargetEvent): void {
+    const next = chart.next(this.currentState, event);
+    if (next === undefined) return;
+    this.currentState = next;
+    if (next === 'fenced') this.options.onFenced();
+  }
+
+  private async probe(): Promise<void> {
+    if (this.isProbing || this.isRetired) return;
+    this.isProbing = true;
+    clearTimeout(this.timer);
+    try {
+      await this.readStatus().catch((error: Error) => {
+        // Only the probe's own connection may be silent; a new one tells.
+        if (error.message.includes('ECONNREFUSED')) throw error;
+        return this.readStatus();
+      });
+    } catch {
+      this.apply('failed');
+    }
+    this.isProbing = false;
+    this.options.onChange();
+    if (this.isRetired || chart.isFinal(this.currentState)) return;
+    this.timer = setTimeout(
+      () => void this.probe(),
+      this.options.probeIntervalMs ?? 1000,
+    );
+  }
+
+  private async readStatus(): Promise<void> {
+    const {client, clock, epoch} = this.options;
+    const sentMs = clock.nowMs();
+    const status = await client.probe(epoch);
+    this.account.apply(status, epoch, sentMs);
+    if (status.epoch > epoch) this.apply('epochRefused');
+    else if (status.leaving) this.apply('leavingNoticed');
+    else this.apply('statusRead');
+  }
+}
--- /dev/null
+++ b/testing/entry_bench.ts
@@ -0,0 +1,221 @@
+import {randomUUID} from 'node:crypto';
+import {setImmediate} from 'node:timers/promises';
+
+import {pino} from 'pino';
+
+import {sleep} from '../src/clock/sleep.js';
+import {SystemClock} from '../src/clock/system_clock.js';
+import {EntryParts, EntryProcess} from '../src/entry/entry_process.js';
+import {entrySettingsSchema} from '../src/entry/entry_settings.js';
+import {FifoAdmission} from '../src/entry/fifo_admission.js';
+import {RefusedKeyedCalls} from '../src/entry/keyed_calls.js';
+import {PeerNetwork} from '../src/links/peer_network.js';
+import {VmEntry} from '../src/platform/platform_service.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {LeastLoadedRouting} from '../src/routing/least_loaded_routing.js';
+import {Caller} from './caller.js';
+import {FaultyLink} from './faulty_link.js';
+import {freePorts} from './free_ports.js';
+import {
+  StaticConfiguration,
+  StaticInventory,
+  StaticOwnership,
+  StaticOwnershipView,
+} from './static_views.js';
+import {TargetStandIn, TargetStandInOptions} from './target_stand_in.js';
+
+/** Options of {@link EntryBench}. */
+export interface EntryBenchOptions {
+  /** Targets; each is a shard of its own. @default 1 */
+  targets?: number;
+  /** Entries; shards are given to them in turn. @default 1 */
+  entries?: number;
+  /** Options of all targets. @default {} */
+  target?: Partial<TargetStandInOptions>;
+  /** Limits of the entries. @default {} */
+  limits?: Record<string, number>;
+  /** Replaces parts of each entry. @default none */
+  parts?: (member: string) => Partial<EntryParts>;
+}
+
+/** An entry of the bench. */
+export interface BenchEntry {
+  member: string;
+  process: EntryProcess;
+  ownership: StaticOwnershipView;
+  network: PeerNetwork;
+  origin: string;
+  caller: Caller;
+}
+
+/** Entries in this process, with a faulty link before each target. */
+export class EntryBench {
+  readonly targets: TargetStandIn[] = [];
+  readonly links: FaultyLink[] = [];
+  readonly entries: BenchEntry[] = [];
+  readonly ranKeys = new Map<string, number>();
+  readonly ownership = new StaticOwnership();
+  readonly configuration = new StaticConfiguration();
+  readonly inventory = new StaticInventory([]);
+
+  private constructor(private readonly options: EntryBenchOptions) {}
+
+  /** Starts everything and waits until all targets take work. */
+  static async start(options: EntryBenchOptions = {}): Promise<EntryBench> {
+    const bench = new EntryBench(options);
+    const vms: VmEntry[] = [];
+    for (let index = 1; index <= (options.targets ?? 1); index++) {
+      vms.push(await bench.addTarget(index));
+    }
+    bench.inventory.set(vms);
+    await bench.startEntries();
+    await bench.until(() => {
+      const states = bench.entries.flatMap((e) => e.process.fleet.states());
+      const isConnected = bench.entries.every((entry) =>
+        bench.entries.every(
+          ({member}) =>
+            member === entry.member ||
+            entry.network.isConnected('entry', member),
+        ),
+      );
+      return (
+        isConnected &&
+        states.length === vms.length &&
+        states.every(({isAvailable}) => isAvailable)
+      );
+    });
+    return bench;
+  }
+
+  /** First entry. */
+  get entry(): BenchEntry {
+    return this.entries[0]!;
+  }
+
+  /** Waits for a condition; fails after `limitMs`. */
+  async until(condition: () => boolean, limitMs = 8000): Promise<void> {
+    const deadlineMs = performance.now() + limitMs;
+    while (!condition()) {
+      if (performance.now() > deadlineMs) {
+        throw new Error(`Cannot wait longer: ${condition.toString()}`);
+      }
+      await sleep(2);
+      await setImmediate();
+    }
+  }
+
+  /** Breaches that all targets counted. */
+  violations(): number {
+    return this.targets
+      .flatMap((target) => Object.values(target.violations) as number[])
+      .reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    for (const entry of this.entries) {
+      entry.process.destroy();
+      await entry.caller.stop();
+      await entry.network.stop();
+    }
+    await Promise.all(this.links.map((link) => link.stop()));
+    await Promise.all(this.targets.map((target) => target.stop()));
+  }
+
+  private async addTarget(index: number): Promise<VmEntry> {
+    const target = new TargetStandIn({
+      target: `target-${index}`,
+      ranKeys: this.ranKeys,
+      ...this.options.target,
+    });
+    const targetPort = await target.listen('127.0.0.1', 0);
+    const link = new FaultyLink({targetPort, seed: index});
+    this.targets.push(target);
+    this.links.push(link);
+    return {
+      vm: `target-${index}`,
+      dataCentre: 'levis',
+      kind: 'target',
+      host: '127.0.0.1',
+      port: await link.listen(),
+      shard: `group-${index}`,
+      service: 'portal',
+      state: 'live',
+    };
+  }
+
+  private async startEntries(): Promise<void> {
+    const count = this.options.entries ?? 1;
+    const ports = await freePorts(count * 2);
+    const members = Array.from({length: count}, (_, index) => ({
+      member: `vm-${index + 1}`,
+      dataCentre: 'levis',
+      host: '127.0.0.1',
+      entryHttpPort: ports[index * 2]!,
+      entryLinkPort: ports[index * 2 + 1]!,
+      schedulerLinkPort: 0,
+    }));
+    this.inventory.list().forEach(({shard}, index) => {
+      this.ownership.assign(shard, members[index % count]!.member, 1);
+    });
+    for (const {member} of members) {
+      const settings = entrySettingsSchema.parse({
+        member,
+        dataCentre: 'levis',
+        region: 'quebec-capitale',
+        linkToken: 'link-token-for-tests',
+        members,
+        platform: {origin: 'http://127.0.0.1:1'},
+        entry: {stopNoticeMs: 20, limits: this.options.limits},
+      });
+      await this.startEntry(settings);
+    }
+  }
+
+  private async startEntry(settings: EntryParts['settings']): Promise<void> {
+    const {member, dataCentre, members} = settings;
+    const own = members.find((address) => address.member === member)!;
+    const clock = new SystemClock();
+    const random = new SeededRandom(this.entries.length + 1);
+    const incarnation = randomUUID();
+    const token = settings.linkToken;
+    const network = new PeerNetwork({
+      identity: {member, incarnation, role: 'entry', dataCentre, token},
+      clock,
+      random,
+    });
+    await network.listen(own.host, own.entryLinkPort);
+    for (const other of members) {
+      if (other === own) continue;
+      const port = other.entryLinkPort;
+      network.connect({...other, role: 'entry', port});
+    }
+    const ownership = this.ownership.viewOf(member);
+    const entry = new EntryProcess({
+      settings,
+      clock,
+      random,
+      logger: pino({level: 'silent'}),
+      network,
+      inventory: this.inventory,
+      ownership,
+      configuration: this.configuration,
+      admission: new FifoAdmission(clock),
+      createRouting: () => new LeastLoadedRouting({clock, random}),
+      keyedCalls: new RefusedKeyedCalls(),
+      isReady: () => true,
+      ...this.options.parts?.(member),
+    });
+    await entry.listen(own.host, own.entryHttpPort);
+    const origin = `http://${own.host}:${own.entryHttpPort}`;
+    const caller = new Caller({origins: [origin], key: 'alice'});
+    this.entries.push({
+      member,
+      process: entry,
+      ownership,
+      network,
+      origin,
+      caller,
+    });
+  }
+}
--- /dev/null
+++ b/testing/static_views.ts
@@ -0,0 +1,153 @@
+import {createHash} from 'node:crypto';
+
+import {
+  AuthenticatedCaller,
+  ConfigurationView,
+} from '../src/contracts/configuration_view.js';
+import {Contract, contractSchema} from '../src/contracts/contract.js';
+import {PlannedStop} from '../src/contracts/planned_stop.js';
+import {EntryOwnership} from '../src/entry/entry_ownership.js';
+import {OwnedShard, ShardOwner} from '../src/ownership/ownership_view.js';
+import {VmEntry} from '../src/platform/platform_service.js';
+
+/** Ownership that a test sets; shared by several members. */
+export class StaticOwnership {
+  private readonly owners = new Map<string, ShardOwner>();
+  private readonly listeners = new Set<() => void>();
+
+  /** Gives a shard to a member. */
+  assign(shard: string, member: string, epoch: number): void {
+    this.owners.set(shard, {member, incarnation: '1', epoch});
+    for (const listener of [...this.listeners]) listener();
+  }
+
+  /** What a member sees; its changes can be held back, as in a pause. */
+  viewOf(member: string): StaticOwnershipView {
+    return new StaticOwnershipView(member, this.owners, this.listeners);
+  }
+}
+
+/** A member's view of a {@link StaticOwnership}. */
+export class StaticOwnershipView implements EntryOwnership {
+  fencedCount = 0;
+  handOvers = 0;
+  private held: Map<string, ShardOwner> | undefined;
+
+  constructor(
+    private readonly member: string,
+    private readonly current: ReadonlyMap<string, ShardOwner>,
+    private readonly listeners: Set<() => void>,
+  ) {}
+
+  /** From now on the member sees no changes until it was fenced. */
+  hold(): void {
+    this.held = new Map(this.current);
+  }
+
+  ownedShards(): readonly OwnedShard[] {
+    return [...this.owners()]
+      .filter(([, owner]) => owner.member === this.member)
+      .map(([shard, {epoch}]) => ({shard, epoch}));
+  }
+
+  ownerOf(shard: string): ShardOwner | undefined {
+    return this.owners().get(shard);
+  }
+
+  livingMembers(): readonly string[] {
+    return [...new Set([...this.owners().values()].map((o) => o.member))];
+  }
+
+  confirm(owned: OwnedShard): Promise<boolean> {
+    return Promise.resolve(
+      this.ownedShards().some(({epoch}) => epoch === owned.epoch),
+    );
+  }
+
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  noteFenced(): Promise<void> {
+    this.fencedCount += 1;
+    this.held = undefined;
+    for (const listener of [...this.listeners]) listener();
+    return Promise.resolve();
+  }
+
+  handOver(): Promise<boolean> {
+    this.handOvers += 1;
+    return Promise.resolve(true);
+  }
+
+  private owners(): ReadonlyMap<string, ShardOwner> {
+    return this.held ?? this.current;
+  }
+}
+
+/** Configuration with one customer whose callers' keys are their names. */
+export class StaticConfiguration implements ConfigurationView {
+  readonly revision = 1;
+  readonly stops = new Map<string, PlannedStop>();
+  readonly only: Contract;
+
+  constructor(callers: readonly string[] = ['alice', 'bob']) {
+    this.only = contractSchema.parse({
+      customer: 'association',
+      services: ['portal'],
+      callers: callers.map((name) => ({name, keyHash: hashOf(name)})),
+    });
+  }
+
+  ageMs(): number {
+    return 0;
+  }
+
+  contract(customer: string): Contract | undefined {
+    return customer === this.only.customer ? this.only : undefined;
+  }
+
+  contracts(): Iterable<Contract> {
+    return [this.only];
+  }
+
+  authenticate(key: string): AuthenticatedCaller | undefined {
+    const hash = hashOf(key);
+    const caller = this.only.callers.find(({keyHash}) => keyHash === hash);
+    return caller && {contract: this.only, caller: caller.name};
+  }
+
+  plannedStop(name: string): PlannedStop | undefined {
+    return this.stops.get(name);
+  }
+
+  onChange(): () => void {
+    return () => undefined;
+  }
+}
+
+/** VM list that a test sets. */
+export class StaticInventory {
+  private readonly listeners = new Set<() => void>();
+
+  constructor(private vms: VmEntry[]) {}
+
+  list(): VmEntry[] {
+    return this.vms;
+  }
+
+  onChange(listener: () => void): void {
+    this.listeners.add(listener);
+  }
+
+  /** Replaces the list. */
+  set(vms: VmEntry[]): void {
+    this.vms = vms;
+    for (const listener of this.listeners) listener();
+  }
+}
+
+function hashOf(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
