--- /dev/null
+++ b/src/jobs/job_pages.ts
@@ -0,0 +1,426 @@
+import {PlatformEntry, WriteResult} from '../platform/platform_service.js';
+import {JobRecord} from './job_record.js';
+import {PageCommand} from './page_command.js';
+import {PageHeader, PageOutcome, StoredPage} from './stored_page.js';
+import {WriteBudget} from './write_budget.js';
+
+/** Options of {@link JobPages}. */
+export interface JobPagesOptions {
+  /** Key prefix of the shard's pages, ending in '/'. */
+  prefix: string;
+  epoch: number;
+  /** Limits writes; shared by all shards of the process. */
+  budget: WriteBudget;
+  /** Shortest time in ms between two writes of the shard. @default 50 */
+  groupCommitMs?: number;
+  /** Bytes after which a page takes no more jobs. @default 49152 */
+  sealBytes?: number;
+  /** Time in ms that a page of ended jobs is kept. @default 600000 */
+  keepEndedMs?: number;
+}
+
+/** What the pages tell the owner of the jobs. */
+export interface JobPagesListener {
+  /** All pages are rewritten under this epoch; these are their jobs. */
+  onLoaded(records: JobRecord[]): void;
+  /** The job is stored as it was at its `version`. */
+  onStored(jobId: string, version: number): void;
+  /** The platform can't be reached; the job certainly isn't stored. */
+  onNotStored(jobId: string): void;
+  /** The job's page is deleted. */
+  onDropped(jobId: string): void;
+  /** A later owner has taken the shard. */
+  onSuperseded(): void;
+}
+
+interface DirectoryContent extends PageHeader {
+  pages: string[];
+}
+
+interface PageContent extends PageHeader {
+  jobs: JobRecord[];
+}
+
+interface JobSlot {
+  record: JobRecord;
+  version: number;
+  /** Version that is known to be stored. */
+  storedVersion: number;
+  /** Write that contained the job first; 0 before that. */
+  firstWrite: number;
+}
+
+interface Page {
+  id: string;
+  stored: StoredPage;
+  jobs: Map<string, JobSlot>;
+  /** Versions in the write that is outstanding. */
+  writing: Map<string, number>;
+  /** The directory names the page; only then are its jobs accepted. */
+  isRegistered: boolean;
+  /** Written versions that wait for the registration. */
+  held: Map<string, number>;
+  bytes: number;
+}
+
+/** Owners never delete this key, so a compare-and-swap of it fences them. */
+const DIRECTORY = 'directory';
+
+/** Time in ms without calls after one has failed. */
+const RETRY_MS = 500;
+
+/**
+ * The stored jobs of one shard. A directory key names the pages: a new owner
+ * rewrites it first, so that an earlier owner can't add a page unseen; then it
+ * rewrites each page.
+ */
+export class JobPages {
+  private phase: 'listing' | 'claiming' | 'rewriting' | 'ready' | 'over' =
+    'listing';
+  private isListing = false;
+  private directory: StoredPage;
+  private directoryWriting: string[] = [];
+  private readonly pages = new Map<string, Page>();
+  private readonly pageOfJob = new Map<string, Page>();
+  /** Pages that the directory names no more, or soon will not. */
+  private retired: Page[] = [];
+  private openPage: Page | undefined;
+  private nextWrite = 1;
+  private nextPage = 1;
+  private notBeforeMs = 0;
+  private hasFailed = false;
+  private retryAtMs = 0;
+
+  constructor(
+    private readonly options: JobPagesOptions,
+    private readonly listener: JobPagesListener,
+  ) {
+    this.directory = this.newStored(DIRECTORY, 0);
+  }
+
+  /** Tells whether all pages are rewritten under this epoch. */
+  get isReady(): boolean {
+    return this.phase === 'ready';
+  }
+
+  /** Stores a new job, or marks a stored one as changed. */
+  put(jobId: string, record: JobRecord): number {
+    const page = this.pageOfJob.get(jobId) ?? this.pageForNewJob();
+    const slot = page.jobs.get(jobId) ?? {
+      record,
+      version: 0,
+      storedVersion: 0,
+      firstWrite: 0,
+    };
+    if (slot.version === 0) {
+      page.bytes += JSON.stringify(record).length;
+      page.jobs.set(jobId, slot);
+      this.pageOfJob.set(jobId, page);
+    }
+    slot.version += 1;
+    page.stored.isDirty = true;
+    return slot.version;
+  }
+
+  /** Returns the calls that are due. */
+  tick(nowMs: number, wallMs: number): PageCommand[] {
+    if (this.hasFailed) {
+      this.hasFailed = false;
+      this.retryAtMs = nowMs + RETRY_MS;
+    }
+    if (this.phase === 'over' || nowMs < this.retryAtMs) return [];
+    if (this.phase === 'listing') {
+      if (this.isListing) return [];
+      this.isListing = true;
+      return [{type: 'listPages', prefix: this.options.prefix}];
+    }
+    const commands: PageCommand[] = [];
+    for (const stored of this.allStored()) {
+      if (stored.isInDoubt) commands.push(stored.readBack());
+    }
+    if (this.phase === 'ready') {
+      this.retireEnded(wallMs);
+      commands.push(...this.deleteRetired());
+    }
+    this.writeDue(nowMs, commands);
+    return commands;
+  }
+
+  /** Takes the answer of a listing; undefined if it failed. */
+  onListed(entries: PlatformEntry[] | undefined): void {
+    if (this.phase !== 'listing') return;
+    this.isListing = false;
+    if (!entries) {
+      this.hasFailed = true;
+      return;
+    }
+    const key = this.options.prefix + DIRECTORY;
+    const entry = entries.find((candidate) => candidate.key === key);
+    const content = entry && (JSON.parse(entry.value) as DirectoryContent);
+    if (content && content.epoch > this.options.epoch) {
+      this.supersede();
+      return;
+    }
+    this.pages.clear();
+    for (const id of content?.pages ?? []) this.adoptPage(id, entries);
+    this.directory = this.newStored(DIRECTORY, entry?.revision ?? 0);
+    this.directory.isDirty = true;
+    this.phase = 'claiming';
+  }
+
+  /** Takes the answer of a write. */
+  onWritten(key: string, writeId: number, result: WriteResult): void {
+    const stored = this.storedOf(key);
+    if (stored) this.apply(stored, stored.onWritten(writeId, result));
+  }
+
+  /** Takes the failure of a write; see {@link StoredPage.onWriteFailed}. */
+  onWriteFailed(key: string, writeId: number, wasSent: boolean): void {
+    this.hasFailed = true;
+    const stored = this.storedOf(key);
+    stored?.onWriteFailed(writeId, wasSent);
+    const page = stored && this.pageOf(stored);
+    if (page && !wasSent) this.withdrawUnsent(page, writeId);
+  }
+
+  /** Takes the value of a key that was read to settle a write. */
+  onRead(key: string, writeId: number, entry: PlatformEntry | undefined): void {
+    const stored = this.storedOf(key);
+    if (stored) this.apply(stored, stored.onRead(writeId, entry));
+  }
+
+  /** Takes the failure of such a read. */
+  onReadFailed(key: string, writeId: number): void {
+    this.hasFailed = true;
+    this.storedOf(key)?.onReadFailed(writeId);
+  }
+
+  /** A job that no write carried to the platform can be refused at once. */
+  private withdrawUnsent(page: Page, writeId: number): void {
+    for (const [jobId, slot] of page.jobs) {
+      if (slot.firstWrite !== writeId) continue;
+      page.jobs.delete(jobId);
+      this.pageOfJob.delete(jobId);
+      this.listener.onNotStored(jobId);
+    }
+  }
+
+  private *allStored(): Iterable<StoredPage> {
+    yield this.directory;
+    for (const page of this.pages.values()) yield page.stored;
+  }
+
+  private storedOf(key: string): StoredPage | undefined {
+    const id = key.slice(this.options.prefix.length);
+    return id === DIRECTORY ? this.directory : this.pages.get(id)?.stored;
+  }
+
+  private newStored(id: string, revision: number): StoredPage {
+    return new StoredPage(
+      this.options.prefix + id,
+      revision,
+      this.options.epoch,
+    );
+  }
+
+  private adoptPage(id: string, entries: PlatformEntry[]): void {
+    const key = this.options.prefix + id;
+    const entry = entries.find((candidate) => candidate.key === key);
+    const stored = this.newStored(id, entry?.revision ?? 0);
+    stored.isDirty = true;
+    const page: Page = {
+      id,
+      stored,
+      jobs: new Map(),
+      writing: new Map(),
+      isRegistered: true,
+      held: new Map(),
+      bytes: 0,
+    };
+    this.pages.set(id, page);
+    this.fill(page, entry);
+  }
+
+  private fill(page: Page, entry: PlatformEntry | undefined): void {
+    page.jobs.clear();
+    if (!entry) return;
+    page.bytes = entry.value.length;
+    const content = JSON.parse(entry.value) as PageContent;
+    for (const record of content.jobs) {
+      page.jobs.set(record.job.id, {
+        record,
+        version: 1,
+        storedVersion: 1,
+        firstWrite: -1,
+      });
+    }
+  }
+
+  private pageForNewJob(): Page {
+    const {sealBytes = 49_152, epoch} = this.options;
+    if (this.openPage && this.openPage.bytes < sealBytes) return this.openPage;
+    const id = `${epoch}-${this.nextPage++}`;
+    this.openPage = {
+      id,
+      stored: this.newStored(id, 0),
+      jobs: new Map(),
+      writing: new Map(),
+      isRegistered: false,
+      held: new Map(),
+      bytes: 0,
+    };
+    this.pages.set(id, this.openPage);
+    return this.openPage;
+  }
+
+  private writeDue(nowMs: number, commands: PageCommand[]): void {
+    // The first writes of an owner are part of the takeover and not delayed.
+    const isTakingOver = this.phase !== 'ready';
+    if (!isTakingOver && nowMs < this.notBeforeMs) return;
+    for (const stored of this.allStored()) {
+      if (!stored.isDirty || !stored.isIdle) continue;
+      if (this.phase === 'claiming' && stored !== this.directory) continue;
+      if (!isTakingOver && !this.options.budget.take(nowMs)) return;
+      this.notBeforeMs = nowMs + (this.options.groupCommitMs ?? 50);
+      commands.push(this.writeOf(stored));
+    }
+  }
+
+  private writeOf(stored: StoredPage): PageCommand {
+    const writeId = this.nextWrite++;
+    if (stored === this.directory) {
+      const registered = [...this.pages.values()].filter(
+        (page) => page.isRegistered || page.stored.revision > 0,
+      );
+      this.directoryWriting = registered.map((page) => page.id);
+      return stored.write(writeId, {pages: this.directoryWriting});
+    }
+    const page = this.pageOf(stored)!;
+    page.writing.clear();
+    for (const [jobId, slot] of page.jobs) {
+      if (slot.firstWrite === 0) slot.firstWrite = writeId;
+      if (slot.version > slot.storedVersion) {
+        page.writing.set(jobId, slot.version);
+      }
+    }
+    const jobs = [...page.jobs.values()].map((slot) => slot.record);
+    return stored.write(writeId, {jobs});
+  }
+
+  private pageOf(stored: StoredPage): Page | undefined {
+    return this.pages.get(stored.key.slice(this.options.prefix.length));
+  }
+
+  private apply(stored: StoredPage, outcome: PageOutcome): void {
+    if (outcome.type === 'superseded') this.supersede();
+    if (outcome.type === 'written') this.afterWrite(stored);
+    if (outcome.type === 'outdated') this.afterOutdated(stored, outcome);
+  }
+
+  private afterOutdated(
+    stored: StoredPage,
+    outcome: {current: PlatformEntry | undefined},
+  ): void {
+    if (stored === this.directory) {
+      // An earlier owner changed the directory after the listing.
+      this.phase = 'listing';
+      return;
+    }
+    if (this.phase === 'ready') {
+      this.supersede();
+      return;
+    }
+    this.fill(this.pageOf(stored)!, outcome.current);
+  }
+
+  private afterWrite(stored: StoredPage): void {
+    if (stored === this.directory) this.afterDirectoryWrite();
+    else this.afterPageWrite(this.pageOf(stored)!);
+    const isRewritten =
+      this.phase === 'rewriting' &&
+      [...this.allStored()].every((one) => one.isIdle && !one.isDirty);
+    if (isRewritten) this.finishTakeover();
+  }
+
+  private afterDirectoryWrite(): void {
+    if (this.phase === 'claiming') this.phase = 'rewriting';
+    for (const id of this.directoryWriting) {
+      const page = this.pages.get(id);
+      if (!page || page.isRegistered) continue;
+      page.isRegistered = true;
+      this.releaseHeld(page);
+    }
+  }
+
+  private afterPageWrite(page: Page): void {
+    for (const [jobId, version] of page.writing) {
+      page.jobs.get(jobId)!.storedVersion = version;
+      page.held.set(jobId, version);
+    }
+    if (page.isRegistered) this.releaseHeld(page);
+    else this.directory.isDirty = true;
+  }
+
+  private releaseHeld(page: Page): void {
+    if (this.phase !== 'ready') {
+      page.held.clear();
+      return;
+    }
+    const held = [...page.held];
+    page.held.clear();
+    for (const [jobId, version] of held) {
+      this.listener.onStored(jobId, version);
+    }
+  }
+
+  private finishTakeover(): void {
+    this.phase = 'ready';
+    const records: JobRecord[] = [];
+    for (const page of this.pages.values()) {
+      for (const [jobId, slot] of page.jobs) {
+        this.pageOfJob.set(jobId, page);
+        records.push(slot.record);
+      }
+    }
+    this.listener.onLoaded(records);
+  }
+
+  /** Takes pages whose jobs ended long ago out of the directory. */
+  private retireEnded(wallMs: number): void {
+    const keepMs = this.options.keepEndedMs ?? 600_000;
+    for (const page of this.pages.values()) {
+      const isInUse =
+        page === this.openPage ||
+        !page.isRegistered ||
+        !page.stored.isIdle ||
+        page.stored.isDirty;
+      const isOver = ({record}: JobSlot): boolean =>
+        record.endedWallMs !== undefined &&
+        record.endedWallMs + keepMs < wallMs;
+      if (isInUse || ![...page.jobs.values()].every(isOver)) continue;
+      this.pages.delete(page.id);
+      this.retired.push(page);
+      this.directory.isDirty = true;
+      for (const jobId of page.jobs.keys()) {
+        this.pageOfJob.delete(jobId);
+        this.listener.onDropped(jobId);
+      }
+    }
+  }
+
+  /** Deletes keys that the stored directory no longer names. */
+  private deleteRetired(): PageCommand[] {
+    if (this.directory.isDirty || !this.directory.isIdle) return [];
+    return this.retired.splice(0).map(({stored}) => ({
+      type: 'deletePage',
+      key: stored.key,
+      expectedRevision: stored.revision,
+    }));
+  }
+
+  private supersede(): void {
+    if (this.phase === 'over') return;
+    this.phase = 'over';
+    this.listener.onSuperseded();
+  }
+}
--- /dev/null
+++ b/src/scheduler/shard_task.ts
@@ -0,0 +1,82 @@
+import {Job} from '../jobs/job.js';
+import {JobRecord, taskIdOf, TaskRecord} from '../jobs/job_record.js';
+import {
+  TaskLifeEvent,
+  taskLifeCycle,
+  TaskLifeState,
+} from '../jobs/task_life_cycle.js';
+
+/** Where a task's resources are committed. */
+export interface TaskPlace {
+  worker: string;
+  incarnation: string;
+  /** False while the start waits for its turn to be sent. */
+  isSent: boolean;
+  /** In the worker's clock, a start can't take effect after this reading. */
+  startBeforeMs: number;
+}
+
+/** A job with what is known of its tasks. */
+export interface ShardJob {
+  job: Job;
+  record: JobRecord;
+  tasks: ShardTask[];
+  /** Version of the record that has been given to the pages. */
+  version: number;
+  /** Version of the record that is stored; 0 if none is. */
+  storedVersion: number;
+  isCancelRequested: boolean;
+}
+
+/** A task as the owner of its shard sees it. */
+export class ShardTask {
+  readonly taskId: string;
+  state: TaskLifeState;
+  place: TaskPlace | undefined;
+  /** False only if it is certain that no worker ever ran it. */
+  mayHaveRun = false;
+  /** A worker is known to have finished it. */
+  isKnownFinished = false;
+  /** The job's version that holds all that is known of the task. */
+  neededVersion = 0;
+  /** Latest report of progress, speed and use. */
+  progress = 0;
+  waitingSinceMs = 0;
+  /** Workers that still hold a record of an earlier run. */
+  readonly recordedAt = new Set<string>();
+  /** Tasks that are being evicted to make room for this one. */
+  readonly victims = new Set<string>();
+
+  constructor(
+    readonly owner: ShardJob,
+    readonly index: number,
+    initial: TaskLifeState = taskLifeCycle.initial,
+  ) {
+    this.taskId = taskIdOf(owner.job.id, index);
+    this.state = initial;
+  }
+
+  /** What is stored of the task. */
+  get record(): TaskRecord {
+    return this.owner.record.tasks[this.index]!;
+  }
+
+  /** Tells whether all that is known of the task is stored. */
+  get isStored(): boolean {
+    const {job, storedVersion} = this.owner;
+    return job.isAttached || storedVersion >= this.neededVersion;
+  }
+
+  /** Tells whether the event has an effect in this state. */
+  canApply(event: TaskLifeEvent): boolean {
+    return taskLifeCycle.next(this.state, event) !== undefined;
+  }
+
+  /** Takes the transition; false if the event has no effect in this state. */
+  apply(event: TaskLifeEvent): boolean {
+    const next = taskLifeCycle.next(this.state, event);
+    if (next === undefined) return false;
+    this.state = next;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/scheduler/task_book.ts
@@ -0,0 +1,302 @@
+import {Urgency} from '../contracts/urgency.js';
+import {Job} from '../jobs/job.js';
+import {JobRecord, taskIdOf, TaskResult} from '../jobs/job_record.js';
+import {TaskLifeEvent} from '../jobs/task_life_cycle.js';
+import {WaitingQueue} from '../jobs/waiting_queue.js';
+import {PlacementPolicy} from '../placement/placement_policy.js';
+import {PlacementRequest} from '../placement/placement_request.js';
+import {WorkerTask} from '../workers/worker_client.js';
+import {ShardJob, ShardTask} from './shard_task.js';
+import {tryCommit} from './try_commit.js';
+
+/** Healthy workers on which a task may fail before its job ends as failed. */
+const MOST_FAILURES = 3;
+
+/** Options of {@link TaskBook}. */
+export interface TaskBookOptions {
+  placement: PlacementPolicy;
+  queue: WaitingQueue;
+  /** The job's record changed and has to be stored; returns its version. */
+  store: (job: ShardJob) => number;
+  /** All tasks of the job have ended, and that is stored. */
+  onJobEnded: (job: ShardJob) => void;
+  /** A cancelled task runs and has to be stopped. */
+  onStopNeeded: (task: ShardTask) => void;
+  wallMs: () => number;
+}
+
+/** The jobs and tasks of a shard, their states and their commitments. */
+export class TaskBook {
+  readonly jobs = new Map<string, ShardJob>();
+  readonly tasks = new Map<string, ShardTask>();
+  private readonly byWorker = new Map<string, Set<ShardTask>>();
+  nowMs = 0;
+
+  constructor(private readonly options: TaskBookOptions) {}
+
+  /** Adds a new job; its tasks wait until it is stored. */
+  add(job: Job): ShardJob {
+    const record: JobRecord = {
+      job,
+      acceptedWallMs: this.options.wallMs(),
+      tasks: Array.from({length: job.count}, () => ({})),
+    };
+    const added = this.register(record);
+    if (job.isAttached) this.stored(added, 0);
+    else this.changed(added);
+    return added;
+  }
+
+  /** Adds a job that an earlier owner stored. */
+  inherit(record: JobRecord): void {
+    const job = this.register(record, true);
+    job.storedVersion = job.version = 1;
+  }
+
+  /** Removes a job. */
+  drop(jobId: string): void {
+    const job = this.jobs.get(jobId);
+    this.jobs.delete(jobId);
+    for (const task of job?.tasks ?? []) {
+      this.options.queue.remove(task.taskId);
+      this.tasks.delete(task.taskId);
+    }
+  }
+
+  /** The job is stored as it was at `version`. */
+  stored(job: ShardJob, version: number): void {
+    job.storedVersion = Math.max(job.storedVersion, version);
+    for (const task of job.tasks) {
+      if (task.state === 'submitted') this.advance(task, 'stored');
+      else if (task.state === 'recording') this.finishRecording(task);
+      else if (task.state === 'waiting') this.enqueue(task);
+    }
+  }
+
+  /** Cancels all tasks of a job that have not ended. */
+  cancel(job: ShardJob): void {
+    job.isCancelRequested = true;
+    for (const task of job.tasks) this.advanceCancelled(task);
+  }
+
+  /** All workers are settled: what was not found runs nowhere. */
+  settle(): void {
+    for (const task of this.tasks.values()) {
+      if (task.state === 'inherited') this.advance(task, 'settled');
+    }
+  }
+
+  /** Tasks that are committed on a worker. */
+  tasksOn(worker: string): Iterable<ShardTask> {
+    return [...(this.byWorker.get(worker) ?? [])];
+  }
+
+  /** Number of tasks that are committed on a worker. */
+  countOn(worker: string): number {
+    return this.byWorker.get(worker)?.size ?? 0;
+  }
+
+  /** Applies an event of the life cycle; false if it has no effect. */
+  advance(task: ShardTask, event: TaskLifeEvent): boolean {
+    if (!task.apply(event)) return false;
+    if (task.state === 'waiting') this.becomeWaiting(task);
+    if (task.state === 'recording') this.finishRecording(task);
+    if (task.state !== 'waiting') this.options.queue.remove(task.taskId);
+    const isUnwanted = task.owner.isCancelRequested || task.isKnownFinished;
+    if (task.state === 'running' && isUnwanted) this.advanceCancelled(task);
+    return true;
+  }
+
+  /** Commits a task on a worker; false if that exceeds its capacity. */
+  commit(
+    task: ShardTask,
+    place: {worker: string; incarnation: string},
+  ): boolean {
+    const isWithin = tryCommit(this.options.placement, {
+      ...this.requestOf(task),
+      worker: place.worker,
+      lostWorkMs: 0,
+    });
+    task.place = {...place, isSent: false, startBeforeMs: 0};
+    const tasks = this.byWorker.get(place.worker) ?? new Set();
+    this.byWorker.set(place.worker, tasks.add(task));
+    return isWithin;
+  }
+
+  /** Takes a task off its worker; it certainly doesn't run there any more. */
+  release(task: ShardTask): void {
+    if (!task.place) return;
+    this.options.placement.release(task.taskId);
+    this.byWorker.get(task.place.worker)?.delete(task);
+    task.place = undefined;
+  }
+
+  /** The start had no effect. */
+  notStarted(task: ShardTask): void {
+    this.release(task);
+    this.advance(task, 'notStarted');
+  }
+
+  /** The task certainly stopped; it goes on from its latest checkpoint. */
+  stopped(task: ShardTask): void {
+    task.mayHaveRun = true;
+    this.release(task);
+    this.advance(task, 'stopped');
+  }
+
+  /** Takes over what a worker reports of a task's checkpoint. */
+  noteCheckpoint(task: ShardTask, checkpoint: string | undefined): void {
+    const {record} = task;
+    const isKnown =
+      checkpoint === undefined ||
+      checkpoint === record.checkpoint ||
+      record.earlierCheckpoints?.includes(checkpoint);
+    if (isKnown || record.result) return;
+    if (record.checkpoint !== undefined) {
+      record.earlierCheckpoints ??= [];
+      record.earlierCheckpoints.push(record.checkpoint);
+    }
+    record.checkpoint = checkpoint;
+    this.changed(task.owner, task);
+  }
+
+  /** Takes the result of a task that a worker finished. */
+  finished(task: ShardTask): void {
+    task.mayHaveRun = true;
+    if (!task.canApply('finished')) return;
+    this.release(task);
+    this.end(task, 'finished', TaskResult.FINISHED);
+  }
+
+  /**
+   * A worker on which the task's lease had expired turns out to have finished
+   * it; a second run that has begun is stopped.
+   */
+  finishedElsewhere(task: ShardTask): void {
+    task.isKnownFinished = true;
+    if (task.place && !task.place.isSent) this.notStarted(task);
+    else if (task.state === 'waiting') this.finished(task);
+    else this.advanceCancelled(task);
+  }
+
+  /** Takes the failure of a task on a worker. */
+  failed(task: ShardTask, report: {worker: string; task: WorkerTask}): void {
+    task.mayHaveRun = true;
+    const {record} = task;
+    record.failures ??= [];
+    record.failures.push({
+      worker: report.worker,
+      reason: report.task.failure ?? 'unknown',
+    });
+    this.changed(task.owner, task);
+    this.release(task);
+    this.advance(task, 'stopped');
+  }
+
+  /** What placement has to know of a task. */
+  requestOf(task: ShardTask): PlacementRequest {
+    return this.requestOfJob(task.owner.job, task.index);
+  }
+
+  /** What placement has to know of one task of a job. */
+  requestOfJob(job: Job, index: number): PlacementRequest {
+    return {
+      taskId: taskIdOf(job.id, index),
+      customer: job.customer,
+      kind: job.kind,
+      urgency: job.urgency as Urgency,
+      resources: job.resources,
+      spreadGroup: job.count > 1 ? job.id : undefined,
+      runTimeMs: job.runTimeMs,
+      value: job.value,
+    };
+  }
+
+  private register(record: JobRecord, isInherited = false): ShardJob {
+    const job: ShardJob = {
+      job: record.job,
+      record,
+      tasks: [],
+      version: 0,
+      storedVersion: 0,
+      isCancelRequested: false,
+    };
+    for (const index of record.tasks.keys()) {
+      const hasEnded = record.tasks[index]!.result !== undefined;
+      const inherited = hasEnded ? 'ended' : 'inherited';
+      const task = new ShardTask(
+        job,
+        index,
+        isInherited ? inherited : undefined,
+      );
+      task.mayHaveRun = isInherited;
+      job.tasks.push(task);
+      this.tasks.set(task.taskId, task);
+    }
+    this.jobs.set(record.job.id, job);
+    return job;
+  }
+
+  private changed(job: ShardJob, task?: ShardTask): void {
+    if (!job.job.isAttached) job.version = this.options.store(job);
+    for (const one of task ? [task] : job.tasks) {
+      one.neededVersion = job.version;
+    }
+  }
+
+  private becomeWaiting(task: ShardTask): void {
+    task.waitingSinceMs = this.nowMs;
+    const failedOn = new Set(
+      task.record.failures?.map((failure) => failure.worker),
+    );
+    if (task.isKnownFinished) this.finished(task);
+    else if (task.owner.isCancelRequested) this.advanceCancelled(task);
+    else if (failedOn.size >= MOST_FAILURES) {
+      this.end(task, 'gaveUp', TaskResult.FAILED);
+    } else this.enqueue(task);
+  }
+
+  /** A task whose latest checkpoint is not stored yet is not placed. */
+  private enqueue(task: ShardTask): void {
+    if (!task.isStored || this.options.queue.has(task.taskId)) return;
+    const {job} = task.owner;
+    this.options.queue.add({
+      taskId: task.taskId,
+      customer: job.customer,
+      urgency: job.urgency as Urgency,
+      sinceMs: task.waitingSinceMs,
+      cost: (job.resources.processors * (job.runTimeMs || 60_000)) / 1000,
+    });
+  }
+
+  private advanceCancelled(task: ShardTask): void {
+    if (task.state === 'waiting') {
+      const result = task.mayHaveRun
+        ? TaskResult.CANCELLED
+        : TaskResult.CANCELLED_BEFORE_START;
+      this.end(task, 'cancelled', result);
+      return;
+    }
+    if (task.state === 'submitted') return;
+    if (this.advance(task, 'cancelled')) this.options.onStopNeeded(task);
+  }
+
+  private end(task: ShardTask, event: TaskLifeEvent, result: TaskResult): void {
+    task.record.result = result;
+    const {record} = task.owner;
+    if (record.tasks.every((one) => one.result !== undefined)) {
+      record.endedWallMs = this.options.wallMs();
+    }
+    this.changed(task.owner, task);
+    this.advance(task, event);
+  }
+
+  private finishRecording(task: ShardTask): void {
+    if (!task.isStored) return;
+    task.apply('written');
+    const {owner} = task;
+    if (owner.tasks.every((one) => one.state === 'ended')) {
+      this.options.onJobEnded(owner);
+    }
+  }
+}
--- /dev/null
+++ b/src/scheduler/worker_exchange.ts
@@ -0,0 +1,323 @@
+import {PlacementPolicy} from '../placement/placement_policy.js';
+import {RandomSource} from '../random/random_source.js';
+import {WorkerReport} from '../workers/worker_client.js';
+import {ShardCommand, WorkerOperation} from './shard_command.js';
+import {ShardTimings} from './shard_timings.js';
+import {QueuedOperation, ShardWorker} from './shard_worker.js';
+import {TaskBook} from './task_book.js';
+import {WorkerReports} from './worker_reports.js';
+
+/** Options of {@link WorkerExchange}. */
+export interface WorkerExchangeOptions {
+  shard: string;
+  epoch: number;
+  timings: ShardTimings;
+  book: TaskBook;
+  placement: PlacementPolicy;
+  random: RandomSource;
+  /** Takes commands for the surroundings. */
+  emit: (command: ShardCommand) => void;
+  onSuperseded: (reason: string) => void;
+}
+
+interface Confirmation {
+  requestId: number;
+  /** Workers with the incarnation that was read back before the request. */
+  incarnations: Map<ShardWorker, string>;
+  /** Workers whose leases had expired before the request. */
+  expired: Map<ShardWorker, unknown>;
+}
+
+/**
+ * The protocol with the workers of one shard: read-back, renewals, one command
+ * a worker at a time, expiry of leases, and confirmations of ownership.
+ */
+export class WorkerExchange {
+  readonly workers = new Map<string, ShardWorker>();
+  private readonly pending = new Map<number, ShardWorker>();
+  private readonly reports: WorkerReports;
+  private confirmation: Confirmation | undefined;
+  private confirmNotBeforeMs = 0;
+  private nextId = 1;
+  private hasList = false;
+  private isSettledNow = false;
+
+  constructor(private readonly options: WorkerExchangeOptions) {
+    const {shard, book, placement} = options;
+    this.reports = new WorkerReports({
+      shard,
+      book,
+      placement,
+      enqueue: (worker, operation) => worker.operations.push(operation),
+    });
+  }
+
+  /** All workers are read back under this epoch or are certainly gone. */
+  get isSettled(): boolean {
+    return this.isSettledNow;
+  }
+
+  /** Takes a VM list that was read after the ownership was gained. */
+  listed(
+    workers: ReadonlyArray<{worker: string; isLeaving: boolean}>,
+    nowMs: number,
+  ): void {
+    const names = new Set(workers.map(({worker}) => worker));
+    for (const worker of [...this.workers.values()]) {
+      if (!names.has(worker.worker)) this.remove(worker);
+    }
+    for (const {worker: name, isLeaving} of workers) {
+      const worker =
+        this.workers.get(name) ?? new ShardWorker(name, this.options.timings);
+      worker.isLeaving = isLeaving;
+      this.workers.set(name, worker);
+    }
+    this.hasList = true;
+    this.tick(nowMs);
+  }
+
+  /** Sends what is due. */
+  tick(nowMs: number): void {
+    for (const worker of this.workers.values()) {
+      this.refreshAccepting(worker, nowMs);
+      this.pump(worker, nowMs);
+    }
+    this.settleIfPossible();
+    this.confirmIfNeeded(nowMs);
+  }
+
+  /** Queues an operation and sends it if the worker is idle. */
+  enqueue(name: string, operation: QueuedOperation, nowMs: number): void {
+    const worker = this.workers.get(name);
+    if (!worker) return;
+    worker.operations.push(operation);
+    this.pump(worker, nowMs);
+  }
+
+  /** Takes the answer to a command; late ones are ignored. */
+  answered(commandId: number, report: WorkerReport, nowMs: number): void {
+    const worker = this.pending.get(commandId);
+    if (!worker || worker.inFlight?.commandId !== commandId) return;
+    this.pending.delete(commandId);
+    const {name, taskId} = worker.inFlight;
+    worker.inFlight = undefined;
+    worker.isFailing = false;
+    if (report.refusal === 'epoch') {
+      this.options.onSuperseded(
+        `worker ${worker.worker} has seen a newer epoch`,
+      );
+      return;
+    }
+    if (report.incarnation !== worker.incarnation) {
+      this.reports.restarted(worker, report.incarnation);
+      worker.nextContactMs = nowMs;
+    }
+    if (name === 'readBack') worker.isReadBack = worker.wasReadBack = true;
+    if (worker.isReadBack) {
+      this.takeReport(worker, report, {name, taskId, nowMs});
+    }
+    this.tick(nowMs);
+  }
+
+  /** Takes the failure of a command. */
+  failed(commandId: number, wasSent: boolean, nowMs: number): void {
+    const worker = this.pending.get(commandId);
+    if (!worker || worker.inFlight?.commandId !== commandId) return;
+    this.pending.delete(commandId);
+    const {name, taskId} = worker.inFlight;
+    worker.inFlight = undefined;
+    worker.isFailing = true;
+    worker.nextContactMs = nowMs + this.jittered(this.options.timings.retryMs);
+    const task = taskId && this.options.book.tasks.get(taskId);
+    if (name === 'start' && !wasSent && task) {
+      this.options.book.notStarted(task);
+    }
+    const isRepeated = name === 'stop' || name === 'checkpoint';
+    if (isRepeated && taskId) worker.operations.unshift({name, taskId});
+    this.reports.withdrawStarts(worker);
+    if (worker.capacity) {
+      this.options.placement.setAccepting(worker.worker, false);
+    }
+  }
+
+  /** Takes the result of a confirmation; undefined if the read failed. */
+  confirmed(
+    requestId: number,
+    isOwner: boolean | undefined,
+    nowMs: number,
+  ): void {
+    const {confirmation} = this;
+    if (confirmation?.requestId !== requestId) return;
+    this.confirmation = undefined;
+    if (isOwner === undefined) {
+      const {retryMs} = this.options.timings;
+      this.confirmNotBeforeMs = nowMs + this.jittered(retryMs);
+      return;
+    }
+    if (!isOwner) {
+      this.options.onSuperseded('the record names another owner');
+      return;
+    }
+    for (const [worker, incarnation] of confirmation.incarnations) {
+      worker.isConfirmed ||= worker.incarnation === incarnation;
+    }
+    for (const [worker, reading] of confirmation.expired) {
+      if (worker.reading !== reading || worker.isGone) continue;
+      worker.isExpiryConfirmed = true;
+      this.reports.allStopped(worker);
+    }
+    this.tick(nowMs);
+  }
+
+  private takeReport(
+    worker: ShardWorker,
+    report: WorkerReport,
+    command: {name: string; taskId?: string; nowMs: number},
+  ): void {
+    const {name, taskId, nowMs} = command;
+    worker.takeReading(report, nowMs);
+    worker.isLeaving ||= report.leaving;
+    if (name === 'renew' || name === 'readBack') {
+      const {renewMs} = this.options.timings;
+      // A read-back is followed by a renewal, which extends inherited leases.
+      const waitMs = name === 'renew' ? this.jittered(renewMs) : 0;
+      worker.nextContactMs = nowMs + waitMs;
+    }
+    this.reports.apply(worker, report);
+    const task = taskId ? this.options.book.tasks.get(taskId) : undefined;
+    const isCheckpointed = name === 'checkpoint' && !report.refusal && task;
+    if (isCheckpointed && this.options.book.advance(task, 'checkpointed')) {
+      worker.operations.push({name: 'stop', taskId: task.taskId});
+    }
+  }
+
+  private pump(worker: ShardWorker, nowMs: number): void {
+    if (worker.inFlight || worker.isGone) return;
+    if (nowMs >= worker.nextContactMs) {
+      const operation: WorkerOperation = worker.isReadBack
+        ? {name: 'renew', leaseUntilMs: worker.grantLease()}
+        : {name: 'readBack'};
+      this.send(worker, operation);
+      return;
+    }
+    if (!worker.isReadBack || worker.isFailing) return;
+    for (;;) {
+      const queued = worker.operations.shift();
+      if (!queued) return;
+      const operation = this.toOperation(worker, queued, nowMs);
+      if (!operation) continue;
+      this.send(worker, operation);
+      return;
+    }
+  }
+
+  private toOperation(
+    worker: ShardWorker,
+    queued: QueuedOperation,
+    nowMs: number,
+  ): WorkerOperation | undefined {
+    if (queued.name !== 'start') return queued;
+    const {book, timings} = this.options;
+    const task = book.tasks.get(queued.taskId);
+    const place = task?.place;
+    if (!task || place?.worker !== worker.worker || place.isSent) {
+      return undefined;
+    }
+    const isRefused =
+      task.owner.isCancelRequested ||
+      !worker.canTakeWork(nowMs) ||
+      worker.ended.has(task.taskId);
+    if (isRefused) {
+      book.notStarted(task);
+      return undefined;
+    }
+    const startBeforeMs = worker.reading!.clockMs + timings.startWindowMs;
+    place.isSent = true;
+    place.startBeforeMs = startBeforeMs;
+    worker.startBeforeMs.set(task.taskId, startBeforeMs);
+    const {job} = task.owner;
+    return {
+      name: 'start',
+      start: {
+        taskId: task.taskId,
+        kind: job.kind,
+        resources: job.resources,
+        startBeforeMs,
+        leaseUntilMs: worker.grantLease(),
+        checkpoint: task.record.checkpoint,
+        payload: job.payload,
+      },
+    };
+  }
+
+  private send(worker: ShardWorker, operation: WorkerOperation): void {
+    const commandId = this.nextId++;
+    const {shard, epoch, emit} = this.options;
+    worker.inFlight = {
+      commandId,
+      name: operation.name,
+      taskId:
+        operation.name === 'start'
+          ? operation.start.taskId
+          : 'taskId' in operation
+            ? operation.taskId
+            : undefined,
+    };
+    this.pending.set(commandId, worker);
+    emit({
+      type: 'command',
+      commandId,
+      worker: worker.worker,
+      context: {shard, epoch, incarnation: worker.incarnation},
+      operation,
+    });
+  }
+
+  private remove(worker: ShardWorker): void {
+    worker.isGone = true;
+    this.workers.delete(worker.worker);
+    this.reports.gone(worker);
+  }
+
+  private refreshAccepting(worker: ShardWorker, nowMs: number): void {
+    if (!worker.capacity) return;
+    this.options.placement.setAccepting(
+      worker.worker,
+      worker.canTakeWork(nowMs),
+    );
+  }
+
+  private settleIfPossible(): void {
+    if (this.isSettledNow || !this.hasList) return;
+    const workers = [...this.workers.values()];
+    if (!workers.every((worker) => worker.wasReadBack)) return;
+    this.isSettledNow = true;
+    this.options.book.settle();
+  }
+
+  private confirmIfNeeded(nowMs: number): void {
+    if (this.confirmation || nowMs < this.confirmNotBeforeMs) return;
+    const incarnations = new Map<ShardWorker, string>();
+    const expired = new Map<ShardWorker, unknown>();
+    for (const worker of this.workers.values()) {
+      if (worker.isReadBack && !worker.isConfirmed) {
+        incarnations.set(worker, worker.incarnation);
+      }
+      if (this.hasExpired(worker, nowMs)) expired.set(worker, worker.reading);
+    }
+    if (incarnations.size === 0 && expired.size === 0) return;
+    const requestId = this.nextId++;
+    this.confirmation = {requestId, incarnations, expired};
+    this.options.emit({type: 'confirmOwnership', requestId});
+  }
+
+  private hasExpired(worker: ShardWorker, nowMs: number): boolean {
+    if (!worker.wasReadBack || worker.isExpiryConfirmed) return false;
+    if (nowMs <= worker.leasesEndMs) return false;
+    return this.options.book.countOn(worker.worker) > 0;
+  }
+
+  private jittered(durationMs: number): number {
+    return durationMs * (0.9 + 0.2 * this.options.random.next());
+  }
+}
