Add the scheduler program

Cause: the team needs a scheduler that accepts, places and finishes jobs.

Inventory tells when the read of its list was sent, because an owner may only use lists read after it gained the shard.

Ends of tasks are noticed only at renewals, up to 4 s late.

--- a/src/platform/inventory.ts
+++ b/src/platform/inventory.ts
@@ -20,6 +20,7 @@
   private readonly listeners = new Set<() => void>();
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
+  private startedMs = -Infinity;
 
   constructor(private readonly options: InventoryOptions) {
     this.vms = new Map(
@@ -40,6 +41,14 @@
     clearTimeout(this.timer);
   }
 
+  /**
+   * Monotonic time in ms at which the read of the current list was sent;
+   * -Infinity before the first one.
+   */
+  get readStartedMs(): number {
+    return this.startedMs;
+  }
+
   /** VMs of this data centre. */
   list(): VmEntry[] {
     return [...this.vms.values()];
@@ -63,7 +72,10 @@
   private async poll(): Promise<void> {
     try {
       const {platform, dataCentre} = this.options;
-      this.apply(await platform.listVms(dataCentre));
+      const startedMs = performance.now();
+      const list = await platform.listVms(dataCentre);
+      this.startedMs = startedMs;
+      this.apply(list);
     } catch {
       // The last list stays valid while the platform can't be reached.
     }
--- /dev/null
+++ b/src/scheduler/compose_scheduler.ts
@@ -0,0 +1,168 @@
+import 'reflect-metadata';
+
+import {randomUUID} from 'node:crypto';
+
+import {Logger} from 'pino';
+import {container, DependencyContainer, instanceCachingFactory} from 'tsyringe';
+import {Agent} from 'undici';
+
+import {Clock} from '../clock/clock.js';
+import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationStore} from '../contracts/configuration_store.js';
+import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
+import {createLogger} from '../logging/create_logger.js';
+import {Membership} from '../membership/membership.js';
+import {OwnershipKeeper} from '../ownership/ownership_keeper.js';
+import {HeadroomFit} from '../placement/headroom_fit.js';
+import {HttpPlatformService} from '../platform/http_platform_service.js';
+import {Inventory} from '../platform/inventory.js';
+import {VmKind} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {SeededRandom} from '../random/seeded_random.js';
+import {HttpWorkerClient} from '../workers/http_worker_client.js';
+import {SchedulerLoad, SchedulerProcess} from './scheduler_process.js';
+import {SchedulerSettings} from './scheduler_settings.js';
+
+const ROLE = 'scheduler';
+
+interface Context {
+  settings: SchedulerSettings;
+  clock: Clock;
+  logger: Logger;
+  random: RandomSource;
+}
+
+/** Registers all parts of the scheduler; instances are made on demand. */
+export function composeScheduler(
+  settings: SchedulerSettings,
+): DependencyContainer {
+  const parts = container.createChildContainer();
+  const provide = <T>(
+    token: new (...given: never[]) => T,
+    create: () => T,
+  ): void => {
+    parts.register(token as new (...given: unknown[]) => T, {
+      useFactory: instanceCachingFactory(create),
+    });
+  };
+  const clock = new SystemClock();
+  const logger = createLogger('banyanmux-scheduler', {
+    level: settings.logging.level,
+    fields: {member: settings.member},
+  });
+  const {seed} = settings.scheduler;
+  const random = new SeededRandom(
+    seed === 0 ? Math.floor(clock.wallMs()) : seed,
+  );
+  const context = {settings, clock, logger, random};
+  const platform = new HttpPlatformService(settings.platform);
+  provide(HttpPlatformService, () => platform);
+  provide(ConfigurationStore, () => new ConfigurationStore({clock}));
+  provide(PeerNetwork, () => createNetwork(context));
+  provide(Inventory, () => {
+    const {dataCentre, platform: given} = settings;
+    const intervalMs = given.vmListIntervalMs;
+    return new Inventory({platform, dataCentre, intervalMs});
+  });
+  provide(Membership, () => createMembership(context, parts));
+  provide(OwnershipKeeper, () => createOwnership(context, parts));
+  provide(SchedulerProcess, () => createProcess(context, parts));
+  return parts;
+}
+
+function createNetwork({settings, clock, random}: Context): PeerNetwork {
+  return new PeerNetwork({
+    identity: {
+      member: settings.member,
+      incarnation: randomUUID(),
+      role: ROLE,
+      dataCentre: settings.dataCentre,
+      token: settings.linkToken,
+    },
+    clock,
+    random,
+  });
+}
+
+function createMembership(
+  {settings, clock}: Context,
+  parts: DependencyContainer,
+): Membership {
+  const peers: PeerAddress[] = settings.members
+    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
+    .filter(({member}) => member !== settings.member)
+    .map(({member, dataCentre, host, schedulerLinkPort}) => ({
+      member,
+      role: ROLE,
+      dataCentre,
+      host,
+      port: schedulerLinkPort,
+    }));
+  return new Membership({
+    network: parts.resolve(PeerNetwork),
+    peers,
+    clock,
+    heartbeatMs: settings.membership.heartbeatMs,
+    suspectAfterMs: settings.membership.suspectAfterMs,
+    contents: () => ({
+      ownershipRevision: parts.resolve(OwnershipKeeper).revision,
+      configurationRevision: parts.resolve(ConfigurationStore).revision,
+      load: parts.resolve(SchedulerProcess).load(),
+    }),
+  });
+}
+
+function createOwnership(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): OwnershipKeeper {
+  const inventory = parts.resolve(Inventory);
+  return new OwnershipKeeper({
+    platform: parts.resolve(HttpPlatformService),
+    membership: parts.resolve(Membership),
+    network: parts.resolve(PeerNetwork),
+    clock,
+    random,
+    logger,
+    shards: () => workerShards(inventory),
+    joinAfterMs: settings.membership.joinAfterMs,
+  });
+}
+
+function workerShards(inventory: Inventory): string[] {
+  const workers = inventory.list().filter(({kind}) => kind === VmKind.WORKER);
+  return [...new Set(workers.map(({shard}) => shard))];
+}
+
+function createProcess(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): SchedulerProcess {
+  const agent = new Agent({connections: 1, pipelining: 1});
+  const clients = new Map<string, HttpWorkerClient>();
+  const timeoutMs = settings.scheduler.workerTimeoutMs;
+  const scheduler = new SchedulerProcess({
+    settings,
+    clock,
+    random,
+    logger,
+    network: parts.resolve(PeerNetwork),
+    platform: parts.resolve(HttpPlatformService),
+    inventory: parts.resolve(Inventory),
+    ownership: parts.resolve(OwnershipKeeper),
+    configuration: parts.resolve(ConfigurationStore),
+    createPlacement: () => new HeadroomFit(),
+    clientOf: ({host, port}) => {
+      const name = host.includes(':') ? `[${host}]` : host;
+      const origin = `http://${name}:${port}`;
+      const client =
+        clients.get(origin) ?? new HttpWorkerClient({origin, agent, timeoutMs});
+      clients.set(origin, client);
+      return client;
+    },
+  });
+  parts.resolve(Membership).onHeartbeat(({load}) => {
+    scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
+  });
+  return scheduler;
+}
--- /dev/null
+++ b/src/scheduler/job_answer.ts
@@ -0,0 +1,53 @@
+import {TaskFailure, TaskResult} from '../jobs/job_record.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ShardJob} from './shard_task.js';
+
+/** What `submit`, `jobStatus` and `cancel` answer about a job. */
+export interface JobAnswer {
+  jobId: string;
+  /** Shard that the job is bound to. */
+  shard: string;
+  /** 'ended' once all tasks have ended. */
+  state: 'accepted' | 'running' | 'ended';
+  /** Number of the result code. */
+  code: number;
+  tasks: Array<{
+    taskId: string;
+    state: string;
+    worker?: string;
+    progress: number;
+    result?: TaskResult;
+    failures?: TaskFailure[];
+  }>;
+}
+
+/** Describes a job for its customer. */
+export function describeJob(job: ShardJob, shard: string): JobAnswer {
+  const hasEnded = job.tasks.every(({state}) => state === 'ended');
+  const isRunning = job.tasks.some(({place}) => place !== undefined);
+  return {
+    jobId: job.job.id,
+    shard,
+    state: hasEnded ? 'ended' : isRunning ? 'running' : 'accepted',
+    code: codeOf(job, hasEnded).number,
+    tasks: job.tasks.map(({taskId, state, place, progress, record}) => ({
+      taskId,
+      state,
+      worker: place?.worker,
+      progress,
+      result: record.result,
+      failures: record.failures,
+    })),
+  };
+}
+
+function codeOf(job: ShardJob, hasEnded: boolean): ResultCode {
+  if (!hasEnded) return ResultCodes.ACCEPTED;
+  const results = job.tasks.map(({record}) => record.result);
+  if (results.includes(TaskResult.FAILED)) return ResultCodes.FAILED;
+  if (results.every((one) => one === TaskResult.CANCELLED_BEFORE_START)) {
+    return ResultCodes.CANCELLED_BEFORE_START;
+  }
+  const isCancelled = results.some((one) => one !== TaskResult.FINISHED);
+  return isCancelled ? ResultCodes.CANCELLED : ResultCodes.OK;
+}
--- /dev/null
+++ b/src/scheduler/scheduler_program_test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {tmpdir} from 'node:os';
+import {mkdtempSync} from 'node:fs';
+import {join} from 'node:path';
+
+import {sleep} from '../clock/sleep.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {Fleet} from '../../testing/fleet.js';
+import {SchedulerCaller} from '../../testing/scheduler_caller.js';
+import {JobAnswer} from './job_answer.js';
+
+const LIMIT_MS = 20_000;
+
+async function eventually<T>(
+  what: string,
+  attempt: () => Promise<T | undefined>,
+): Promise<T> {
+  const deadlineMs = performance.now() + LIMIT_MS;
+  let last: unknown;
+  while (performance.now() < deadlineMs) {
+    try {
+      const found = await attempt();
+      if (found !== undefined) return found;
+    } catch (error) {
+      last = error;
+    }
+    await sleep(50);
+  }
+  throw new Error(`${what}: not within ${LIMIT_MS} ms; ${String(last)}`);
+}
+
+function job(id: string, fields: object = {}): {job: object} {
+  return {
+    job: {
+      id,
+      customer: 'association',
+      kind: 'render',
+      resources: {processors: 2, memoryMegabytes: 1000},
+      payload: {actualRunTimeMs: 300},
+      ...fields,
+    },
+  };
+}
+
+function ended(caller: SchedulerCaller, jobId: string): Promise<JobAnswer> {
+  return eventually(`end of ${jobId}`, async () => {
+    const answer = await caller.call('jobStatus', {jobId});
+    return answer.state === 'ended' ? answer : undefined;
+  });
+}
+
+function hasCode(code: {number: number}): (error: unknown) => boolean {
+  return (error) =>
+    error instanceof ResultError && error.code.number === code.number;
+}
+
+test('a scheduler runs jobs on workers to their end', async (context) => {
+  // Guards against jobs that are accepted and never run, run again after a
+  // repeat, or lose progress when urgent work takes their place.
+  const fleet = await Fleet.start({
+    dataCentres: [
+      {name: 'd', entryVms: 1, targets: 0, racks: 2, workersPerRack: 2},
+    ],
+    workerCapacity: {processors: 4, memoryMegabytes: 8000, accelerators: 0},
+    folder: mkdtempSync(join(tmpdir(), 'scheduler-')),
+  });
+  const {schedulerLinkPort} = fleet.members[0]!;
+  const caller = new SchedulerCaller({
+    port: schedulerLinkPort,
+    dataCentre: 'd',
+  });
+  context.after(async () => {
+    caller.stop();
+    await fleet.stop();
+  });
+  await eventually('acceptance', () => caller.call('submit', job('first')));
+
+  await context.test('a repeat is the same job', async () => {
+    await caller.call('submit', job('first'));
+    assert.equal((await ended(caller, 'first')).code, ResultCodes.OK.number);
+    await caller.call('submit', job('first'));
+    const {starts} = await fleet.workersControl();
+    assert.equal(starts, 1);
+  });
+
+  await context.test('what no worker can hold is refused', async () => {
+    const resources = {processors: 5, memoryMegabytes: 1};
+    await assert.rejects(
+      caller.call('submit', job('large', {resources})),
+      hasCode(ResultCodes.NEVER_FITS),
+    );
+  });
+
+  await context.test('urgent work evicts, and the rest resumes', async () => {
+    const large = {
+      resources: {processors: 4, memoryMegabytes: 1000},
+      payload: {actualRunTimeMs: 3000},
+      count: 2,
+    };
+    for (const id of ['b1', 'b2', 'b3', 'b4']) {
+      await caller.call('submit', job(id, large));
+    }
+    await sleep(1000);
+    const answer = await caller.call(
+      'submit',
+      job('u', {urgency: 'urgent', isAttached: true}),
+    );
+    assert.equal(answer.code, ResultCodes.OK.number);
+    for (const id of ['b1', 'b2', 'b3', 'b4']) {
+      const {code} = await ended(caller, id);
+      assert.equal(code, ResultCodes.OK.number);
+    }
+  });
+
+  await context.test(
+    'jobs that always fail and cancelled ones end',
+    async () => {
+      const endless = {payload: {actualRunTimeMs: 0}};
+      await caller.call('submit', job('watcher', endless));
+      const status = await caller.call('cancel', {jobId: 'watcher'});
+      assert.match(String(status.tasks[0]?.result), /^cancelled/);
+    },
+  );
+
+  const control = await fleet.workersControl();
+  assert.deepEqual(control['details'], []);
+  const scheduler = fleet.process('scheduler', fleet.members[0]!.member);
+  assert.equal(await scheduler.terminate(), 0);
+});
--- /dev/null
+++ b/src/scheduler/shard_driver.ts
@@ -0,0 +1,348 @@
+import {Logger} from 'pino';
+
+import {Clock} from '../clock/clock.js';
+import {Job} from '../jobs/job.js';
+import {PageCommand} from '../jobs/page_command.js';
+import {DecisionLog} from '../logging/decision_log.js';
+import {OwnedShard, OwnershipView} from '../ownership/ownership_view.js';
+import {Inventory} from '../platform/inventory.js';
+import {
+  PlatformService,
+  VmEntry,
+  VmKind,
+} from '../platform/platform_service.js';
+import {Outcome} from '../result_codes/outcome.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {WorkerClient, WorkerReport} from '../workers/worker_client.js';
+import {describeJob, JobAnswer} from './job_answer.js';
+import {JobWaiters} from './job_waiters.js';
+import {PlatformGate} from './platform_gate.js';
+import {ShardCommand, ShardEvent} from './shard_command.js';
+import {ShardController} from './shard_controller.js';
+
+/** Options of {@link ShardDriver}. */
+export interface ShardDriverOptions {
+  owned: OwnedShard;
+  controller: ShardController;
+  ownership: Pick<OwnershipView, 'confirm'>;
+  platform: PlatformService;
+  gate: PlatformGate;
+  inventory: Pick<Inventory, 'list' | 'readStartedMs'>;
+  clientOf: (vm: VmEntry) => WorkerClient;
+  /** Tells whether an operator plans to stop the VM. */
+  isStopPlanned: (vm: string) => boolean;
+  clock: Clock;
+  logger: Logger;
+  decisions: DecisionLog;
+  /** Time in ms between ticks. */
+  tickMs: number;
+  /** A later owner has the shard. */
+  onSuperseded: () => void;
+}
+
+type CommandOf<T extends ShardCommand['type']> = Extract<
+  ShardCommand,
+  {type: T}
+>;
+
+/** Performs what the controller of one owned shard decides. */
+export class ShardDriver {
+  private readonly acceptWaiters = new JobWaiters();
+  private readonly endWaiters = new JobWaiters();
+  private readonly vms = new Map<string, VmEntry>();
+  private readonly gainedMs: number;
+  private listedMs = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
+
+  constructor(private readonly options: ShardDriverOptions) {
+    this.gainedMs = performance.now();
+  }
+
+  /** Shard and epoch that this driver acts for. */
+  get owned(): OwnedShard {
+    return this.options.owned;
+  }
+
+  get controller(): ShardController {
+    return this.options.controller;
+  }
+
+  /** Requests that wait for an answer about a job. */
+  get openRequests(): number {
+    return this.acceptWaiters.size + this.endWaiters.size;
+  }
+
+  /** Starts to act. */
+  start(): void {
+    this.timer = setInterval(() => this.tick(), this.options.tickMs);
+    this.tick();
+  }
+
+  /** Stops acting; requests that still wait learn that they may have run. */
+  stop(): void {
+    if (this.isStopped) return;
+    this.isStopped = true;
+    clearInterval(this.timer);
+    const {shard} = this.options.owned;
+    const text = `Cannot tell: shard "${shard}" went to another owner`;
+    this.acceptWaiters.settleAll(
+      new ResultError(ResultCodes.MAY_HAVE_BEEN_ACCEPTED, text),
+    );
+    this.endWaiters.settleAll(new ResultError(ResultCodes.ANSWER_LOST, text));
+  }
+
+  /** Describes a job of this shard. */
+  describe(jobId: string): JobAnswer | undefined {
+    const job = this.controller.job(jobId);
+    return job && describeJob(job, this.owned.shard);
+  }
+
+  /**
+   * Submits a job. Resolves once it is stored, or, for an attached one, once
+   * it has ended.
+   *
+   * @param job - Job.
+   * @param timeoutMs - Longest wait in ms.
+   */
+  async submit(job: Job, timeoutMs: number): Promise<JobAnswer> {
+    const waiters = job.isAttached ? this.endWaiters : this.acceptWaiters;
+    const done = waiters.wait(job.id, timeoutMs, () => {
+      if (job.isAttached) this.handle({type: 'cancelled', jobId: job.id});
+      return new ResultError(
+        job.isAttached
+          ? ResultCodes.TIMED_OUT
+          : ResultCodes.MAY_HAVE_BEEN_ACCEPTED,
+        `Cannot accept job "${job.id}" within ${Math.round(timeoutMs)} ms`,
+      );
+    });
+    this.handle({type: 'submitted', job});
+    await done;
+    return this.describe(job.id)!;
+  }
+
+  /** Cancels a job; resolves once all its tasks have ended. */
+  async cancel(jobId: string, timeoutMs: number): Promise<JobAnswer> {
+    const done = this.endWaiters.wait(
+      jobId,
+      timeoutMs,
+      () =>
+        new ResultError(
+          ResultCodes.TIMED_OUT,
+          `Cannot confirm the end of job "${jobId}" within ${Math.round(timeoutMs)} ms`,
+        ),
+    );
+    this.handle({type: 'cancelled', jobId});
+    await done;
+    return this.describe(jobId)!;
+  }
+
+  private tick(): void {
+    const {inventory} = this.options;
+    const isNewList =
+      inventory.readStartedMs > this.gainedMs &&
+      inventory.readStartedMs > this.listedMs;
+    if (isNewList && this.controller.isReady) {
+      this.listedMs = inventory.readStartedMs;
+      this.handle({type: 'workersListed', workers: this.listWorkers()});
+    }
+    this.handle({type: 'tick'});
+  }
+
+  private listWorkers(): Array<{worker: string; isLeaving: boolean}> {
+    const {inventory, isStopPlanned, owned} = this.options;
+    this.vms.clear();
+    for (const entry of inventory.list()) {
+      const isOwn = entry.kind === VmKind.WORKER && entry.shard === owned.shard;
+      if (isOwn) this.vms.set(entry.vm, entry);
+    }
+    return [...this.vms.values()].map(({vm, state}) => ({
+      worker: vm,
+      isLeaving: state === 'leaving' || isStopPlanned(vm),
+    }));
+  }
+
+  private handle(event: ShardEvent): void {
+    if (this.isStopped) return;
+    const nowMs = this.options.clock.nowMs();
+    for (const command of this.controller.handle(event, nowMs)) {
+      this.perform(command);
+    }
+  }
+
+  private perform(command: ShardCommand): void {
+    switch (command.type) {
+      case 'command':
+        void this.callWorker(command);
+        break;
+      case 'confirmOwnership':
+        void this.confirm(command.requestId);
+        break;
+      case 'accepted':
+        this.acceptWaiters.settle(command.jobId);
+        break;
+      case 'refused':
+        this.refuse(command);
+        break;
+      case 'jobEnded':
+        this.endWaiters.settle(command.jobId);
+        break;
+      case 'decided':
+        this.record(command);
+        break;
+      case 'superseded':
+        this.options.logger.warn(
+          {...this.owned, reason: command.reason},
+          'shard lost',
+        );
+        this.options.onSuperseded();
+        break;
+      default:
+        void this.callPlatform(command);
+    }
+  }
+
+  private refuse({jobId, code, reason}: CommandOf<'refused'>): void {
+    const error = new ResultError(
+      code,
+      `Cannot accept job "${jobId}": ${reason}`,
+    );
+    this.acceptWaiters.settle(jobId, error);
+    this.endWaiters.settle(jobId, error);
+  }
+
+  private record(command: CommandOf<'decided'>): void {
+    const {kind, subject, chosen, reason, passedOver} = command;
+    const facts = {...this.owned};
+    this.options.decisions.record({
+      kind,
+      subject,
+      chosen,
+      reason,
+      passedOver,
+      facts,
+    });
+  }
+
+  private async callWorker(command: CommandOf<'command'>): Promise<void> {
+    const {commandId, worker} = command;
+    const vm = this.vms.get(worker);
+    try {
+      if (!vm) {
+        throw new ResultError(
+          ResultCodes.NO_TARGET,
+          `Cannot reach worker "${worker}": it is not in the VM list`,
+        );
+      }
+      const report = await execute(this.options.clientOf(vm), command);
+      this.handle({type: 'workerAnswered', commandId, report});
+    } catch (error) {
+      const wasSent = mayHaveRun(error);
+      this.handle({type: 'workerFailed', commandId, wasSent});
+    }
+  }
+
+  private async confirm(requestId: number): Promise<void> {
+    const {ownership, gate, owned} = this.options;
+    let isOwner: boolean | undefined;
+    try {
+      if (gate.isOpen) isOwner = await ownership.confirm(owned);
+    } catch {
+      gate.noteFailure();
+    }
+    // Not in this turn: the controller may still be handling an event.
+    setImmediate(() =>
+      this.handle({type: 'ownershipConfirmed', requestId, isOwner}),
+    );
+  }
+
+  private async callPlatform(command: PageCommand): Promise<void> {
+    const {gate} = this.options;
+    if (!gate.isOpen) {
+      const event = failureOf(command, false);
+      if (event) setImmediate(() => this.handle(event));
+      return;
+    }
+    try {
+      const event = await this.performPage(command);
+      if (event) this.handle(event);
+    } catch (error) {
+      gate.noteFailure();
+      const event = failureOf(command, mayHaveRun(error));
+      if (event) this.handle(event);
+    }
+  }
+
+  private async performPage(
+    command: PageCommand,
+  ): Promise<ShardEvent | undefined> {
+    const {platform} = this.options;
+    switch (command.type) {
+      case 'listPages': {
+        const {entries} = await platform.list(command.prefix);
+        return {type: 'pagesListed', entries};
+      }
+      case 'readPage': {
+        const {key, writeId} = command;
+        const entry = await platform.read(key);
+        return {type: 'pageRead', key, writeId, entry};
+      }
+      case 'writePage': {
+        const {key, writeId, value, expectedRevision} = command;
+        const result = await platform.write({key, value, expectedRevision});
+        return {type: 'pageWritten', key, writeId, result};
+      }
+      case 'deletePage':
+        await platform.delete(command.key, command.expectedRevision);
+        return undefined;
+    }
+  }
+}
+
+function execute(
+  client: WorkerClient,
+  {context, operation}: CommandOf<'command'>,
+): Promise<WorkerReport> {
+  switch (operation.name) {
+    case 'readBack':
+      return client.readBack(context);
+    case 'start':
+      return client.start(context, operation.start);
+    case 'renew':
+      return client.renew(context, operation.leaseUntilMs);
+    case 'checkpoint':
+      return client.checkpoint(context, operation.taskId);
+    case 'throttle':
+      return client.throttle(context, operation);
+    case 'stop':
+      return client.stop(context, operation.taskId);
+    case 'forget':
+      return client.forget(context, operation.taskIds);
+  }
+}
+
+function mayHaveRun(error: unknown): boolean {
+  const isKnown = error instanceof ResultError;
+  return !isKnown || error.code.outcome !== Outcome.DID_NOT_RUN;
+}
+
+function failureOf(
+  command: PageCommand,
+  wasSent: boolean,
+): ShardEvent | undefined {
+  switch (command.type) {
+    case 'listPages':
+      return {type: 'pagesListed', entries: undefined};
+    case 'readPage': {
+      const {key, writeId} = command;
+      return {type: 'pageReadFailed', key, writeId};
+    }
+    case 'writePage': {
+      const {key, writeId} = command;
+      return {type: 'pageWriteFailed', key, writeId, wasSent};
+    }
+    case 'deletePage':
+      return undefined;
+  }
+}
--- /dev/null
+++ b/testing/scheduler_caller.ts
@@ -0,0 +1,54 @@
+import {randomUUID} from 'node:crypto';
+
+import {SystemClock} from '../src/clock/system_clock.js';
+import {LinkClient} from '../src/links/link_client.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {JobAnswer} from '../src/scheduler/job_answer.js';
+
+/** Options of {@link SchedulerCaller}. */
+export interface SchedulerCallerOptions {
+  /** Port for links to the scheduler, on 127.0.0.1. */
+  port: number;
+  dataCentre: string;
+}
+
+/** Sends jobs to a scheduler as an entry does. */
+export class SchedulerCaller {
+  private readonly link: LinkClient;
+
+  constructor(options: SchedulerCallerOptions) {
+    this.link = new LinkClient({
+      host: '127.0.0.1',
+      port: options.port,
+      identity: {
+        member: 'caller',
+        incarnation: randomUUID(),
+        role: 'entry',
+        dataCentre: options.dataCentre,
+        token: 'link-token-for-tests',
+      },
+      handler: {
+        onMessage: () => undefined,
+        onRequest: () => Promise.reject(new Error('unexpected request')),
+      },
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+    });
+  }
+
+  /** Sends `submit`, `jobStatus` or `cancel`. */
+  async call(
+    name: 'submit' | 'jobStatus' | 'cancel',
+    body: Record<string, unknown>,
+    timeoutMs = 5000,
+  ): Promise<JobAnswer> {
+    const message = {remainingMs: timeoutMs, ...body};
+    const answer = await this.link.request(name, message, timeoutMs + 200);
+    return answer as JobAnswer;
+  }
+
+  /** Closes the link. */
+  stop(): void {
+    this.link.stop();
+  }
+}
