--- a/testing/platform_stand_in.ts
+++ b/testing/platform_stand_in.ts
@@ -81,9 +81,6 @@
     this.server = createServer((message, response) => {
       void this.handle(message, response).catch(() => response.destroy());
     });
-    this.server.on('connection', (socket) => {
-      if (this.faults.down) socket.destroy();
-    });
   }
 
   /** Starts to listen; returns the port. */
@@ -184,7 +181,9 @@
       faults?: PlatformFaults;
       vms?: VmEntry[];
     };
-    if (body.faults) this.setFaults(body.faults);
+    // Applied once the answer is sent, since `down` closes all connections.
+    const {faults} = body;
+    if (faults) response.once('finish', () => this.setFaults(faults));
     if (body.vms) this.setVms(body.vms);
     writeJson(response, 200, {
       counts: this.counts,
--- /dev/null
+++ b/testing/store_contract.ts
@@ -0,0 +1,33 @@
+import {contractKey} from '../src/contracts/configuration_key.js';
+import {HttpPlatformService} from '../src/platform/http_platform_service.js';
+import {hashOf} from './operator.js';
+
+/** Key of the only caller of a contract that {@link storeContract} writes. */
+export const TEST_CALLER_KEY = 'counter-key';
+
+/** Writes a contract straight to the platform, as a past operator did. */
+export async function storeContract(
+  platformPort: number,
+  fields: Record<string, unknown> = {},
+): Promise<void> {
+  const origin = `http://127.0.0.1:${platformPort}`;
+  const platform = new HttpPlatformService({origin});
+  const value = {
+    customer: 'association',
+    services: ['portal'],
+    callers: [{name: 'counter', keyHash: hashOf(TEST_CALLER_KEY)}],
+    ...fields,
+  };
+  const change = {
+    id: 'initial',
+    operator: 'test',
+    atWallMs: 0,
+    action: 'create',
+  };
+  await platform.write({
+    key: contractKey(value.customer),
+    value: JSON.stringify({value, change}),
+    expectedRevision: 0,
+  });
+  await platform.stop();
+}
