--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -7,6 +7,7 @@
   flood: async () => (await import('./scenarios/flood.js')).runFlood,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
 function fail(text: string): never {
