Measure the latency that a relay with decisions adds

Cause: goals for added latency and throughput need a comparison on the same targets in one run. Change: scenario latency alternates slices of open load straight to the targets, through a tinyhttp and undici relay with admission and routing, and through the same relay without decisions; then closed load through both relays.

--- a/measure/direct_router.ts
+++ b/measure/direct_router.ts
@@ -14,6 +14,11 @@
   origins: ReadonlyMap<string, string>;
   /** Requests that a target may run at once. @default 8 */
   slots?: number;
+  /**
+   * Sends a request to a target; true if the whole answer arrived.
+   * @default a GET request that names the work time
+   */
+  send?: (pool: Pool, request: WaitingRequest) => Promise<boolean>;
 }
 
 /** How a request ended. */
@@ -95,7 +100,9 @@
     this.countWaiting(request, -1);
     load.inUse += 1;
     const startMs = clock.nowMs();
-    const succeeded = await this.send(target, workMs);
+    const pool = this.pools.get(target)!;
+    const succeeded = await (this.options.send?.(pool, request) ??
+      this.send(pool, workMs));
     const latencyMs = clock.nowMs() - startMs;
     load.inUse -= 1;
     admission.completed(request, latencyMs);
@@ -105,9 +112,9 @@
     this.dispatch(request.service);
   }
 
-  private async send(target: string, workMs: number): Promise<boolean> {
+  private async send(pool: Pool, workMs: number): Promise<boolean> {
     try {
-      const answer = await this.pools.get(target)!.request({
+      const answer = await pool.request({
         path: '/work',
         method: 'GET',
         headers: {'x-work-ms': String(workMs)},
--- /dev/null
+++ b/measure/latency_client.ts
@@ -0,0 +1,87 @@
+import {build, Histogram} from 'hdr-histogram-js';
+import {Agent} from 'undici';
+
+import {RandomSource} from '../src/random/random_source.js';
+import {openArrivals} from './open_arrivals.js';
+
+/** Where requests go and what they carry. */
+export interface LatencyRoute {
+  /** Returns the origin for the next request, and what to call at its end. */
+  next(): {origin: string; headers: Record<string, string>; ended: () => void};
+  path: string;
+}
+
+/** Options of {@link LatencyClient}. */
+export interface LatencyClientOptions {
+  /** Most connections to each origin. */
+  connections: number;
+  /** Time in ms that a target works on a request. */
+  workMs: number;
+}
+
+/** Sends requests over a route and records latencies in microseconds. */
+export class LatencyClient {
+  readonly histogram: Histogram = build({numberOfSignificantValueDigits: 3});
+  failures = 0;
+  private readonly agent: Agent;
+
+  constructor(
+    private readonly route: LatencyRoute,
+    private readonly options: LatencyClientOptions,
+  ) {
+    this.agent = new Agent({connections: options.connections});
+  }
+
+  /** Sends requests at random times. */
+  open(options: {
+    random: RandomSource;
+    perSecond: number;
+    durationMs: number;
+  }): Promise<void> {
+    return openArrivals({...options, arrive: () => this.send()});
+  }
+
+  /** Sends requests, each after the answer to the one before. */
+  async closed(options: {
+    concurrency: number;
+    durationMs: number;
+  }): Promise<void> {
+    const endMs = performance.now() + options.durationMs;
+    const repeat = async (): Promise<void> => {
+      while (performance.now() < endMs) await this.send();
+    };
+    await Promise.all(Array.from({length: options.concurrency}, repeat));
+  }
+
+  /** Latency in ms at a percentile. */
+  percentileMs(percentile: number): number {
+    return this.histogram.getValueAtPercentile(percentile) / 1000;
+  }
+
+  /** Closes all connections. */
+  stop(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private async send(): Promise<void> {
+    const {origin, headers, ended} = this.route.next();
+    const startMs = performance.now();
+    try {
+      const answer = await this.agent.request({
+        origin,
+        path: this.route.path,
+        method: 'POST',
+        headers: {...headers, 'x-work-ms': String(this.options.workMs)},
+        body: 'request',
+      });
+      await answer.body.dump();
+      if (answer.statusCode !== 200) throw new Error('not answered');
+      const elapsedMs = performance.now() - startMs;
+      this.histogram.recordValue(Math.round(elapsedMs * 1000));
+    } catch {
+      this.failures += 1;
+    } finally {
+      ended();
+    }
+  }
+}
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -4,6 +4,7 @@
 
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  latency: async () => (await import('./scenarios/latency.js')).runLatency,
   flood: async () => (await import('./scenarios/flood.js')).runFlood,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
--- /dev/null
+++ b/measure/relay_process.ts
@@ -0,0 +1,111 @@
+import {pipeline} from 'node:stream/promises';
+
+import {App, Request, Response} from '@tinyhttp/app';
+import {Pool} from 'undici';
+
+import {FairQueueingPolicy} from '../src/admission/fair_queueing_policy.js';
+import {SystemClock} from '../src/clock/system_clock.js';
+import {contractSchema} from '../src/contracts/contract.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {LeastLoadedRouting} from '../src/routing/least_loaded_routing.js';
+import {DirectRouter} from './direct_router.js';
+
+/** What the scenario passes as the only argument. */
+interface RelayArgument {
+  port: number;
+  origins: Array<[string, string]>;
+  /** Whether requests pass through admission and routing. */
+  withDecisions: boolean;
+}
+
+const {port, origins, withDecisions} = JSON.parse(
+  process.argv[2]!,
+) as RelayArgument;
+
+const SLOTS = 8;
+
+type Exchange = {request: Request; response: Response};
+
+/** Streams a request to a target and its answer back. */
+async function forward(pool: Pool, exchange: Exchange): Promise<void> {
+  const {request, response} = exchange;
+  const answer = await pool.request({
+    path: request.url,
+    method: 'POST',
+    headers: forwarded(request),
+    body: request,
+  });
+  const length = String(answer.headers['content-length']);
+  response.writeHead(answer.statusCode, {'content-length': length});
+  await pipeline(answer.body, response);
+}
+
+/** Passes requests to the targets in turn, without any decision. */
+function bareRelay(): (exchange: Exchange) => Promise<void> {
+  const pools = origins.map(
+    ([, origin]) => new Pool(origin, {connections: SLOTS}),
+  );
+  let next = 0;
+  return (exchange) => {
+    next = (next + 1) % pools.length;
+    return forward(pools[next]!, exchange);
+  };
+}
+
+function forwarded(request: Request): Record<string, string> {
+  const epoch = request.headers['banyanmux-epoch'];
+  return {
+    'x-work-ms': String(request.headers['x-work-ms']),
+    ...(epoch === undefined ? {} : {'banyanmux-epoch': String(epoch)}),
+  };
+}
+
+/** Passes requests through admission and routing. */
+function decidingRelay(): (exchange: Exchange) => Promise<void> {
+  const clock = new SystemClock();
+  const contract = contractSchema.parse({
+    customer: 'kettridge',
+    callers: [{name: 'crew', keyHash: '0'.repeat(64)}],
+  });
+  const exchanges = new Map<string, Exchange>();
+  const router = new DirectRouter({
+    clock,
+    admission: new FairQueueingPolicy({
+      clock,
+      contracts: {contract: () => contract},
+    }),
+    routing: new LeastLoadedRouting({clock, random: new SeededRandom(1)}),
+    origins: new Map(origins),
+    send: async (pool, {requestId}) => {
+      await forward(pool, exchanges.get(requestId)!);
+      return true;
+    },
+  });
+  let sent = 0;
+  return async (exchange) => {
+    const requestId = String(sent++);
+    const arrivedMs = clock.nowMs();
+    exchanges.set(requestId, exchange);
+    const end = await router.submit(
+      {
+        requestId,
+        customer: 'kettridge',
+        caller: 'crew',
+        service: 'portal',
+        urgency: 'urgent',
+        arrivedMs,
+        deadlineMs: arrivedMs + 10_000,
+      },
+      0,
+    );
+    exchanges.delete(requestId);
+    if (end !== 'answered') throw new Error(`Cannot answer: ${end}`);
+  };
+}
+
+const handle = withDecisions ? decidingRelay() : bareRelay();
+const app = new App({settings: {xPoweredBy: false}});
+app.use((request, response) => {
+  void handle({request, response}).catch(() => response.destroy());
+});
+app.listen(port, undefined, '127.0.0.1');
--- /dev/null
+++ b/measure/scenarios/latency.ts
@@ -0,0 +1,154 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {sleep} from '../../src/clock/sleep.js';
+import {SeededRandom} from '../../src/random/seeded_random.js';
+import {ManagedProcess} from '../../testing/child_process.js';
+import {freePorts} from '../../testing/free_ports.js';
+import {DirectRoute} from '../direct_route.js';
+import {LatencyClient, LatencyRoute} from '../latency_client.js';
+import {ScenarioOptions, ScenarioResult} from '../scenario.js';
+import {startTargetFleet, TargetFleet} from '../target_fleet.js';
+
+const TARGETS = 4;
+const SLOTS = 8;
+const WORK_MS = 40;
+
+/** Half of what the targets can serve. */
+const PER_SECOND = ((TARGETS * SLOTS) / WORK_MS) * 1000 * 0.5;
+
+/** Requests under way at once in the throughput part: all slots. */
+const CONCURRENCY = TARGETS * SLOTS;
+
+/** Alternations between the routes; noise of the machine hits both alike. */
+const SLICES = 6;
+
+const WARM_UP_MS = 1000;
+
+async function startRelay(
+  fleet: TargetFleet,
+  withDecisions: boolean,
+): Promise<{child: ManagedProcess; route: LatencyRoute}> {
+  const [port] = await freePorts(1);
+  const folder = mkdtempSync(join(tmpdir(), 'banyanmux-measure-'));
+  const child = new ManagedProcess({
+    name: 'relay',
+    script: 'build/measure/relay_process.js',
+    arguments: [
+      JSON.stringify({port, withDecisions, origins: [...fleet.origins]}),
+    ],
+    logFile: join(folder, 'relay.log'),
+  });
+  child.start();
+  await sleep(1000);
+  const origin = `http://127.0.0.1:${port}`;
+  const headers = {};
+  const next = (): ReturnType<LatencyRoute['next']> => ({
+    origin,
+    headers,
+    ended: () => undefined,
+  });
+  return {child, route: {next, path: '/work'}};
+}
+
+/** Alternates open loads over the routes. */
+async function compareLatency(
+  routes: {direct: LatencyRoute; relayed: LatencyRoute; bare: LatencyRoute},
+  options: {seed: number; sliceMs: number},
+): Promise<Record<string, unknown>> {
+  const settings = {connections: SLOTS * TARGETS, workMs: WORK_MS};
+  // Bursts of random arrivals must not exceed the slots of a target.
+  const limited = {...settings, connections: SLOTS};
+  const direct = new LatencyClient(routes.direct, limited);
+  const relayed = new LatencyClient(routes.relayed, settings);
+  const bare = new LatencyClient(routes.bare, settings);
+  const clients = [direct, relayed, bare];
+  for (const client of clients) {
+    await client.closed({concurrency: 16, durationMs: WARM_UP_MS});
+    client.histogram.reset();
+  }
+  for (let i = 0; i < SLICES; i++) {
+    for (const client of clients) {
+      await client.open({
+        random: new SeededRandom(options.seed * 100 + i),
+        perSecond: PER_SECOND,
+        durationMs: options.sliceMs,
+      });
+    }
+  }
+  await Promise.all(clients.map((client) => client.stop()));
+  const [directP50Ms, p50Ms, passThroughP50Ms] = clients.map((client) =>
+    client.percentileMs(50),
+  );
+  const [directP99Ms, p99Ms, passThroughP99Ms] = clients.map((client) =>
+    client.percentileMs(99),
+  );
+  return {
+    requests: relayed.histogram.totalCount,
+    failures: clients.reduce((sum, client) => sum + client.failures, 0),
+    directP50Ms,
+    directP99Ms,
+    p50Ms,
+    p99Ms,
+    addedP50Ms: p50Ms! - directP50Ms!,
+    addedP99Ms: p99Ms! - directP99Ms!,
+    passThroughP50Ms,
+    passThroughP99Ms,
+  };
+}
+
+/** Alternates closed loads over both relays. */
+async function compareThroughput(
+  routes: {bare: LatencyRoute; relayed: LatencyRoute},
+  sliceMs: number,
+): Promise<Record<string, number>> {
+  const settings = {connections: CONCURRENCY, workMs: 0};
+  const bare = new LatencyClient(routes.bare, settings);
+  const relayed = new LatencyClient(routes.relayed, settings);
+  const slice = {concurrency: CONCURRENCY, durationMs: sliceMs};
+  for (let i = 0; i < SLICES; i++) {
+    await bare.closed(slice);
+    await relayed.closed(slice);
+  }
+  await Promise.all([bare.stop(), relayed.stop()]);
+  const seconds = (SLICES * sliceMs) / 1000;
+  const requestsPerSecond = relayed.histogram.totalCount / seconds;
+  const passThroughPerSecond = bare.histogram.totalCount / seconds;
+  return {
+    requestsPerSecond,
+    passThroughPerSecond,
+    throughputRatio: requestsPerSecond / passThroughPerSecond,
+    throughputFailures: bare.failures + relayed.failures,
+  };
+}
+
+/**
+ * Time that the decision logic and a relay add to a request at half of the
+ * capacity, and the throughput against a relay without decisions.
+ */
+export async function runLatency(
+  options: ScenarioOptions,
+): Promise<ScenarioResult> {
+  const fleet = await startTargetFleet({count: TARGETS, workMs: WORK_MS});
+  const relayed = await startRelay(fleet, true);
+  const bare = await startRelay(fleet, false);
+  const totalMs = Math.min(42, Math.max(10, options.seconds)) * 1000;
+  try {
+    const direct = new DirectRoute([...fleet.origins.values()]);
+    await direct.readEpochs();
+    const latency = await compareLatency(
+      {direct, relayed: relayed.route, bare: bare.route},
+      {seed: options.seed, sliceMs: (totalMs * 0.6) / (3 * SLICES)},
+    );
+    options.progress(JSON.stringify(latency));
+    const throughput = await compareThroughput(
+      {bare: bare.route, relayed: relayed.route},
+      (totalMs * 0.4) / (2 * SLICES),
+    );
+    const violations = await fleet.violations();
+    return {violations, ...latency, ...throughput};
+  } finally {
+    await Promise.all([relayed.child.kill(), bare.child.kill(), fleet.stop()]);
+  }
+}
