Keep waiting requests of the slope case within their deadline

Cause: 57,840 of 64,000 offers were refused since the expected wait passed their deadline, so the memory slope was meaningless. Not measured yet in full.

--- a/measure/slopes/decision_slopes.ts
+++ b/measure/slopes/decision_slopes.ts
@@ -90,7 +90,7 @@
       service: 'portal',
       urgency: 'standard',
       arrivedMs: clock.nowMs(),
-      deadlineMs: clock.nowMs() + 60_000,
+      deadlineMs: clock.nowMs() + 86_400_000,
     });
   };
   for (let index = 0; index < waiting; index++) offerOne();
