Run keyed requests at most once by claims in the platform

Cause: a non-idempotent request must not run twice across entries, repeats and lost answers. The claim is made while the request waits and holds no slot. Admission is now the fair queueing policy.

--- /dev/null
+++ b/src/entry/claimed_calls.ts
@@ -0,0 +1,180 @@
+import {createHash} from 'node:crypto';
+
+import {z} from 'zod';
+
+import {ClaimRecord, HeldClaim} from '../claims/claim_record.js';
+import {ClaimStore} from '../claims/claim_store.js';
+import {StoredAnswer, StoredAnswers} from '../claims/stored_answers.js';
+import {Clock} from '../clock/clock.js';
+import {PeerNetwork} from '../links/peer_network.js';
+import {Outcome} from '../result_codes/outcome.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {
+  KeyedCall,
+  KeyedCallEnd,
+  KeyedCalls,
+  KeyedRequest,
+} from './keyed_calls.js';
+import {ServiceCallEnd} from './service_router.js';
+
+/** Options of {@link ClaimedCalls}. */
+export interface ClaimedCallsOptions {
+  claims: ClaimStore;
+  answers: StoredAnswers;
+  clock: Clock;
+  network: Pick<PeerNetwork, 'identity' | 'onRequest' | 'request'>;
+}
+
+/** Name of the request for an answer that another entry stored. */
+export const STORED_ANSWER_REQUEST = 'storedAnswer';
+
+const STORED_ANSWER_TIMEOUT_MS = 500;
+
+// A claim of work that did not run is taken back before the caller is told,
+// so that its repeat can run; a slow platform does not hold the answer longer.
+const RELEASE_WAIT_MS = 300;
+
+const askSchema = z.object({attempt: z.string()});
+
+const storedSchema = z.object({
+  answer: z
+    .object({
+      status: z.int(),
+      headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+      body: z.instanceof(Uint8Array),
+    })
+    .optional(),
+});
+
+type ClaimOutcome = {claim: HeldClaim} | {refusal: KeyedCallEnd};
+
+/** Runs keyed requests at most once by claims in the platform. */
+export class ClaimedCalls implements KeyedCalls {
+  /** Attempts whose requests run at this entry now. */
+  private readonly running = new Set<string>();
+
+  constructor(private readonly options: ClaimedCallsOptions) {
+    options.network.onRequest(STORED_ANSWER_REQUEST, (body) => {
+      const {attempt} = askSchema.parse(body);
+      return Promise.resolve({answer: options.answers.get(attempt)});
+    });
+  }
+
+  async run(
+    request: KeyedRequest,
+    submit: (call: KeyedCall) => Promise<ServiceCallEnd>,
+  ): Promise<KeyedCallEnd> {
+    const fingerprint = fingerprintOf(request);
+    let claiming: Promise<ClaimOutcome> | undefined;
+    const end = await submit({
+      permit: async () => {
+        claiming = this.claim(request, fingerprint);
+        return 'claim' in (await claiming);
+      },
+    });
+    const outcome = await claiming;
+    if (!outcome) return end;
+    return 'claim' in outcome
+      ? this.settle(outcome.claim, end)
+      : outcome.refusal;
+  }
+
+  /** Keeps the answer, or takes the claim back if the work did not run. */
+  private async settle(
+    claim: HeldClaim,
+    end: ServiceCallEnd,
+  ): Promise<KeyedCallEnd> {
+    const {attempt} = claim.record;
+    this.running.delete(attempt);
+    if (end.code.outcome === Outcome.DID_NOT_RUN) {
+      await this.options.claims.release(claim, RELEASE_WAIT_MS);
+    } else if (end.answer) {
+      this.options.answers.put(attempt, end.answer);
+    }
+    return end;
+  }
+
+  private async claim(
+    request: KeyedRequest,
+    fingerprint: string,
+  ): Promise<ClaimOutcome> {
+    const {customer, caller, key, deadlineMs} = request;
+    try {
+      const result = await this.options.claims.claim({
+        customer,
+        caller,
+        key,
+        fingerprint,
+        deadlineMs,
+      });
+      if (result.kind === 'granted') {
+        this.running.add(result.claim.record.attempt);
+        return {claim: result.claim};
+      }
+      return {refusal: await this.repeat(result.record, fingerprint)};
+    } catch (error) {
+      return {refusal: unclaimed(error as Error)};
+    }
+  }
+
+  /** Answers a request whose key was claimed before. */
+  private async repeat(
+    record: ClaimRecord,
+    fingerprint: string,
+  ): Promise<KeyedCallEnd> {
+    if (record.fingerprint !== fingerprint) {
+      return {
+        code: ResultCodes.BAD_REQUEST,
+        text: 'Cannot accept: the key was used for a different request',
+      };
+    }
+    const replayed = await this.findAnswer(record);
+    if (replayed) {
+      return {code: ResultCodes.REPLAYED, text: 'replayed', replayed};
+    }
+    const isRunning = this.running.has(record.attempt);
+    return {
+      code: ResultCodes.KEY_IN_USE,
+      text: isRunning
+        ? 'Cannot answer: the request with this key runs now'
+        : 'Cannot answer: the answer to this key is not available',
+      retryAfterMs: isRunning ? 1000 : undefined,
+    };
+  }
+
+  private async findAnswer(
+    record: ClaimRecord,
+  ): Promise<StoredAnswer | undefined> {
+    const {network, answers} = this.options;
+    const {member, attempt} = record;
+    if (member === network.identity.member) return answers.get(attempt);
+    try {
+      const reply = await network.request(
+        {role: network.identity.role, member},
+        STORED_ANSWER_REQUEST,
+        {body: {attempt}, timeoutMs: STORED_ANSWER_TIMEOUT_MS},
+      );
+      const {answer} = storedSchema.parse(reply);
+      return answer && {...answer, body: Buffer.from(answer.body)};
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+function unclaimed(error: Error): KeyedCallEnd {
+  const isKnown = error instanceof ResultError;
+  return {
+    code: isKnown ? error.code : ResultCodes.PLATFORM_UNAVAILABLE,
+    text: error.message,
+    retryAfterMs: 1000,
+  };
+}
+
+function fingerprintOf({content}: KeyedRequest): string {
+  return createHash('sha256')
+    .update(`${content.method} ${content.path}\n`)
+    .update(content.body ?? '(streamed)')
+    .digest('hex');
+}
--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -5,6 +5,9 @@
 import {Logger} from 'pino';
 import {container, DependencyContainer, instanceCachingFactory} from 'tsyringe';
 
+import {FairQueueingPolicy} from '../admission/fair_queueing_policy.js';
+import {ClaimStore} from '../claims/claim_store.js';
+import {StoredAnswers} from '../claims/stored_answers.js';
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
@@ -17,10 +20,9 @@
 import {RandomSource} from '../random/random_source.js';
 import {SeededRandom} from '../random/seeded_random.js';
 import {LeastLoadedRouting} from '../routing/least_loaded_routing.js';
+import {ClaimedCalls} from './claimed_calls.js';
 import {EntryProcess} from './entry_process.js';
 import {EntrySettings} from './entry_settings.js';
-import {FifoAdmission} from './fifo_admission.js';
-import {RefusedKeyedCalls} from './keyed_calls.js';
 import {PolledConfiguration} from './polled_configuration.js';
 
 /** Load that entries report in heartbeats. */
@@ -58,6 +60,10 @@
   provide(Membership, () => createMembership(context, parts));
   provide(OwnershipKeeper, () => createOwnership(context, parts));
   provide(PolledConfiguration, () => new PolledConfiguration(platform, clock));
+  provide(ClaimStore, () => {
+    const {member, incarnation} = parts.resolve(PeerNetwork).identity;
+    return new ClaimStore({platform, clock, member, incarnation});
+  });
   provide(EntryProcess, () => createProcess(context, parts));
   return parts;
 }
@@ -153,18 +159,29 @@
   parts: DependencyContainer,
 ): EntryProcess {
   const configuration = parts.resolve(PolledConfiguration);
+  const network = parts.resolve(PeerNetwork);
+  const ownership = parts.resolve(OwnershipKeeper);
   const entry = new EntryProcess({
     settings,
     clock,
     random,
     logger,
-    network: parts.resolve(PeerNetwork),
+    network,
     inventory: parts.resolve(Inventory),
-    ownership: parts.resolve(OwnershipKeeper),
+    ownership,
     configuration,
-    admission: new FifoAdmission(clock),
+    admission: new FairQueueingPolicy({
+      clock,
+      contracts: configuration,
+      livingEntries: () => ownership.livingMembers().length,
+    }),
     createRouting: () => new LeastLoadedRouting({clock, random}),
-    keyedCalls: new RefusedKeyedCalls(),
+    keyedCalls: new ClaimedCalls({
+      claims: parts.resolve(ClaimStore),
+      answers: new StoredAnswers({clock}),
+      clock,
+      network,
+    }),
     isReady: () => configuration.ageMs() < Infinity,
   });
   parts.resolve(Membership).onHeartbeat(({member, load}) => {
--- a/src/entry/entry_program.ts
+++ b/src/entry/entry_program.ts
@@ -1,5 +1,6 @@
 import {DependencyContainer} from 'tsyringe';
 
+import {ClaimStore} from '../claims/claim_store.js';
 import {PeerNetwork} from '../links/peer_network.js';
 import {Membership} from '../membership/membership.js';
 import {HttpPlatformService} from '../platform/http_platform_service.js';
@@ -54,6 +55,7 @@
 }
 
 async function stopParts(parts: DependencyContainer): Promise<void> {
+  parts.resolve(ClaimStore).stop();
   parts.resolve(PolledConfiguration).stop();
   parts.resolve(Inventory).stop();
   parts.resolve(Membership).stop();
--- a/src/entry/keyed_calls.ts
+++ b/src/entry/keyed_calls.ts
@@ -16,8 +16,11 @@
 
 /** A request that waits for its claim. */
 export interface KeyedCall {
-  /** Settles with true once the key is claimed for this request. */
-  permission: Promise<boolean>;
+  /**
+   * Claims the key once the request is admitted; true if it may be sent, false
+   * if it must end without being sent.
+   */
+  permit(): Promise<boolean>;
 }
 
 /** End of a keyed request. */
--- a/src/entry/reservation_desk.ts
+++ b/src/entry/reservation_desk.ts
@@ -4,7 +4,7 @@
 import {z} from 'zod';
 
 import {PeerNetwork} from '../links/peer_network.js';
-import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultCodes} from '../result_codes/result_code.js';
 import {RoutingPolicy} from '../routing/routing_policy.js';
 import {TargetResult, TargetResultKind} from '../targets/target_client.js';
 import {TargetFleet, TargetLease} from '../targets/target_fleet.js';
@@ -15,6 +15,7 @@
   RESERVE_REQUEST,
   RESERVED_PATH,
 } from './peer_slot_client.js';
+import {resultOfAttempt} from './result_of_attempt.js';
 import {REQUEST_ID_HEADER, TIMEOUT_HEADER} from './result_headers.js';
 
 /** Options of {@link ReservationDesk}. */
@@ -86,7 +87,7 @@
         path,
       );
       if (result.kind === TargetResultKind.ANSWERED) answer.complete();
-      else answer.fail({code: codeOf(result), text: result.reason});
+      else answer.fail(resultOfAttempt(result, false));
     } finally {
       this.openCount -= 1;
     }
@@ -158,14 +159,3 @@
     ? {id: rest, path: '/'}
     : {id: rest.slice(0, slash), path: rest.slice(slash)};
 }
-
-function codeOf(result: TargetResult): ResultCode {
-  switch (result.kind) {
-    case TargetResultKind.LOST:
-      return result.isTimeout ? ResultCodes.TIMED_OUT : ResultCodes.ANSWER_LOST;
-    case TargetResultKind.NOT_SENT:
-      return ResultCodes.NO_TARGET;
-    default:
-      return ResultCodes.TARGET_REFUSED;
-  }
-}
--- a/src/entry/service_answers_test.ts
+++ b/src/entry/service_answers_test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
+import {createServer, Socket} from 'node:net';
 import {test} from 'node:test';
 
-import {EntryBench} from '../../testing/entry_bench.js';
+import {EntryBench, withBench} from '../../testing/entry_bench.js';
 
-test('P4: each of many concurrent callers gets its own whole answer', async () => {
+test('P4: each of many concurrent callers gets its own whole answer', () =>
   // Guards against answers that are mixed up or cut short under load.
-  const bench = await EntryBench.start({targets: 3});
-  try {
+  withBench({targets: 3}, async (bench) => {
     const results = await Promise.all(
       Array.from({length: 300}, (_, index) =>
         bench.entry.caller.call({
@@ -16,13 +16,79 @@
         }),
       ),
     );
-    assert.deepEqual(
-      [...new Set(results.map(({outcome}) => outcome))],
-      ['ran'],
-    );
+    assert.deepEqual([...new Set(results.map((r) => r.outcome))], ['ran']);
     assert.ok(results.every(({isRight, code}) => isRight && code === 1000));
     assert.equal(bench.violations(), 0);
-  } finally {
-    await bench.stop();
-  }
-});
+  }));
+
+test('P4: an answer that the target cuts short is never whole for a caller', () =>
+  // Guards against passing on a truncated short or streamed answer as whole.
+  withBench({}, async (bench) => {
+    bench.targets[0]!.setFaults({truncate: true});
+    const short = await bench.entry.caller.call({answerBytes: 100});
+    assert.equal(short.outcome, 'may-have-run');
+    const long = await bench.entry.caller.call({answerBytes: 400_000});
+    assert.equal(long.outcome, 'no-answer');
+  }));
+
+/** Target that answers every request with the given bytes and closes. */
+async function rawTarget(
+  bench: EntryBench,
+  answer: string,
+): Promise<() => Promise<void>> {
+  const sockets = new Set<Socket>();
+  const status = JSON.stringify({
+    target: 'target-1',
+    incarnation: '1',
+    epoch: 2,
+    slots: 8,
+    slotsInUseByEpoch: {},
+    connections: 1,
+    maxConnections: 64,
+    leaving: false,
+  });
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      const isProbe = chunk.toString().startsWith('GET /-/executor');
+      const head = `HTTP/1.1 200 OK\r\ncontent-length: ${status.length}\r\n\r\n`;
+      if (isProbe) socket.write(head + status);
+      else socket.end(answer);
+    });
+  });
+  const port = await new Promise<number>((resolve) =>
+    server.listen(0, '127.0.0.1', () =>
+      resolve((server.address() as {port: number}).port),
+    ),
+  );
+  const [vm] = bench.inventory.list();
+  bench.inventory.set([{...vm!, port}]);
+  bench.ownership.assign('group-1', 'vm-1', 2);
+  await bench.until(() => bench.entry.process.fleet.states()[0]!.isAvailable);
+  return () => {
+    for (const socket of sockets) socket.destroy();
+    return new Promise((resolve) => server.close(() => resolve()));
+  };
+}
+
+for (const [name, answer] of [
+  ['without a length', 'HTTP/1.1 200 OK\r\n\r\nhalf'],
+  [
+    'with fewer bytes than declared',
+    'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhalf',
+  ],
+  [
+    'with an unfinished chunk',
+    'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n',
+  ],
+] as const) {
+  test(`P4: an answer ${name} that ends with its connection is lost`, () =>
+    // Guards against taking a closed connection for the end of an answer.
+    withBench({}, async (bench) => {
+      const stop = await rawTarget(bench, answer);
+      const result = await bench.entry.caller.call({timeoutMs: 1000});
+      assert.equal(result.outcome, 'may-have-run');
+      await stop();
+    }));
+}
--- a/src/entry/service_call.ts
+++ b/src/entry/service_call.ts
@@ -23,10 +23,10 @@
   /** Aborted when the caller closes its connection. */
   signal: AbortSignal;
   /**
-   * Settles once the request may be sent: true if its key is claimed, false if
-   * it must not be sent. @default may be sent at once
+   * Asked once the request is admitted; false if it must not be sent.
+   * @default may be sent at once
    */
-  permission?: Promise<boolean>;
+  permit?: () => Promise<boolean>;
 }
 
 const chart = loadStateChart<ServiceCallState, ServiceCallEvent>(
@@ -43,10 +43,12 @@
   mayHaveRun = false;
   /** True once the request may be sent. */
   isPermitted: boolean;
+  /** True if it was taken from admission before it may be sent. */
+  isSetAside = false;
   private currentState: ServiceCallState = chart.initial;
 
   constructor(readonly options: ServiceCallOptions) {
-    this.isPermitted = options.permission === undefined;
+    this.isPermitted = options.permit === undefined;
   }
 
   get requestId(): string {
--- /dev/null
+++ b/src/entry/service_outcomes_test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {withBench} from '../../testing/entry_bench.js';
+import {SeededRandom} from '../random/seeded_random.js';
+
+test('P5: what is told "did not run" in the queue never reaches a target', () =>
+  // Guards against sending a request whose deadline passed while it waited.
+  withBench({target: {slots: 2}}, async (bench) => {
+    const results = await Promise.all(
+      Array.from({length: 30}, (_, index) =>
+        bench.entry.caller.call({
+          workMs: 60,
+          timeoutMs: 200,
+          nonIdempotentKey: `key-${index}`,
+        }),
+      ),
+    );
+    const refused = results.filter((r) => r.outcome === 'did-not-run').length;
+    assert.ok(refused > 10, `${refused} were refused`);
+    assert.equal(bench.ranKeys.size + refused, 30);
+    assert.equal(bench.violations(), 0);
+  }));
+
+test('P5: a target that refuses connections has not run the request', () =>
+  // Guards against reporting unsent requests as lost, or lost ones as unsent.
+  withBench({}, async (bench) => {
+    await bench.links[0]!.stop();
+    const result = await bench.entry.caller.call({
+      timeoutMs: 300,
+      nonIdempotentKey: 'key',
+    });
+    assert.equal(result.outcome, 'did-not-run');
+    assert.equal(bench.ranKeys.size, 0);
+  }));
+
+test('P5, P6: keyed requests run at most once while links and platform fail', () =>
+  // Guards against a second run after a lost answer, a lost claim or a repeat
+  // at another entry, and against "did not run" for work that ran.
+  withBench({targets: 3, entries: 2}, async (bench) => {
+    const random = new SeededRandom(7);
+    bench.platform.setFaults({loseAnswers: 0.3});
+    const outcomes = new Map<string, string[]>();
+    const callOnce = async (key: string): Promise<void> => {
+      const entry = bench.entries[random.nextInteger(2)]!;
+      const {outcome, code, isRight} = await entry.caller.call({
+        nonIdempotentKey: key,
+        timeoutMs: 600,
+        workMs: random.nextInteger(40),
+      });
+      // A replay has the echo of the first request.
+      assert.ok(isRight || code === 1002);
+      outcomes.set(key, [...(outcomes.get(key) ?? []), outcome]);
+    };
+    const faults = setInterval(() => {
+      const link = bench.links[random.nextInteger(3)]!;
+      link.setFaults(
+        random.next() < 0.5
+          ? {cut: true}
+          : {backward: {loss: 0.2, stallMs: 300}},
+      );
+      setTimeout(() => link.setFaults({}), 60);
+    }, 100).unref();
+    for (let round = 0; round < 15; round++) {
+      const keys = Array.from({length: 6}, (_, i) => `key-${round}-${i}`);
+      // Each key is sent twice at once and once again afterwards.
+      await Promise.all([...keys, ...keys].map(callOnce));
+      await Promise.all(keys.map(callOnce));
+    }
+    clearInterval(faults);
+    for (const [key, told] of outcomes) {
+      const runs = bench.ranKeys.get(key) ?? 0;
+      assert.ok(runs <= 1, `${key} ran ${runs} times: ${told.join()}`);
+      const isDenied = told.every((outcome) => outcome === 'did-not-run');
+      assert.ok(!isDenied || runs === 0, `${key} ran: ${told.join()}`);
+    }
+    const ran = [...outcomes.values()].flat().filter((o) => o === 'ran').length;
+    assert.ok(ran > 50, `${ran} of 270 answers were "ran"`);
+  }));
+
+test('P6: a repeat at another entry gets the stored answer', () =>
+  // Guards against a repeat that runs again, or is told less than is known.
+  withBench({entries: 2}, async (bench) => {
+    const [first, second] = bench.entries;
+    const request = {nonIdempotentKey: 'once'};
+    const original = await first!.caller.call(request);
+    assert.equal(original.code, 1000);
+    const repeat = await second!.caller.call(request);
+    assert.equal(repeat.code, 1002);
+    const other = await second!.caller.call({...request, body: 'changed'});
+    assert.equal(other.code, 2000);
+    assert.equal(bench.ranKeys.get('once'), 1);
+  }));
+
+test('P6: without the platform a keyed request is refused and can run later', () =>
+  // Guards against running without a claim, and against a claim that stays.
+  withBench({}, async (bench) => {
+    const request = {nonIdempotentKey: 'later', timeoutMs: 500};
+    bench.platform.setFaults({down: true});
+    const refused = await bench.entry.caller.call(request);
+    assert.equal(refused.outcome, 'did-not-run');
+    assert.equal(bench.ranKeys.size, 0);
+    bench.platform.setFaults({});
+    const result = await bench.entry.caller.call(request);
+    assert.equal(result.outcome, 'ran');
+  }));
--- a/src/entry/service_route.ts
+++ b/src/entry/service_route.ts
@@ -147,7 +147,7 @@
         answer,
         isIdempotent: head.isIdempotent,
         signal: gone.signal,
-        permission: keyed?.permission,
+        permit: keyed && ((): Promise<boolean> => keyed.permit()),
       });
     if (head.isIdempotent || head.key === undefined) {
       return this.finish(answer, await router.submit(create()));
--- a/src/entry/service_router.ts
+++ b/src/entry/service_router.ts
@@ -22,6 +22,7 @@
   REQUEST_ID_HEADER,
   TIMEOUT_HEADER,
 } from './result_headers.js';
+import {resultOfAttempt} from './result_of_attempt.js';
 import {ServiceCall} from './service_call.js';
 
 /** How a call ended. */
@@ -107,6 +108,8 @@
       this.calls.set(call.requestId, {call, resolve});
       call.options.signal.addEventListener('abort', () => this.abandon(call));
       if (call.options.signal.aborted) this.abandon(call);
+      const {permit} = call.options;
+      if (permit) void this.awaitPermission(call, permit);
       this.pump(call.service);
     });
   }
@@ -192,18 +195,26 @@
       const pending = this.calls.get(waiting.requestId);
       if (!pending) continue;
       if (pending.call.isPermitted) return pending.call;
-      this.awaitPermission(pending.call);
+      // It holds no slot while its claim is under way.
+      pending.call.isSetAside = true;
     }
   }
 
-  /** Keeps a call aside that has no claim yet; it holds no slot meanwhile. */
-  private awaitPermission(call: ServiceCall): void {
-    void call.options.permission?.then((isPermitted) => {
-      if (!isPermitted || call.hasEnded) return;
-      call.isPermitted = true;
+  /** Lets a call be sent once its claim is granted, and else ends it. */
+  private async awaitPermission(
+    call: ServiceCall,
+    permit: () => Promise<boolean>,
+  ): Promise<void> {
+    call.isPermitted = await permit();
+    if (call.hasEnded) return;
+    if (!call.isPermitted) {
+      this.options.admission.cancel(call.requestId);
+      const text = 'the key was not claimed for this request';
+      this.end(call, {code: ResultCodes.KEY_IN_USE, text});
+    } else if (call.isSetAside) {
       this.putBack(call);
       this.pump(call.service);
-    });
+    }
   }
 
   private putBack(call: ServiceCall): void {
@@ -284,10 +295,10 @@
   ): void {
     if (call.hasEnded) return;
     if (result.kind === TargetResultKind.ANSWERED) {
-      this.options.admission.completed(call.options.waiting, latencyMs);
       const answer = call.options.answer.complete();
       const {status} = result;
-      this.end(call, {code: ResultCodes.OK, text: 'answered', status, answer});
+      const code = ResultCodes.OK;
+      this.end(call, {code, text: 'answered', status, answer}, latencyMs);
       return;
     }
     if (result.kind === TargetResultKind.LOST) call.mayHaveRun = true;
@@ -297,7 +308,7 @@
       this.putBack(call);
       return;
     }
-    this.end(call, {code: codeOf(call, result), text: textOf(result)});
+    this.end(call, resultOfAttempt(result, call.mayHaveRun));
   }
 
   private learn(
@@ -359,8 +370,14 @@
     this.end(call, {code, text: 'the caller closed its connection'});
   }
 
-  private end(call: ServiceCall, end: ServiceCallEnd): void {
+  /** @param runTimeMs - Undefined if the request did not run to its end. */
+  private end(
+    call: ServiceCall,
+    end: ServiceCallEnd,
+    runTimeMs?: number,
+  ): void {
     if (!call.apply('end')) return;
+    this.options.admission.completed(call.options.waiting, runTimeMs);
     const pending = this.calls.get(call.requestId);
     this.calls.delete(call.requestId);
     if (end.code !== ResultCodes.OK) {
@@ -386,18 +403,3 @@
     });
   }
 }
-
-function codeOf(call: ServiceCall, result: TargetResult): ResultCode {
-  if (result.kind === TargetResultKind.LOST) {
-    return result.isTimeout ? ResultCodes.TIMED_OUT : ResultCodes.ANSWER_LOST;
-  }
-  if (call.mayHaveRun) return ResultCodes.ANSWER_LOST;
-  if (result.kind === TargetResultKind.NOT_SENT) return ResultCodes.NO_TARGET;
-  const isEpoch = 'reason' in result && result.reason === 'epoch';
-  return isEpoch ? ResultCodes.FENCED : ResultCodes.TARGET_REFUSED;
-}
-
-function textOf(result: TargetResult): string {
-  const reason = 'reason' in result ? result.reason : '';
-  return `Cannot complete request: ${reason}`;
-}
--- a/testing/entry_bench.ts
+++ b/testing/entry_bench.ts
@@ -3,19 +3,23 @@
 
 import {pino} from 'pino';
 
+import {ClaimStore} from '../src/claims/claim_store.js';
+import {StoredAnswers} from '../src/claims/stored_answers.js';
 import {sleep} from '../src/clock/sleep.js';
 import {SystemClock} from '../src/clock/system_clock.js';
+import {ClaimedCalls} from '../src/entry/claimed_calls.js';
 import {EntryParts, EntryProcess} from '../src/entry/entry_process.js';
 import {entrySettingsSchema} from '../src/entry/entry_settings.js';
 import {FifoAdmission} from '../src/entry/fifo_admission.js';
-import {RefusedKeyedCalls} from '../src/entry/keyed_calls.js';
 import {PeerNetwork} from '../src/links/peer_network.js';
+import {HttpPlatformService} from '../src/platform/http_platform_service.js';
 import {VmEntry} from '../src/platform/platform_service.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
 import {LeastLoadedRouting} from '../src/routing/least_loaded_routing.js';
 import {Caller} from './caller.js';
 import {FaultyLink} from './faulty_link.js';
 import {freePorts} from './free_ports.js';
+import {PlatformStandIn} from './platform_stand_in.js';
 import {
   StaticConfiguration,
   StaticInventory,
@@ -53,11 +57,14 @@
   readonly targets: TargetStandIn[] = [];
   readonly links: FaultyLink[] = [];
   readonly entries: BenchEntry[] = [];
+  readonly platform = new PlatformStandIn({vmListLagMs: 0});
   readonly ranKeys = new Map<string, number>();
   readonly ownership = new StaticOwnership();
   readonly configuration = new StaticConfiguration();
   readonly inventory = new StaticInventory([]);
 
+  private readonly cleanups: Array<() => Promise<void>> = [];
+
   private constructor(private readonly options: EntryBenchOptions) {}
 
   /** Starts everything and waits until all targets take work. */
@@ -118,6 +125,8 @@
       await entry.caller.stop();
       await entry.network.stop();
     }
+    for (const cleanup of this.cleanups) await cleanup();
+    await this.platform.stop();
     await Promise.all(this.links.map((link) => link.stop()));
     await Promise.all(this.targets.map((target) => target.stop()));
   }
@@ -147,6 +156,7 @@
   private async startEntries(): Promise<void> {
     const count = this.options.entries ?? 1;
     const ports = await freePorts(count * 2);
+    const platformPort = await this.platform.listen('127.0.0.1', 0);
     const members = Array.from({length: count}, (_, index) => ({
       member: `vm-${index + 1}`,
       dataCentre: 'levis',
@@ -165,7 +175,10 @@
         region: 'quebec-capitale',
         linkToken: 'link-token-for-tests',
         members,
-        platform: {origin: 'http://127.0.0.1:1'},
+        platform: {
+          origin: `http://127.0.0.1:${platformPort}`,
+          timeoutMs: 200,
+        },
         entry: {stopNoticeMs: 20, limits: this.options.limits},
       });
       await this.startEntry(settings);
@@ -191,6 +204,12 @@
       network.connect({...other, role: 'entry', port});
     }
     const ownership = this.ownership.viewOf(member);
+    const platform = new HttpPlatformService({...settings.platform});
+    const claims = new ClaimStore({platform, clock, member, incarnation});
+    this.cleanups.push(() => {
+      claims.stop();
+      return platform.stop();
+    });
     const entry = new EntryProcess({
       settings,
       clock,
@@ -202,7 +221,12 @@
       configuration: this.configuration,
       admission: new FifoAdmission(clock),
       createRouting: () => new LeastLoadedRouting({clock, random}),
-      keyedCalls: new RefusedKeyedCalls(),
+      keyedCalls: new ClaimedCalls({
+        claims,
+        answers: new StoredAnswers({clock}),
+        clock,
+        network,
+      }),
       isReady: () => true,
       ...this.options.parts?.(member),
     });
@@ -219,3 +243,16 @@
     });
   }
 }
+
+/** Runs `body` with a bench that is stopped afterwards. */
+export async function withBench(
+  options: EntryBenchOptions,
+  body: (bench: EntryBench) => Promise<void>,
+): Promise<void> {
+  const bench = await EntryBench.start(options);
+  try {
+    await body(bench);
+  } finally {
+    await bench.stop();
+  }
+}
