Hold freed room for urgent work after evictions

Change: HeadroomFit holds room in proportion to the urgent work that had to evict, at most 5% of the pool, with a half-life of 10 s; a worker is drained at evidence 9 instead of 6.

--- a/measure/scenarios/colocation.ts
+++ b/measure/scenarios/colocation.ts
@@ -1,3 +1,4 @@
+import {Clock} from '../../src/clock/clock.js';
 import {SlowdownModel} from '../../src/interference/slowdown_model.js';
 import {BestFit} from '../../src/placement/best_fit.js';
 import {FirstFit} from '../../src/placement/first_fit.js';
@@ -17,13 +18,16 @@
 const VARIANTS: Readonly<Record<string, Variant>> = {
   'first fit': {createPolicy: () => new FirstFit()},
   'best fit': {createPolicy: () => new BestFit()},
-  ours: {createPolicy: createOurs, learnsSizes: true},
+  ours: {
+    createPolicy: (model, clock) => createOurs(model, clock),
+    learnsSizes: true,
+  },
   'best fit with learned sizes': {
     createPolicy: () => new BestFit(),
     learnsSizes: true,
   },
   'ours without interference': {
-    createPolicy: () => new HeadroomFit(),
+    createPolicy: (...[, clock]) => new HeadroomFit({clock}),
     learnsSizes: true,
   },
 };
@@ -34,7 +38,7 @@
  * and the same faults.
  */
 export const scenario: Scenario = (options) => {
-  const {seed, progress} = options;
+  const {seed} = options;
   const results: Record<string, ColocationFigures> = {};
   for (const [name, variant] of Object.entries(VARIANTS)) {
     const run = new ColocationRun({
@@ -43,7 +47,7 @@
       durationMs: DURATION_MS,
     });
     results[name] = run.run();
-    progress(`${name}: ${JSON.stringify(results[name])}`);
+    options.progress(`${name}: ${JSON.stringify(results[name])}`);
   }
   const own = results['ours']!;
   const baseline = results['best fit']!;
@@ -60,8 +64,9 @@
   });
 };
 
-function createOurs(model: SlowdownModel): HeadroomFit {
+function createOurs(model: SlowdownModel, clock: Clock): HeadroomFit {
   return new HeadroomFit({
+    clock,
     slowdown: (kind, neighbour) => model.slowdown(kind, neighbour),
   });
 }
--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -1,5 +1,6 @@
 import {build} from 'hdr-histogram-js';
 
+import {Clock} from '../../src/clock/clock.js';
 import {ManualClock} from '../../src/clock/manual_clock.js';
 import {Urgency} from '../../src/contracts/urgency.js';
 import {SlowdownModel} from '../../src/interference/slowdown_model.js';
@@ -23,7 +24,7 @@
   seed: number;
   durationMs: number;
   /** Creates the policy; the model is taught from the reports of workers. */
-  createPolicy: (model: SlowdownModel) => PlacementPolicy;
+  createPolicy: (model: SlowdownModel, clock: Clock) => PlacementPolicy;
   /** Whether learned sizes are committed. @default false */
   learnsSizes?: boolean;
 }
@@ -103,7 +104,7 @@
 
   constructor(private readonly options: ColocationRunOptions) {
     this.work = new ColocationWork(options);
-    this.policy = options.createPolicy(this.model);
+    this.policy = options.createPolicy(this.model, this.clock);
     for (let i = 0; i < WORKERS; i++) this.addWorker(i);
     this.others = this.work.watchers(WATCHERS).map(waitingOf);
   }
--- a/src/placement/headroom_fit.ts
+++ b/src/placement/headroom_fit.ts
@@ -1,3 +1,4 @@
+import {Clock} from '../clock/clock.js';
 import {Urgency} from '../contracts/urgency.js';
 import {chooseVictims, VictimChoice} from './choose_victims.js';
 import {fitLeftover} from './fit_leftover.js';
@@ -27,6 +28,8 @@
 const SAME_WORKER_COST = 16;
 /** Above every other cost, so that such workers are the last choice. */
 const ACCELERATOR_COST = 1_000;
+/** A smaller part would only keep tasks out that fit exactly. */
+const LEAST_HELD = 0.001;
 /** Reasons kept for the log; more would cost more than the decision. */
 const MOST_REASONS = 4;
 
@@ -48,6 +51,21 @@
   interferenceWeight?: number;
   /** See {@link ChooseVictimsOptions.overShare}. @default all at their share */
   overShare?: (customer: string) => number;
+  /**
+   * Time for `holdMs`.
+   *
+   * @default no room is held
+   */
+  clock?: Clock;
+  /**
+   * Time in ms in which half of the room is given back that is held for urgent
+   * work after it had to evict.
+   *
+   * @default 10000
+   */
+  holdMs?: number;
+  /** Largest part of the pool that is held, 0 to 1. @default 0.05 */
+  mostHeld?: number;
   /** Whether urgent work may evict other work. @default true */
   preempts?: boolean;
 }
@@ -69,6 +87,8 @@
   private readonly reclaimable: GridIndex;
   private readonly racks: RackIndex;
   private readonly headroom: number;
+  private heldPart = 0;
+  private heldAtMs = 0;
   private readonly neighbours: NeighbourCost | undefined;
 
   constructor(private readonly options: HeadroomFitOptions = {}) {
@@ -125,11 +145,35 @@
     return (['processors', 'memory'] as const).some((name) => {
       // A task that leaves too little even of an empty pool would never start.
       const left = Math.max(0, total[name] - need[name]);
-      const reserved = Math.min(this.headroom * total[name], left);
+      const wanted = (this.headroom + this.held()) * total[name];
+      const reserved = Math.min(wanted, left);
       return free[name] - need[name] < reserved;
     });
   }
 
+  /**
+   * Part of the pool that is held after evictions, so that lower work doesn't
+   * take the freed room and is evicted again in the same wave of urgent work.
+   */
+  private held(): number {
+    const {clock, holdMs = 10_000} = this.options;
+    if (!clock || this.heldPart === 0) return 0;
+    const nowMs = clock.nowMs();
+    this.heldPart *= 0.5 ** ((nowMs - this.heldAtMs) / holdMs);
+    this.heldAtMs = nowMs;
+    if (this.heldPart < LEAST_HELD) this.heldPart = 0;
+    return this.heldPart;
+  }
+
+  private hold(need: ResourceUnits): void {
+    const {clock, mostHeld = 0.05} = this.options;
+    if (!clock) return;
+    const total = this.ledger.acceptingUnits().processors;
+    const part = this.held() + need.processors / Math.max(1, total);
+    this.heldPart = Math.min(mostHeld, part);
+    this.heldAtMs = clock.nowMs();
+  }
+
   private bestCandidate(
     request: PlacementRequest,
     state: {
@@ -218,6 +262,7 @@
       },
     });
     if (!best) return undefined;
+    this.hold(need);
     const {record, choice} = best;
     return {
       worker: record.worker,
--- a/src/placement/headroom_fit_test.ts
+++ b/src/placement/headroom_fit_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {ManualClock} from '../clock/manual_clock.js';
 import {Urgency} from '../contracts/urgency.js';
 import {HeadroomFit, HeadroomFitOptions} from './headroom_fit.js';
 import {PlacementRequest} from './placement_request.js';
@@ -94,6 +95,21 @@
   assert.equal(policy.place(request(wanted)), undefined);
 });
 
+// Guards against batch work that takes the freed room and is evicted again.
+test('holds room for a while after an eviction', () => {
+  const clock = new ManualClock();
+  const policy = policyOf(4, {headroom: 0, clock, mostHeld: 0.5});
+  for (let i = 0; i < 8; i++) fill(policy, {taskId: `t${i}`});
+  assert.equal(
+    policy.place(request({urgency: Urgency.URGENT}))?.victims.length,
+    1,
+  );
+  policy.release('t0');
+  assert.equal(policy.place(request({taskId: 'more'})), undefined);
+  clock.advance(120_000);
+  assert.ok(policy.place(request({taskId: 'more'})));
+});
+
 // Guards against a customer within its share that pays for one beyond it.
 test('evicts work of the customer that is over its share first', () => {
   const overShare = (customer: string): number => (customer === 'b' ? 3 : 1);
--- a/src/placement/worker_health.ts
+++ b/src/placement/worker_health.ts
@@ -30,7 +30,7 @@
 
 /** Options of {@link WorkerHealth}. */
 export interface WorkerHealthOptions {
-  /** Evidence (logarithm of odds) at which a worker is drained. @default 6 */
+  /** Evidence (logarithm of odds) at which a worker is drained. @default 9 */
   threshold?: number;
   /** First time in ms without work before a probe; doubles. @default 15000 */
   restMs?: number;
@@ -76,7 +76,7 @@
     options: WorkerHealthOptions = {},
   ) {
     this.options = {
-      threshold: 6,
+      threshold: 9,
       restMs: 15_000,
       longestRestMs: 300_000,
       probes: 2,
