--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -5,6 +5,8 @@
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
   colocation: async () => (await import('./scenarios/colocation.js')).scenario,
+  tail: async () => (await import('./scenarios/tail.js')).runTail,
+  slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
