--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -6,6 +6,7 @@
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
   latency: async () => (await import('./scenarios/latency.js')).runLatency,
   flood: async () => (await import('./scenarios/flood.js')).runFlood,
+  colocation: async () => (await import('./scenarios/colocation.js')).scenario,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
