Add the configuration store

Cause: entry and scheduler need a view of contracts and planned stops that never goes back to an old value.

--- /dev/null
+++ b/src/contracts/caller_index.ts
@@ -0,0 +1,63 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+import {AuthenticatedCaller} from './configuration_view.js';
+import {Contract} from './contract.js';
+
+/** Finds callers by their keys in time that does not depend on their number. */
+export class CallerIndex {
+  private readonly callersByHash = new Map<string, AuthenticatedCaller[]>();
+
+  /** Adds the callers of a contract. */
+  add(contract: Contract): void {
+    for (const {name, keyHash} of contract.callers) {
+      const callers = this.callersByHash.get(keyHash) ?? [];
+      callers.push({contract, caller: name});
+      callers.sort((a, b) => compare(a, b));
+      this.callersByHash.set(keyHash, callers);
+    }
+  }
+
+  /** Removes the callers of a contract that was added. */
+  remove(contract: Contract): void {
+    for (const {keyHash} of contract.callers) {
+      const callers = this.callersByHash.get(keyHash) ?? [];
+      const rest = callers.filter((caller) => caller.contract !== contract);
+      if (rest.length > 0) this.callersByHash.set(keyHash, rest);
+      else this.callersByHash.delete(keyHash);
+    }
+  }
+
+  /**
+   * Returns the caller with this key. If two contracts name the same key, all
+   * processes choose the customer that comes first in the order of names.
+   */
+  find(key: string): AuthenticatedCaller | undefined {
+    const digest = createHash('sha256').update(key).digest();
+    return this.findHash(digest.toString('hex'), digest);
+  }
+
+  /** Returns the customer whose contract names this hash. */
+  customerOf(keyHash: string): string | undefined {
+    return this.callersByHash.get(keyHash)?.[0]?.contract.customer;
+  }
+
+  private findHash(
+    hash: string,
+    digest: Buffer,
+  ): AuthenticatedCaller | undefined {
+    const found = this.callersByHash.get(hash)?.[0];
+    if (!found) return undefined;
+    const caller = found.contract.callers.find(
+      ({name}) => name === found.caller,
+    );
+    if (!caller) return undefined;
+    const stored = Buffer.from(caller.keyHash, 'hex');
+    return timingSafeEqual(stored, digest) ? found : undefined;
+  }
+}
+
+function compare(a: AuthenticatedCaller, b: AuthenticatedCaller): number {
+  const first = `${a.contract.customer} ${a.caller}`;
+  const second = `${b.contract.customer} ${b.caller}`;
+  return first < second ? -1 : Number(first > second);
+}
--- /dev/null
+++ b/src/contracts/configuration_store.ts
@@ -0,0 +1,173 @@
+import {z} from 'zod';
+
+import {Clock} from '../clock/clock.js';
+import {CallerIndex} from './caller_index.js';
+import {ConfigurationDelta, ConfigurationEntry} from './configuration_delta.js';
+import {parseConfigurationKey} from './configuration_key.js';
+import {
+  contractRecordSchema,
+  stopRecordSchema,
+} from './configuration_record.js';
+import {AuthenticatedCaller, ConfigurationView} from './configuration_view.js';
+import {Contract} from './contract.js';
+import {PlannedStop} from './planned_stop.js';
+import {
+  RevisionedEntries,
+  RevisionedEntriesOptions,
+} from './revisioned_entries.js';
+
+/** Options of {@link ConfigurationStore}. */
+export interface ConfigurationStoreOptions extends RevisionedEntriesOptions {
+  clock: Clock;
+}
+
+/**
+ * Configuration that is in effect in a process. A value that this version
+ * cannot read is passed on to peers, while the last readable one stays in
+ * effect here.
+ */
+export class ConfigurationStore implements ConfigurationView {
+  private readonly entries: RevisionedEntries;
+  private readonly clock: Clock;
+  private readonly contractsByCustomer = new Map<string, Contract>();
+  private readonly stopsByName = new Map<string, PlannedStop>();
+  private readonly callers = new CallerIndex();
+  private readonly unreadable = new Set<string>();
+  private readonly listeners = new Set<() => void>();
+  private confirmedMs: number | undefined;
+
+  constructor(options: ConfigurationStoreOptions) {
+    this.clock = options.clock;
+    this.entries = new RevisionedEntries(options);
+  }
+
+  get revision(): number {
+    return this.entries.highestRevision;
+  }
+
+  /** All changes up to this revision are in effect here. */
+  get completeRevision(): number {
+    return this.entries.completeRevision;
+  }
+
+  /** Tells whether the platform's state was received, from it or a peer. */
+  get isReady(): boolean {
+    return this.confirmedMs !== undefined;
+  }
+
+  /** Keys whose values this version cannot read. */
+  get unreadableKeys(): readonly string[] {
+    return [...this.unreadable];
+  }
+
+  ageMs(): number {
+    if (this.confirmedMs === undefined) return Infinity;
+    return Math.max(0, this.clock.nowMs() - this.confirmedMs);
+  }
+
+  contract(customer: string): Contract | undefined {
+    return this.contractsByCustomer.get(customer);
+  }
+
+  contracts(): Iterable<Contract> {
+    return this.contractsByCustomer.values();
+  }
+
+  authenticate(key: string): AuthenticatedCaller | undefined {
+    return this.callers.find(key);
+  }
+
+  /** Returns the customer whose contract names the hash of a key. */
+  customerOfKeyHash(keyHash: string): string | undefined {
+    return this.callers.customerOf(keyHash);
+  }
+
+  plannedStop(name: string): PlannedStop | undefined {
+    return this.stopsByName.get(name);
+  }
+
+  /** Returns all planned stops. */
+  plannedStops(): Iterable<PlannedStop> {
+    return this.stopsByName.values();
+  }
+
+  /** Returns a stored key with its revision. */
+  entry(key: string): ConfigurationEntry | undefined {
+    return this.entries.get(key);
+  }
+
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Applies one change, for example one that this process wrote. */
+  applyChange(change: ConfigurationEntry): void {
+    if (this.entries.applyChange(change)) this.update([change]);
+  }
+
+  /**
+   * Applies changes of the platform or a peer.
+   *
+   * @param delta - Changes or snapshot.
+   * @param askedMs - Monotonic time in ms at which they were asked for; the
+   *     state is at least as new as this minus the delta's age.
+   */
+  applyDelta(delta: ConfigurationDelta, askedMs: number): void {
+    const applied = this.entries.applyDelta(delta);
+    const hasAll = this.entries.completeRevision >= delta.completeRevision;
+    if (delta.ageMs !== undefined && hasAll) {
+      const confirmedMs = askedMs - delta.ageMs;
+      this.confirmedMs = Math.max(this.confirmedMs ?? -Infinity, confirmedMs);
+    }
+    if (applied.length > 0) this.update(applied);
+  }
+
+  /** Returns what a peer that is complete through `sinceRevision` lacks. */
+  deltaSince(sinceRevision: number): ConfigurationDelta {
+    const delta = this.entries.deltaSince(sinceRevision);
+    return this.isReady ? {...delta, ageMs: this.ageMs()} : delta;
+  }
+
+  private update(changes: readonly ConfigurationEntry[]): void {
+    for (const change of changes) this.updateSubject(change);
+    for (const listener of this.listeners) listener();
+  }
+
+  private updateSubject({key, value}: ConfigurationEntry): void {
+    const subject = parseConfigurationKey(key);
+    if (!subject) return;
+    this.unreadable.delete(key);
+    if (subject.kind === 'contract') {
+      const record = this.read(key, value, contractRecordSchema);
+      if (record) this.putContract(subject.customer, record.value);
+      return;
+    }
+    const record = this.read(key, value, stopRecordSchema);
+    if (record?.value) this.stopsByName.set(subject.name, record.value);
+    else if (record) this.stopsByName.delete(subject.name);
+  }
+
+  private putContract(customer: string, contract: Contract | null): void {
+    const earlier = this.contractsByCustomer.get(customer);
+    if (earlier) this.callers.remove(earlier);
+    this.contractsByCustomer.delete(customer);
+    if (!contract) return;
+    this.contractsByCustomer.set(customer, contract);
+    this.callers.add(contract);
+  }
+
+  private read<T>(
+    key: string,
+    value: string | undefined,
+    schema: z.ZodType<{value: T | null}>,
+  ): {value: T | null} | undefined {
+    if (value === undefined) return {value: null};
+    try {
+      return schema.parse(JSON.parse(value));
+    } catch {
+      this.unreadable.add(key);
+      return undefined;
+    }
+  }
+}
