Spread configuration by watches and peers

Cause: a watch in each process would let platform calls grow with the fleet. Conclusion: the age of the state counts from the question, so that a process that slept does not take a late answer for a fresh one. A watch interrupted for more than 30 s reads the full list, because the platform forgets old changes.

--- /dev/null
+++ b/src/contracts/configuration_propagation_test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import {test, TestContext} from 'node:test';
+
+import {PlatformStandIn} from '../../testing/platform_stand_in.js';
+import {sleep} from '../clock/sleep.js';
+import {SystemClock} from '../clock/system_clock.js';
+import {HttpPlatformService} from '../platform/http_platform_service.js';
+import {SeededRandom} from '../random/seeded_random.js';
+import {stopKey} from './configuration_key.js';
+import {ConfigurationPeer} from './configuration_peer.js';
+import {ConfigurationPropagation} from './configuration_propagation.js';
+import {ConfigurationStore} from './configuration_store.js';
+import {
+  chooseExchangePeers,
+  isWatching,
+  needsList,
+} from './propagation_plan.js';
+
+const clock = new SystemClock();
+const KEY = stopKey('vm-1');
+
+function peerOf(
+  store: ConfigurationStore,
+  dataCentre: string,
+): ConfigurationPeer {
+  return {
+    member: `${dataCentre}-peer`,
+    dataCentre,
+    configurationSince: (revision) =>
+      Promise.resolve(store.deltaSince(revision)),
+  };
+}
+
+interface Fixture {
+  standIn: PlatformStandIn;
+  platform: HttpPlatformService;
+  process: (
+    remotePeers?: ConfigurationPeer[],
+    localPeers?: ConfigurationPeer[],
+  ) => {
+    store: ConfigurationStore;
+    propagation: ConfigurationPropagation;
+  };
+}
+
+async function fixture(context: TestContext): Promise<Fixture> {
+  const standIn = new PlatformStandIn();
+  const port = await standIn.listen('127.0.0.1', 0);
+  const platform = new HttpPlatformService({
+    origin: `http://127.0.0.1:${port}`,
+  });
+  const started: ConfigurationPropagation[] = [];
+  context.after(async () => {
+    for (const propagation of started) propagation.stop();
+    await platform.stop();
+    await standIn.stop();
+  });
+  return {
+    standIn,
+    platform,
+    process: (remotePeers = [], localPeers = []) => {
+      const store = new ConfigurationStore({clock});
+      const propagation = new ConfigurationPropagation({
+        store,
+        platform,
+        clock,
+        random: new SeededRandom(1),
+        self: 'a',
+        role: 'entry',
+        localPeers,
+        remotePeers,
+        livingEntries: () => ['a', 'b', 'c'],
+        exchangeMs: 50,
+      });
+      started.push(propagation);
+      propagation.start();
+      return {store, propagation};
+    },
+  };
+}
+
+async function until(condition: () => boolean, limitMs = 4000): Promise<void> {
+  const endMs = clock.nowMs() + limitMs;
+  while (!condition() && clock.nowMs() < endMs) await sleep(10);
+  assert.ok(condition(), `not reached within ${limitMs} ms`);
+}
+
+test('a process that starts while the platform is down asks its peers', async (context) => {
+  // Guards against restarts during an outage that leave a VM unusable, and
+  // against a peer without configuration that counts as an answer.
+  const {standIn, process} = await fixture(context);
+  standIn.setFaults({down: true});
+  const empty = new ConfigurationStore({clock});
+  const known = new ConfigurationStore({clock});
+  const waiting = process([peerOf(empty, 'x')]);
+  await sleep(200);
+  assert.equal(waiting.store.isReady, false);
+  known.applyChange({key: KEY, value: '{}', revision: 7});
+  known.applyDelta({...known.deltaSince(7), ageMs: 0}, clock.nowMs());
+  const {store, propagation} = process([peerOf(known, 'y')]);
+  await propagation.whenReady();
+  assert.equal(store.entry(KEY)?.revision, 7);
+});
+
+test('changes arrive after an outage, from the last revision', async (context) => {
+  // Guards against a watch that ends with the first failure, and against
+  // changes made during an outage that never arrive.
+  const {standIn, platform, process} = await fixture(context);
+  const {store, propagation} = process();
+  await propagation.whenReady();
+  const write = (expectedRevision: number): Promise<unknown> =>
+    platform.write({key: KEY, value: '{}', expectedRevision});
+  await write(0);
+  await until(() => store.entry(KEY)?.revision === 1);
+  standIn.setFaults({down: true});
+  await sleep(300);
+  standIn.setFaults({});
+  await write(1);
+  await until(() => store.entry(KEY)?.revision === 2);
+  await platform.delete(KEY, 2);
+  await until(() => store.entry(KEY) === undefined);
+});
+
+test('a stale peer does not undo what the platform said', async (context) => {
+  // Guards against a partitioned data centre that spreads old values when it
+  // is reachable again.
+  const {platform, process} = await fixture(context);
+  await platform.write({key: KEY, value: '1', expectedRevision: 0});
+  await platform.write({key: KEY, value: '2', expectedRevision: 1});
+  const stale = new ConfigurationStore({clock});
+  stale.applyChange({key: KEY, value: '1', revision: 1});
+  const {store} = process([peerOf(stale, 'x')]);
+  await until(() => store.entry(KEY)?.revision === 2);
+  await sleep(200);
+  assert.equal(store.entry(KEY)?.value, '2');
+});
+
+test('a heartbeat with a newer revision is followed by a question', async (context) => {
+  // Guards against entries without a watch that learn of changes only by
+  // their slow fallback.
+  const {process} = await fixture(context);
+  const known = new ConfigurationStore({clock});
+  const peer = peerOf(known, 'a');
+  const {propagation, store} = process([], [peer]);
+  await propagation.whenReady();
+  await sleep(100);
+  known.applyChange({key: KEY, value: '{}', revision: 7});
+  propagation.heard(peer.member, known.revision);
+  await until(() => store.revision === 7, 200);
+});
+
+test('the lowest two watch, and a long gap leads to a full list', () => {
+  // Guards against calls that grow with the fleet, and against changes that
+  // the platform no longer keeps when a watch resumes.
+  const living = ['a', 'b', 'c'];
+  const watching = living.filter((member) => isWatching(member, living));
+  assert.deepEqual(watching, ['a', 'b']);
+  const state = {hasListed: true, sinceListMs: 60_000, sinceAnswerMs: 1000};
+  assert.equal(needsList(state), false);
+  assert.equal(needsList({...state, sinceAnswerMs: 31_000}), true);
+  const peers = ['x', 'x', 'x', 'y'].map((dataCentre) => ({dataCentre}));
+  const chosen = chooseExchangePeers(peers, new SeededRandom(3));
+  assert.deepEqual(new Set(chosen.map((p) => p.dataCentre)).size, 2);
+});
--- /dev/null
+++ b/src/contracts/configuration_watch.ts
@@ -0,0 +1,116 @@
+import {Clock} from '../clock/clock.js';
+import {sleep} from '../clock/sleep.js';
+import {PlatformService} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {CONFIGURATION_PREFIX} from './configuration_key.js';
+import {ConfigurationStore} from './configuration_store.js';
+import {needsList, retryDelayMs} from './propagation_plan.js';
+
+/** Options of {@link ConfigurationWatch}. */
+export interface ConfigurationWatchOptions {
+  store: ConfigurationStore;
+  platform: PlatformService;
+  clock: Clock;
+  random: RandomSource;
+  /**
+   * Longest wait in ms of one long poll. A connection that went silent is
+   * noticed after this time and the call timeout, which together stay below
+   * the 4 s in which a change must be in effect. @default 2000
+   */
+  watchWaitMs?: number;
+  /** Receives failures of platform calls. @default none */
+  onFailure?: (error: Error) => void;
+}
+
+/** Follows the platform's changes while this process is chosen to do so. */
+export class ConfigurationWatch {
+  private controller: AbortController | undefined;
+
+  constructor(private readonly options: ConfigurationWatchOptions) {}
+
+  /** Tells whether the watch is running. */
+  get isRunning(): boolean {
+    return this.controller !== undefined;
+  }
+
+  /** Starts the watch; has no effect while it is running. */
+  start(): void {
+    if (this.controller) return;
+    this.controller = new AbortController();
+    void this.run(this.controller.signal);
+  }
+
+  /** Ends the watch and its pending call. */
+  stop(): void {
+    this.controller?.abort();
+    this.controller = undefined;
+  }
+
+  /** Reads all configuration keys once. */
+  async list(): Promise<void> {
+    const {platform, store, clock} = this.options;
+    const askedMs = clock.nowMs();
+    const {entries, revision} = await platform.list(CONFIGURATION_PREFIX);
+    // A stale answer must not count as a confirmation of newer state.
+    const isStale = revision < store.completeRevision;
+    store.applyDelta(
+      {
+        sinceRevision: 0,
+        completeRevision: revision,
+        entries,
+        isSnapshot: true,
+        ageMs: isStale ? undefined : 0,
+      },
+      askedMs,
+    );
+  }
+
+  private async run(signal: AbortSignal): Promise<void> {
+    const {clock, random, onFailure} = this.options;
+    let failures = 0;
+    let listedMs = -Infinity;
+    let answeredMs = -Infinity;
+    while (!signal.aborted) {
+      const nowMs = clock.nowMs();
+      const isListDue = needsList({
+        hasListed: listedMs > -Infinity,
+        sinceListMs: nowMs - listedMs,
+        sinceAnswerMs: nowMs - answeredMs,
+      });
+      try {
+        if (isListDue) await this.list();
+        else await this.poll(signal);
+        answeredMs = clock.nowMs();
+        if (isListDue) listedMs = answeredMs;
+        failures = 0;
+      } catch (error) {
+        if (signal.aborted) return;
+        failures += 1;
+        onFailure?.(error as Error);
+        await sleep(retryDelayMs(failures, random), {signal});
+      }
+    }
+  }
+
+  private async poll(signal: AbortSignal): Promise<void> {
+    const {platform, store, clock, watchWaitMs = 2000} = this.options;
+    const sinceRevision = store.completeRevision;
+    const askedMs = clock.nowMs();
+    const {changes, revision} = await platform.watch(CONFIGURATION_PREFIX, {
+      sinceRevision,
+      waitMs: watchWaitMs,
+      signal,
+    });
+    const isStale = revision < store.completeRevision;
+    store.applyDelta(
+      {
+        sinceRevision,
+        completeRevision: revision,
+        entries: changes,
+        isSnapshot: false,
+        ageMs: isStale ? undefined : 0,
+      },
+      askedMs,
+    );
+  }
+}
