--- a/src/contracts/configuration_delta.ts
+++ b/src/contracts/configuration_delta.ts
@@ -18,8 +18,6 @@
   entries: ConfigurationEntry[];
   /** True if keys that are missing in `entries` do not exist. */
   isSnapshot: boolean;
-  /** True if more changes follow after `completeRevision`. @default false */
-  isCut?: boolean;
   /**
    * Time in ms since the platform confirmed this state; undefined if it never
    * did.
