--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -6,6 +6,7 @@
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -41,6 +41,8 @@
   neededVersion = 0;
   /** Latest report of progress, speed and use. */
   progress = 0;
+  /** First progress seen in the current run, in the owner's time. */
+  observed: {progress: number; atMs: number} | undefined;
   waitingSinceMs = 0;
   /** Workers that still hold a record of an earlier run. */
   readonly recordedAt = new Set<string>();
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -129,6 +129,7 @@
     this.options.placement.release(task.taskId);
     this.byWorker.get(task.place.worker)?.delete(task);
     task.place = undefined;
+    task.observed = undefined;
   }
 
   /** The start had no effect. */
--- a/src/scheduler/worker_exchange.ts
+++ b/src/scheduler/worker_exchange.ts
@@ -5,6 +5,7 @@
 import {ShardTimings} from './shard_timings.js';
 import {QueuedOperation, ShardWorker} from './shard_worker.js';
 import {TaskBook} from './task_book.js';
+import {untilNextEnd} from './until_next_end.js';
 import {WorkerReports} from './worker_reports.js';
 
 /** Options of {@link WorkerExchange}. */
@@ -184,6 +185,8 @@
       worker.nextContactMs = nowMs + waitMs;
     }
     this.reports.apply(worker, report);
+    const endMs = nowMs + untilNextEnd(this.options.book, worker, nowMs);
+    worker.nextContactMs = Math.min(worker.nextContactMs, endMs);
     const task = taskId ? this.options.book.tasks.get(taskId) : undefined;
     const isCheckpointed = name === 'checkpoint' && !report.refusal && task;
     if (isCheckpointed && this.options.book.advance(task, 'checkpointed')) {
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -107,6 +107,7 @@
   ): void {
     const {book} = this.options;
     task.progress = seen.progress;
+    task.observed ??= {progress: seen.progress, atMs: book.nowMs};
     task.mayHaveRun = true;
     if (seen.state !== WorkerTaskState.FINISHED) {
       book.noteCheckpoint(task, seen.checkpoint);
--- /dev/null
+++ b/testing/job_load.ts
@@ -0,0 +1,106 @@
+import {sleep} from '../src/clock/sleep.js';
+import {RandomSource} from '../src/random/random_source.js';
+import {ResultCodes} from '../src/result_codes/result_code.js';
+import {ResultError} from '../src/result_codes/result_error.js';
+import {JobAnswer} from '../src/scheduler/job_answer.js';
+import {SchedulerCaller} from './scheduler_caller.js';
+
+/** Options of {@link JobLoad}. */
+export interface JobLoadOptions {
+  /** Callers of the schedulers, used in turn. */
+  callers: readonly SchedulerCaller[];
+  random: RandomSource;
+  /** Time in ms between two jobs. */
+  intervalMs: number;
+}
+
+const ATTEMPT_MS = 1500;
+
+/** Submits jobs, repeats those in doubt, and follows them to their end. */
+export class JobLoad {
+  readonly accepted = new Set<string>();
+  /** Jobs for which the scheduler answered that there is no such job. */
+  readonly lost = new Set<string>();
+  private readonly pending: Array<Promise<void>> = [];
+  private turn = 0;
+  private isStopped = false;
+
+  constructor(private readonly options: JobLoadOptions) {}
+
+  /** Submits jobs until {@link stop}. */
+  async run(): Promise<void> {
+    for (let count = 0; !this.isStopped; count++) {
+      this.pending.push(this.submit(`job-${count}`));
+      await sleep(this.options.intervalMs);
+    }
+  }
+
+  /** Ends the submission and waits until each job is accepted or given up. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.pending);
+  }
+
+  /** Waits until all accepted jobs have ended; returns how many have not. */
+  async waitForEnds(limitMs: number): Promise<number> {
+    const deadlineMs = performance.now() + limitMs;
+    let open = [...this.accepted];
+    while (open.length > 0 && performance.now() < deadlineMs) {
+      const states = await Promise.all(open.map((id) => this.stateOf(id)));
+      open = open.filter((_, index) => states[index] !== 'ended');
+      if (open.length > 0) await sleep(200);
+    }
+    return open.length;
+  }
+
+  /** Calls one scheduler after the other. */
+  call(
+    name: 'submit' | 'jobStatus',
+    body: Record<string, unknown>,
+    timeoutMs = ATTEMPT_MS,
+  ): Promise<JobAnswer> {
+    const {callers} = this.options;
+    const caller = callers[this.turn++ % callers.length]!;
+    return caller.call(name, body, timeoutMs);
+  }
+
+  private async submit(id: string): Promise<void> {
+    const {random} = this.options;
+    const isUrgent = random.next() < 0.15;
+    const job = {
+      id,
+      customer: `customer-${random.nextInteger(3)}`,
+      kind: isUrgent ? 'preview' : 'render',
+      urgency: isUrgent ? 'urgent' : 'batch',
+      resources: {
+        processors: 1 + random.nextInteger(isUrgent ? 3 : 4),
+        memoryMegabytes: 500,
+      },
+      payload: {actualRunTimeMs: 200 + random.nextInteger(1800)},
+    };
+    const deadlineMs = performance.now() + 25_000;
+    while (performance.now() < deadlineMs) {
+      try {
+        await this.call('submit', {job});
+        this.accepted.add(id);
+        return;
+      } catch {
+        await sleep(100);
+      }
+    }
+  }
+
+  private async stateOf(jobId: string): Promise<string | undefined> {
+    try {
+      const {state} = await this.call('jobStatus', {jobId});
+      this.lost.delete(jobId);
+      return state;
+    } catch (error) {
+      const isUnknown =
+        error instanceof ResultError &&
+        error.code.number === ResultCodes.NOT_FOUND.number;
+      if (isUnknown) this.lost.add(jobId);
+      return undefined;
+    }
+  }
+}
