--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,5 +1,6 @@
 import {Clock} from '../clock/clock.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
+import {LinkIdentity} from '../links/link_message.js';
 import {Heartbeat} from './heartbeat.js';
 import {LivingPeer, PeerTable} from './peer_table.js';
 
@@ -29,13 +30,19 @@
 /** Name of the message that carries a {@link Heartbeat}. */
 export const HEARTBEAT_MESSAGE = 'heartbeat';
 
+/** Takes a heartbeat and the identity of its sender. */
+export type HeartbeatListener = (
+  heartbeat: Heartbeat,
+  from: LinkIdentity,
+) => void;
+
 /** Exchanges heartbeats with the members of the same role and data centre. */
 export class Membership {
   readonly table: PeerTable;
   private readonly startMs: number;
   private readonly timer: NodeJS.Timeout;
   private readonly tickListeners = new Set<() => void>();
-  private readonly heartbeatListeners = new Set<(beat: Heartbeat) => void>();
+  private readonly heartbeatListeners = new Set<HeartbeatListener>();
   private sequence = 0;
   private isLeaving = false;
 
@@ -48,8 +55,8 @@
       suspectAfterMs: options.suspectAfterMs,
       startMs: this.startMs,
     });
-    network.onMessage(HEARTBEAT_MESSAGE, (body) =>
-      this.receive(body as Heartbeat),
+    network.onMessage(HEARTBEAT_MESSAGE, (body, from) =>
+      this.receive(body as Heartbeat, from),
     );
     for (const peer of [...peers, ...(options.listeners ?? [])]) {
       network.connect(peer);
@@ -89,7 +96,7 @@
   }
 
   /** Calls `listener` for each new heartbeat, also of other roles. */
-  onHeartbeat(listener: (heartbeat: Heartbeat) => void): void {
+  onHeartbeat(listener: HeartbeatListener): void {
     this.heartbeatListeners.add(listener);
   }
 
@@ -123,8 +130,11 @@
     for (const listener of this.tickListeners) listener();
   }
 
-  private receive(heartbeat: Heartbeat): void {
-    this.table.record(heartbeat, this.options.clock.nowMs());
-    for (const listener of this.heartbeatListeners) listener(heartbeat);
+  private receive(heartbeat: Heartbeat, from: LinkIdentity): void {
+    // The entry and the scheduler of a VM have the same member name.
+    if (from.role === this.options.network.identity.role) {
+      this.table.record(heartbeat, this.options.clock.nowMs());
+    }
+    for (const listener of this.heartbeatListeners) listener(heartbeat, from);
   }
 }
--- a/src/ownership/ownership_keeper.ts
+++ b/src/ownership/ownership_keeper.ts
@@ -75,8 +75,10 @@
       this.adopt(body as OwnershipNews),
     );
     network.onRequest(NEWS_REQUEST, () => Promise.resolve(this.news()));
-    membership.onHeartbeat((heartbeat) => {
-      const isPeer = membership.table.latest(heartbeat.member) !== undefined;
+    membership.onHeartbeat((heartbeat, from) => {
+      const isPeer =
+        from.role === role &&
+        membership.table.latest(heartbeat.member) !== undefined;
       if (isPeer && heartbeat.ownershipRevision > this.recordRevision) {
         void this.fetchFrom(heartbeat.member);
       }
