Add job routes and tests of answers, limits, leaving targets and silence

Change: POST, GET and DELETE /v1/jobs over links, the local scheduler first; a key stands for one job by a claim with the job's id; a repeat asks for the job and submits it again under the same id only while the claim is younger than 5 minutes, because schedulers forget ended jobs after 10. Targets without a first status are not shown to routing, which took them for returning ones and slow-started them. A finished forwarded request lets the peer be asked again at once.

--- a/src/claims/claim_record.ts
+++ b/src/claims/claim_record.ts
@@ -9,6 +9,8 @@
   incarnation: z.string(),
   /** Digest of the request that the key stands for. */
   fingerprint: z.string(),
+  /** Wall-clock time of the claim in ms since the Unix epoch. */
+  claimedWallMs: z.number(),
   /** Job that the key stands for. @default none */
   jobId: z.string().optional(),
 });
--- a/src/claims/claim_store.ts
+++ b/src/claims/claim_store.ts
@@ -64,7 +64,15 @@
     const key = claimKey(wish);
     const {fingerprint, jobId} = wish;
     const attempt = randomUUID();
-    const record = {attempt, member, incarnation, fingerprint, jobId};
+    const claimedWallMs = clock.wallMs();
+    const record: ClaimRecord = {
+      attempt,
+      member,
+      incarnation,
+      fingerprint,
+      claimedWallMs,
+      jobId,
+    };
     let mayBeWritten = false;
     let lastError: Error | undefined;
     while (clock.nowMs() < wish.deadlineMs) {
--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -23,6 +23,9 @@
 import {ClaimedCalls} from './claimed_calls.js';
 import {EntryProcess} from './entry_process.js';
 import {EntrySettings} from './entry_settings.js';
+import {JobClient} from './job_client.js';
+import {JobRoutes} from './job_routes.js';
+import {JobSubmission} from './job_submission.js';
 import {PolledConfiguration} from './polled_configuration.js';
 
 /** Load that entries report in heartbeats. */
@@ -113,6 +116,12 @@
     }));
 }
 
+/** Members of this data centre, this one first. */
+function schedulersOf(settings: EntrySettings): string[] {
+  const others = addressesOf(settings, 'entry').map(({member}) => member);
+  return [settings.member, ...others];
+}
+
 function createMembership(
   {settings, clock}: Context,
   parts: DependencyContainer,
@@ -161,6 +170,17 @@
   const configuration = parts.resolve(PolledConfiguration);
   const network = parts.resolve(PeerNetwork);
   const ownership = parts.resolve(OwnershipKeeper);
+  const {limits} = settings.entry;
+  const claims = parts.resolve(ClaimStore);
+  const client = new JobClient({network, schedulers: schedulersOf(settings)});
+  const jobs = new JobRoutes({
+    configuration,
+    client,
+    submission: new JobSubmission({client, claims, clock}),
+    clock,
+    limits,
+    refusal: () => entry.refusal(),
+  });
   const entry = new EntryProcess({
     settings,
     clock,
@@ -177,12 +197,14 @@
     }),
     createRouting: () => new LeastLoadedRouting({clock, random}),
     keyedCalls: new ClaimedCalls({
-      claims: parts.resolve(ClaimStore),
+      claims,
       answers: new StoredAnswers({clock}),
       clock,
       network,
     }),
     isReady: () => configuration.ageMs() < Infinity,
+    // The routes of operators are added here.
+    routes: [(app) => jobs.mount(app)],
   });
   parts.resolve(Membership).onHeartbeat(({member, load}) => {
     const {free} = (load ?? {}) as Partial<EntryLoad>;
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -232,7 +232,6 @@
     app.get('/metrics', (_request, response) =>
       plain(response, 200, this.metrics.text()),
     );
-    // Routes of jobs and operators.
     for (const mount of this.parts.routes ?? []) mount(app);
   }
 
--- /dev/null
+++ b/src/entry/job_routes.ts
@@ -0,0 +1,168 @@
+import {randomUUID} from 'node:crypto';
+import {IncomingMessage} from 'node:http';
+
+import {App, Request, Response} from '@tinyhttp/app';
+import {z} from 'zod';
+
+import {Clock} from '../clock/clock.js';
+import {
+  AuthenticatedCaller,
+  ConfigurationView,
+} from '../contracts/configuration_view.js';
+import {URGENCIES} from '../contracts/urgency.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {authenticate, readKey, readTimeout} from './caller_head.js';
+import {EntryLimits} from './entry_settings.js';
+import {JobClient} from './job_client.js';
+import {JobSubmission} from './job_submission.js';
+import {RequestBody} from './request_body.js';
+import {resultHeaders, writeResult} from './result_headers.js';
+import {toResultError} from './to_result_error.js';
+
+/** Options of {@link JobRoutes}. */
+export interface JobRoutesOptions {
+  configuration: ConfigurationView;
+  client: JobClient;
+  submission: JobSubmission;
+  clock: Clock;
+  limits: EntryLimits;
+  /** Returns why no new request is accepted, if none is. */
+  refusal: () => {code: ResultCode; text: string} | undefined;
+}
+
+type Handler = (
+  message: Request,
+  caller: AuthenticatedCaller,
+) => Promise<{status?: number; answer: unknown}>;
+
+const JOB_BYTES = 1_048_576;
+
+const fieldsSchema = z.looseObject({
+  urgency: z.enum(URGENCIES as [string, ...string[]]).default('batch'),
+});
+
+const answerSchema = z.looseObject({code: z.int()});
+
+const CODES = new Map<number, ResultCode>(
+  Object.values(ResultCodes).map((code) => [code.number, code]),
+);
+
+/** Serves `/v1/jobs`. */
+export class JobRoutes {
+  constructor(private readonly options: JobRoutesOptions) {}
+
+  /** Adds the routes. */
+  mount(app: App<Request, Response>): void {
+    app.post('/v1/jobs', (request, response) =>
+      this.serve(request, response, (message, caller) =>
+        this.submit(message, caller),
+      ),
+    );
+    app.get('/v1/jobs/:id', (request, response) =>
+      this.serve(request, response, (message, caller) =>
+        this.lookUp('jobStatus', message, caller),
+      ),
+    );
+    app.delete('/v1/jobs/:id', (request, response) =>
+      this.serve(request, response, (message, caller) =>
+        this.lookUp('cancel', message, caller),
+      ),
+    );
+  }
+
+  private async serve(
+    request: Request,
+    response: Response,
+    handler: Handler,
+  ): Promise<void> {
+    const requestId = randomUUID();
+    try {
+      const refusal = this.options.refusal();
+      if (refusal) throw new ResultError(refusal.code, refusal.text);
+      const caller = authenticate(request, this.options.configuration);
+      const {status, answer} = await handler(request, caller);
+      const code = CODES.get(answerSchema.parse(answer).code)!;
+      response.writeHead(status ?? code.httpStatus, {
+        ...resultHeaders(code, requestId),
+        'content-type': 'application/json',
+      });
+      response.end(JSON.stringify(answer));
+    } catch (error) {
+      const {code, message: text, retryAfterMs} = toResultError(error);
+      writeResult(response, requestId, {code, text, retryAfterMs});
+    }
+  }
+
+  private async submit(
+    message: Request,
+    caller: AuthenticatedCaller,
+  ): Promise<{answer: unknown}> {
+    const {clock, submission} = this.options;
+    const arrivedMs = clock.nowMs();
+    const fields = await this.readFields(message);
+    const timeoutMs = this.timeoutMs(message, caller, fields.urgency);
+    const answer = await submission.submit({
+      customer: caller.contract.customer,
+      caller: caller.caller,
+      fields,
+      key: readKey(message),
+      deadlineMs: arrivedMs + timeoutMs,
+    });
+    return {answer};
+  }
+
+  private async lookUp(
+    name: 'jobStatus' | 'cancel',
+    message: Request,
+    caller: AuthenticatedCaller,
+  ): Promise<{status: number; answer: unknown}> {
+    const jobId = message.params['id'] ?? '';
+    if (!jobId.startsWith(`${caller.contract.customer}.`)) {
+      throw new ResultError(
+        ResultCodes.NOT_FOUND,
+        `Cannot find job "${jobId}" of this customer`,
+      );
+    }
+    const remainingMs = this.timeoutMs(message, caller, 'standard');
+    const body = {jobId, remainingMs};
+    return {status: 200, answer: await this.options.client.request(name, body)};
+  }
+
+  private timeoutMs(
+    message: IncomingMessage,
+    caller: AuthenticatedCaller,
+    urgency: string,
+  ): number {
+    const known = URGENCIES.find((one) => one === urgency) ?? 'standard';
+    return readTimeout(message, {
+      defaultMs: caller.contract.urgencies[known].timeoutMs,
+      longestMs: this.options.limits.timeoutMs,
+    });
+  }
+
+  private async readFields(
+    message: IncomingMessage,
+  ): Promise<z.infer<typeof fieldsSchema>> {
+    const maxBytes = Math.min(JOB_BYTES, this.options.limits.bodyBytes);
+    const body = await RequestBody.read(message, {
+      replayBytes: maxBytes,
+      maxBytes,
+      timeoutMs: this.options.limits.bodyTimeoutMs,
+    });
+    let value: unknown;
+    try {
+      value = JSON.parse(body.whole?.toString('utf8') ?? '');
+    } catch (error) {
+      throw badJob((error as Error).message);
+    }
+    const fields = fieldsSchema.safeParse(value);
+    if (fields.success) return fields.data;
+    const issue = fields.error.issues[0]!;
+    throw badJob(`${issue.path.join('.') || 'job'}: ${issue.message}`);
+  }
+}
+
+function badJob(reason: string): ResultError {
+  return new ResultError(ResultCodes.BAD_REQUEST, `Cannot read job: ${reason}`);
+}
--- /dev/null
+++ b/src/entry/job_submission.ts
@@ -0,0 +1,145 @@
+import {createHash, randomUUID} from 'node:crypto';
+
+import {ClaimRecord} from '../claims/claim_record.js';
+import {ClaimStore} from '../claims/claim_store.js';
+import {Clock} from '../clock/clock.js';
+import {Outcome} from '../result_codes/outcome.js';
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {JobClient, submissionCode} from './job_client.js';
+
+/** Options of {@link JobSubmission}. */
+export interface JobSubmissionOptions {
+  client: JobClient;
+  claims: ClaimStore;
+  clock: Clock;
+}
+
+/** A job that a caller submits. */
+export interface SubmittedJob {
+  customer: string;
+  caller: string;
+  /** Fields of the job as the caller gave them. */
+  fields: Record<string, unknown>;
+  /** Idempotency key. @default none */
+  key?: string;
+  /** Monotonic time in ms of the deadline. */
+  deadlineMs: number;
+}
+
+// Schedulers keep ended jobs for 10 minutes; up to this age of its claim, a
+// job that none of them knows was certainly not accepted.
+const RESUBMIT_LIMIT_MS = 300_000;
+
+const RELEASE_WAIT_MS = 300;
+
+/** Submits jobs, each key at most one job. */
+export class JobSubmission {
+  constructor(private readonly options: JobSubmissionOptions) {}
+
+  /**
+   * Submits a job, or finds the one that its key stands for.
+   *
+   * @returns What the scheduler tells about the job.
+   * @throws ResultError with the outcome.
+   */
+  async submit(job: SubmittedJob): Promise<unknown> {
+    const jobId = `${job.customer}.${randomUUID()}`;
+    if (job.key === undefined) return this.send(job, jobId);
+    const fingerprint = fingerprintOf(job.fields);
+    const result = await this.options.claims.claim({
+      customer: job.customer,
+      caller: job.caller,
+      key: `job:${job.key}`,
+      fingerprint,
+      jobId,
+      deadlineMs: job.deadlineMs,
+    });
+    if (result.kind === 'taken') {
+      return this.repeat(job, result.record, fingerprint);
+    }
+    try {
+      return await this.send(job, jobId);
+    } catch (error) {
+      const didNotRun =
+        error instanceof ResultError &&
+        error.code.outcome === Outcome.DID_NOT_RUN;
+      if (didNotRun) {
+        await this.options.claims.release(result.claim, RELEASE_WAIT_MS);
+      }
+      throw error;
+    }
+  }
+
+  /** Answers for a key that already stands for a job. */
+  private async repeat(
+    job: SubmittedJob,
+    record: ClaimRecord,
+    fingerprint: string,
+  ): Promise<unknown> {
+    const {jobId} = record;
+    if (record.fingerprint !== fingerprint || jobId === undefined) {
+      throw new ResultError(
+        ResultCodes.BAD_REQUEST,
+        'Cannot submit: the key was used for a different job',
+      );
+    }
+    try {
+      const remainingMs = this.remainingMs(job);
+      return await this.options.client.request('jobStatus', {
+        jobId,
+        remainingMs,
+      });
+    } catch (error) {
+      const isUnknown =
+        error instanceof ResultError &&
+        error.code.number === ResultCodes.NOT_FOUND.number;
+      if (!isUnknown) throw inDoubt(error as Error);
+    }
+    const ageMs = this.options.clock.wallMs() - record.claimedWallMs;
+    if (Math.abs(ageMs) > RESUBMIT_LIMIT_MS || isAttached(job)) {
+      throw new ResultError(
+        ResultCodes.KEY_IN_USE,
+        `Cannot submit: the key stood for job "${jobId}", which is not known any more`,
+      );
+    }
+    return this.send(job, jobId);
+  }
+
+  private async send(job: SubmittedJob, id: string): Promise<unknown> {
+    const {customer, caller, fields} = job;
+    try {
+      return await this.options.client.request('submit', {
+        job: {...fields, id, customer, caller},
+        remainingMs: this.remainingMs(job),
+        hops: 0,
+      });
+    } catch (error) {
+      if (!(error instanceof ResultError)) throw error;
+      const code = submissionCode(error.code, isAttached(job));
+      const {retryAfterMs} = error;
+      throw new ResultError(code, error.message, {retryAfterMs, cause: error});
+    }
+  }
+
+  private remainingMs(job: SubmittedJob): number {
+    return Math.max(1, job.deadlineMs - this.options.clock.nowMs());
+  }
+}
+
+function isAttached(job: SubmittedJob): boolean {
+  return job.fields['isAttached'] === true;
+}
+
+/** The earlier submission may have been accepted, whatever the error says. */
+function inDoubt(cause: Error): ResultError {
+  return new ResultError(
+    ResultCodes.MAY_HAVE_BEEN_ACCEPTED,
+    `Cannot tell whether the job was accepted: ${cause.message}`,
+    {cause},
+  );
+}
+
+function fingerprintOf(fields: Record<string, unknown>): string {
+  return createHash('sha256').update(JSON.stringify(fields)).digest('hex');
+}
--- /dev/null
+++ b/src/entry/leaving_and_stop_test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {sleep} from '../clock/sleep.js';
+import {EntryBench, withBench} from '../../testing/entry_bench.js';
+
+/** Runs short requests until the returned function is called. */
+function keepBusy(bench: EntryBench): () => Promise<string[]> {
+  let isRunning = true;
+  const outcomes: string[] = [];
+  const work = async (): Promise<void> => {
+    while (isRunning) {
+      outcomes.push((await bench.entry.caller.call({workMs: 2})).outcome);
+    }
+  };
+  const done = Promise.all([work(), work(), work(), work()]);
+  return async () => {
+    isRunning = false;
+    await done;
+    return outcomes;
+  };
+}
+
+for (const [name, indicate] of [
+  ['its own answers', (bench) => bench.targets[0]!.leave()],
+  [
+    'the VM list',
+    (bench) => {
+      const [first, ...others] = bench.inventory.list();
+      bench.inventory.set([{...first!, state: 'leaving'}, ...others]);
+    },
+  ],
+  [
+    'a planned stop',
+    (bench) => {
+      const name = 'target-1';
+      const plan = {name, fromWallMs: Date.now(), windowMs: 0, reason: ''};
+      bench.configuration.stops.set(name, plan);
+    },
+  ],
+  ['refused connections', (bench) => void bench.links[0]!.stop()],
+] as Array<[string, (bench: EntryBench) => void]>) {
+  test(`P7: a target that leaves, seen by ${name}, gets no new work`, () =>
+    // Guards against new work 3 s after the indication, and against requests
+    // in flight that are interrupted.
+    withBench({targets: 2}, async (bench) => {
+      const [leaving] = bench.targets;
+      await bench.warmUp();
+      const earlier = leaving!.requests;
+      const slow = Array.from({length: 4}, () =>
+        bench.entry.caller.call({workMs: 900}),
+      );
+      await bench.until(() => leaving!.requests > earlier);
+      const stop = keepBusy(bench);
+      indicate(bench);
+      await sleep(1500);
+      const before = leaving!.requests;
+      await sleep(300);
+      assert.equal(leaving!.requests, before);
+      const outcomes = await stop();
+      const isCut = name === 'refused connections';
+      const results = (await Promise.all(slow)).map(({outcome}) => outcome);
+      assert.ok(isCut || results.every((outcome) => outcome === 'ran'));
+      assert.ok(outcomes.every((outcome) => outcome === 'ran'));
+      assert.equal(bench.violations(), 0);
+    }));
+}
+
+test('P8: a planned stop interrupts no request in flight or in the queue', () =>
+  // Guards against connections that close before their answers are whole.
+  withBench({target: {slots: 4}}, async (bench) => {
+    const {process, origin, caller, ownership} = bench.entry;
+    const calls = Array.from({length: 12}, (_, index) =>
+      caller.call({workMs: 200, answerBytes: index * 20_000}),
+    );
+    await bench.until(() => bench.targets[0]!.requests === 4);
+    const stopped = process.stop();
+    assert.equal((await fetch(`${origin}/readyz`)).status, 503);
+    // Requests before the balancer notices are served too.
+    const late = await caller.call();
+    assert.equal(late.outcome, 'ran');
+    const results = await Promise.all(calls);
+    assert.ok(results.every((r) => r.outcome === 'ran' && r.isRight));
+    await stopped;
+    assert.equal(ownership.handOvers, 1);
+    await assert.rejects(fetch(`${origin}/healthz`));
+  }));
--- a/src/entry/peer_slot_client.ts
+++ b/src/entry/peer_slot_client.ts
@@ -97,7 +97,9 @@
         },
       );
       const {reservation} = reservedSchema.parse(answer);
-      if (reservation !== undefined) return {member, reservation};
+      if (reservation !== undefined) {
+        return {member, reservation, service: wish.service};
+      }
     } catch {
       // A lost grant expires at the peer.
     }
@@ -138,6 +140,10 @@
     );
     if (result.kind === TargetResultKind.ANSWERED) pool.release(connection);
     else pool.discard(connection);
+    // The slot is free again; the peer may be asked at once.
+    const state = this.stateOf(grant.member);
+    state.backoffUntilMs.delete(grant.service);
+    this.changeFree(state, grant.service, 1);
     return result;
   }
 
--- a/src/entry/peer_slots.ts
+++ b/src/entry/peer_slots.ts
@@ -9,6 +9,7 @@
 export interface PeerGrant {
   member: string;
   reservation: string;
+  service: string;
 }
 
 /** For whom a slot is reserved. */
--- a/src/entry/service_outcomes_test.ts
+++ b/src/entry/service_outcomes_test.ts
@@ -104,3 +104,16 @@
     const result = await bench.entry.caller.call(request);
     assert.equal(result.outcome, 'ran');
   }));
+
+test('P5: a refused retry does not make a lost attempt "did not run"', () =>
+  // Guards against reporting only the last of several attempts.
+  withBench({}, async (bench) => {
+    await bench.warmUp();
+    const [target] = bench.targets;
+    const before = target!.requests;
+    target!.setFaults({truncate: true});
+    const call = bench.entry.caller.call({workMs: 100, timeoutMs: 800});
+    await bench.until(() => target!.requests > before);
+    target!.leave();
+    assert.equal((await call).outcome, 'may-have-run');
+  }));
--- a/src/entry/service_route.ts
+++ b/src/entry/service_route.ts
@@ -9,15 +9,17 @@
 import {URGENCIES, Urgency} from '../contracts/urgency.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
+import {authenticate, badHeader, readKey, readTimeout} from './caller_head.js';
 import {CallerAnswer} from './caller_answer.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EntryLimits} from './entry_settings.js';
 import {requestHeaders} from './http_headers.js';
 import {KeyedCall, KeyedCalls} from './keyed_calls.js';
 import {RequestBody} from './request_body.js';
-import {TIMEOUT_HEADER, writeResult} from './result_headers.js';
+import {writeResult} from './result_headers.js';
 import {ServiceCall} from './service_call.js';
 import {ServiceCallEnd, ServiceRouter} from './service_router.js';
+import {toResultError} from './to_result_error.js';
 
 /** Options of {@link ServiceRoute}. */
 export interface ServiceRouteOptions {
@@ -46,9 +48,6 @@
 /** Path below which the services are. */
 export const SERVICES_PATH = '/v1/services/';
 
-const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
-const IDEMPOTENCY_KEY = /^[\x20-\x7e]{1,255}$/;
-
 /** Serves `ANY /v1/services/<service>/<path>`. */
 export class ServiceRoute {
   constructor(private readonly options: ServiceRouteOptions) {}
@@ -87,7 +86,7 @@
   private check(message: IncomingMessage): CheckedHead {
     const refusal = this.options.refusal();
     if (refusal) throw new ResultError(refusal.code, refusal.text);
-    const caller = this.authenticate(message);
+    const caller = authenticate(message, this.options.configuration);
     const {service, path} = splitTarget(message.url ?? '');
     if (!caller.contract.services.includes(service)) {
       throw new ResultError(
@@ -96,7 +95,10 @@
       );
     }
     const urgency = readUrgency(message);
-    const timeoutMs = this.readTimeout(message, caller, urgency);
+    const timeoutMs = readTimeout(message, {
+      defaultMs: caller.contract.urgencies[urgency].timeoutMs,
+      longestMs: this.options.limits.timeoutMs,
+    });
     const isIdempotent = readIdempotent(message);
     const key = readKey(message);
     if (!isIdempotent && key === undefined) {
@@ -174,51 +176,6 @@
     if (end.code !== ResultCodes.OK) answer.fail(end);
     return end.code;
   }
-
-  private authenticate(message: IncomingMessage): AuthenticatedCaller {
-    const match = BEARER.exec(message.headers.authorization ?? '');
-    const caller = match && this.options.configuration.authenticate(match[1]!);
-    if (caller) return caller;
-    throw new ResultError(
-      ResultCodes.UNAUTHENTICATED,
-      'Cannot authenticate: header "authorization" has no known key',
-    );
-  }
-
-  private readTimeout(
-    message: IncomingMessage,
-    caller: AuthenticatedCaller,
-    urgency: Urgency,
-  ): number {
-    const text = message.headers[TIMEOUT_HEADER];
-    if (text === undefined) return caller.contract.urgencies[urgency].timeoutMs;
-    const longestMs = this.options.limits.timeoutMs;
-    const value = Number(text);
-    const isValid =
-      /^[0-9]{1,10}$/.test(String(text)) && value >= 1 && value <= longestMs;
-    if (isValid) return value;
-    throw badHeader(TIMEOUT_HEADER, text, `1 to ${longestMs}`);
-  }
-}
-
-/** Converts any error into one that may be shown to a caller. */
-export function toResultError(error: unknown): ResultError {
-  if (error instanceof ResultError) return error;
-  return new ResultError(
-    ResultCodes.INTERNAL,
-    `Cannot complete request: ${(error as Error).message}`,
-  );
-}
-
-function badHeader(
-  name: string,
-  value: string | string[] | undefined,
-  allowed: string,
-): ResultError {
-  return new ResultError(
-    ResultCodes.BAD_REQUEST,
-    `Cannot read header "${name}": given "${String(value)}"; allowed: ${allowed}`,
-  );
 }
 
 function readUrgency(message: IncomingMessage): Urgency {
@@ -235,13 +192,6 @@
   throw badHeader('banyanmux-idempotent', value, 'true, false');
 }
 
-function readKey(message: IncomingMessage): string | undefined {
-  const value = message.headers['idempotency-key'];
-  if (value === undefined) return undefined;
-  if (typeof value === 'string' && IDEMPOTENCY_KEY.test(value)) return value;
-  throw badHeader('idempotency-key', value, '1 to 255 visible characters');
-}
-
 function headersOf(
   message: IncomingMessage,
   body: RequestBody,
--- /dev/null
+++ b/src/entry/silent_connections_test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {sleep} from '../clock/sleep.js';
+import {withBench} from '../../testing/entry_bench.js';
+
+test('idle connections that went silent are not used', () =>
+  // Guards against trusting an idle connection that passes nothing any more.
+  withBench({}, async (bench) => {
+    const warm = Array.from({length: 8}, () =>
+      bench.entry.caller.call({workMs: 20}),
+    );
+    await Promise.all(warm);
+    bench.links[0]!.setFaults({forgetOpen: true});
+    bench.links[0]!.setFaults({});
+    // Longer than an idle connection is trusted.
+    await sleep(1050);
+    const results = await Promise.all(
+      Array.from({length: 8}, () =>
+        bench.entry.caller.call({
+          timeoutMs: 500,
+          nonIdempotentKey: `key-${Math.random()}`,
+        }),
+      ),
+    );
+    assert.ok(results.every(({outcome}) => outcome === 'ran'));
+  }));
+
+test('a connection that goes silent loses only its own request', () =>
+  // Guards against sending a second request over a connection that is silent.
+  withBench({}, async (bench) => {
+    const call = (key: string, timeoutMs: number): Promise<string> =>
+      bench.entry.caller
+        .call({workMs: 10, timeoutMs, nonIdempotentKey: key})
+        .then(({outcome}) => outcome);
+    assert.equal(await call('warm', 1000), 'ran');
+    bench.links[0]!.setFaults({forgetOpen: true});
+    bench.links[0]!.setFaults({});
+    assert.equal(await call('lost', 300), 'may-have-run');
+    for (let index = 0; index < 5; index++) {
+      assert.equal(await call(`next-${index}`, 1000), 'ran');
+    }
+    assert.equal(bench.violations(), 0);
+  }));
+
+test('a target whose probe connection alone is silent stays in use', () =>
+  // Guards against taking a lost connection for a lost target.
+  withBench({}, async (bench) => {
+    const [state] = bench.entry.process.fleet.states();
+    assert.equal(state!.state, 'available');
+    bench.links[0]!.setFaults({forgetOpen: true});
+    bench.links[0]!.setFaults({});
+    const endMs = performance.now() + 2500;
+    while (performance.now() < endMs) {
+      assert.equal(bench.entry.process.fleet.states()[0]!.state, 'available');
+      await sleep(20);
+    }
+  }));
+
+test('a silent target gets no new work and is used again once it answers', () =>
+  // Guards against requests that pile up at a target that answers nothing.
+  withBench({targets: 2}, async (bench) => {
+    bench.links[0]!.setFaults({backward: {silent: true}});
+    const stateOf = (): string | undefined =>
+      bench.entry.process.fleet.states()[0]!.state;
+    await bench.until(() => stateOf() === 'unreachable');
+    const before = bench.targets[0]!.requests;
+    const results = await Promise.all(
+      Array.from({length: 10}, () => bench.entry.caller.call()),
+    );
+    assert.ok(results.every(({outcome}) => outcome === 'ran'));
+    assert.equal(bench.targets[0]!.requests, before);
+    bench.links[0]!.setFaults({});
+    await bench.until(() => stateOf() === 'available');
+  }));
--- /dev/null
+++ b/src/entry/target_limits_test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {sleep} from '../clock/sleep.js';
+import {withBench} from '../../testing/entry_bench.js';
+import {SeededRandom} from '../random/seeded_random.js';
+
+test('P11: requests that were given up keep their slots until they end', () =>
+  // Guards against a ninth request while an abandoned one still runs.
+  withBench({}, async (bench) => {
+    const random = new SeededRandom(3);
+    const endMs = performance.now() + 2500;
+    const work = async (): Promise<void> => {
+      while (performance.now() < endMs) {
+        await bench.entry.caller.call({
+          workMs: random.next() < 0.2 ? 400 : 3,
+          timeoutMs: 100,
+        });
+      }
+    };
+    await Promise.all(Array.from({length: 20}, work));
+    const [target] = bench.targets;
+    assert.ok(target!.requests > 20, `${target!.requests} requests ran`);
+    assert.equal(target!.maxInUse, 8);
+    assert.equal(bench.violations(), 0);
+  }));
+
+test('P11: slots and connections hold while ownership moves', () =>
+  // Guards against a new owner that ignores requests of the earlier one.
+  withBench({targets: 2, entries: 2}, async (bench) => {
+    const endMs = performance.now() + 2500;
+    let ranCount = 0;
+    const work = async (index: number): Promise<void> => {
+      while (performance.now() < endMs) {
+        const {caller} = bench.entries[index % 2]!;
+        const {outcome} = await caller.call({workMs: 150, timeoutMs: 2000});
+        if (outcome === 'ran') ranCount += 1;
+      }
+    };
+    const move = async (): Promise<void> => {
+      for (let epoch = 2; performance.now() < endMs; epoch++) {
+        await sleep(300);
+        // Member vm-2 learns of changes only by a refusal.
+        bench.entries[1]!.ownership.hold();
+        const member = epoch % 2 === 0 ? 'vm-2' : 'vm-1';
+        bench.ownership.assign('group-1', member, epoch);
+        bench.ownership.assign('group-2', member, epoch);
+      }
+    };
+    await Promise.all([move(), ...Array.from({length: 40}, (_, i) => work(i))]);
+    assert.ok(ranCount > 30, `${ranCount} ran`);
+    assert.equal(bench.violations(), 0);
+    const open = bench.targets.map((target) => target.maxOpen);
+    assert.ok(Math.max(...open) <= 64, `${open.join()} connections`);
+  }));
+
+test('P11: no connection is opened beyond the count of the executor', () =>
+  // Guards against connections of several owners that exceed the limit.
+  withBench({target: {maxConnections: 12}}, async (bench) => {
+    const results = await Promise.all(
+      Array.from({length: 60}, () => bench.entry.caller.call({workMs: 5})),
+    );
+    assert.ok(results.every(({outcome}) => outcome === 'ran'));
+    // A quarter stays free for another owner.
+    const {maxOpen} = bench.targets[0]!;
+    assert.ok(maxOpen > 2 && maxOpen <= 9, `${maxOpen} connections`);
+  }));
+
+test('a paused entry that resumes is fenced and drops its shards', () =>
+  // Guards against work by an owner that was replaced while it was paused.
+  withBench({entries: 2}, async (bench) => {
+    const [paused, successor] = bench.entries;
+    await bench.warmUp();
+    paused!.ownership.hold();
+    bench.ownership.assign('group-1', 'vm-2', 2);
+    await bench.until(
+      () => successor!.process.fleet.states()[0]?.isAvailable === true,
+    );
+    const result = await paused!.caller.call({nonIdempotentKey: 'key'});
+    // The refused request goes to the new owner under the same claim.
+    assert.equal(result.outcome, 'ran');
+    assert.ok(paused!.ownership.fencedCount > 0);
+    assert.equal(paused!.process.fleet.states().length, 0);
+    assert.equal(bench.ranKeys.get('key'), 1);
+  }));
--- a/src/targets/target_fleet.ts
+++ b/src/targets/target_fleet.ts
@@ -65,11 +65,16 @@
     return owners;
   }
 
-  /** Owned targets of the service, also those without a free slot. */
+  /**
+   * Owned targets of the service whose status was read, also those without a
+   * free slot. A target that is not read yet has not been unavailable, so
+   * routing must not treat it as one that returns.
+   */
   loads(service: string): TargetLoad[] {
     const loads: TargetLoad[] = [];
     for (const target of this.owned.values()) {
-      if (target.vm.service !== service) continue;
+      const isOther = target.vm.service !== service;
+      if (isOther || target.state === 'unread') continue;
       const load = target.load();
       if (!this.mayTakeWork(target.vm)) load.isAvailable = false;
       loads.push(load);
