Propagate the configuration to entries and schedulers

Cause: the entry read all contracts every second and schedulers read none. Change: both use the propagation; entries watch and schedulers learn from heartbeats. Conclusion: the polling baseline is removed.

--- /dev/null
+++ b/src/contracts/create_propagation.ts
@@ -0,0 +1,65 @@
+import {Logger} from 'pino';
+
+import {Clock} from '../clock/clock.js';
+import {PeerNetwork} from '../links/peer_network.js';
+import {PlatformService} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {ProcessSettings} from '../settings/process_settings.js';
+import {ConfigurationPropagation} from './configuration_propagation.js';
+import {ConfigurationStore} from './configuration_store.js';
+import {
+  answerConfigurationRequests,
+  LinkConfigurationPeer,
+} from './link_configuration_peer.js';
+
+/** Parts that {@link createPropagation} connects. */
+export interface PropagationParts {
+  settings: ProcessSettings;
+  network: PeerNetwork;
+  store: ConfigurationStore;
+  platform: PlatformService;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** Names of the living entries of this data centre as known now. */
+  livingEntries: () => readonly string[];
+}
+
+/** Creates the propagation of a process whose peers are the entries. */
+export function createPropagation(
+  parts: PropagationParts,
+): ConfigurationPropagation {
+  const {settings, network, logger} = parts;
+  const {role} = network.identity;
+  const peers = settings.members
+    .filter(({member}) => role !== 'entry' || member !== settings.member)
+    // Schedulers learn from the entries of their own data centre.
+    .filter(
+      ({dataCentre}) => role === 'entry' || dataCentre === settings.dataCentre,
+    )
+    .map(
+      ({member, dataCentre, host, entryLinkPort}) =>
+        new LinkConfigurationPeer(network, {
+          member,
+          role: 'entry',
+          dataCentre,
+          host,
+          port: entryLinkPort,
+        }),
+    );
+  const isLocal = (peer: LinkConfigurationPeer): boolean =>
+    peer.dataCentre === settings.dataCentre;
+  const propagation = new ConfigurationPropagation({
+    ...parts,
+    self: settings.member,
+    role,
+    localPeers: peers.filter(isLocal),
+    remotePeers: peers.filter((peer) => !isLocal(peer)),
+    onFailure: (error) =>
+      logger.debug({error: error.message}, 'configuration call failed'),
+  });
+  if (role === 'entry') {
+    answerConfigurationRequests(network, (since) => propagation.answer(since));
+  }
+  return propagation;
+}
--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -10,6 +10,9 @@
 import {StoredAnswers} from '../claims/stored_answers.js';
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
+import {ConfigurationStore} from '../contracts/configuration_store.js';
+import {createPropagation} from '../contracts/create_propagation.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -26,7 +29,6 @@
 import {JobClient} from './job_client.js';
 import {JobRoutes} from './job_routes.js';
 import {JobSubmission} from './job_submission.js';
-import {PolledConfiguration} from './polled_configuration.js';
 
 /** Load that entries report in heartbeats. */
 export interface EntryLoad {
@@ -62,7 +64,16 @@
   });
   provide(Membership, () => createMembership(context, parts));
   provide(OwnershipKeeper, () => createOwnership(context, parts));
-  provide(PolledConfiguration, () => new PolledConfiguration(platform, clock));
+  provide(ConfigurationStore, () => new ConfigurationStore({clock}));
+  provide(ConfigurationPropagation, () =>
+    createPropagation({
+      ...context,
+      network: parts.resolve(PeerNetwork),
+      store: parts.resolve(ConfigurationStore),
+      platform,
+      livingEntries: () => parts.resolve(OwnershipKeeper).livingMembers(),
+    }),
+  );
   provide(ClaimStore, () => {
     const {member, incarnation} = parts.resolve(PeerNetwork).identity;
     return new ClaimStore({platform, clock, member, incarnation});
@@ -135,7 +146,7 @@
     suspectAfterMs: settings.membership.suspectAfterMs,
     contents: () => ({
       ownershipRevision: parts.resolve(OwnershipKeeper).revision,
-      configurationRevision: parts.resolve(PolledConfiguration).revision,
+      configurationRevision: parts.resolve(ConfigurationStore).revision,
       load: {free: parts.resolve(EntryProcess).fleet.freeSlots()},
     }),
   });
@@ -167,7 +178,7 @@
   {settings, clock, random, logger}: Context,
   parts: DependencyContainer,
 ): EntryProcess {
-  const configuration = parts.resolve(PolledConfiguration);
+  const configuration = parts.resolve(ConfigurationStore);
   const network = parts.resolve(PeerNetwork);
   const ownership = parts.resolve(OwnershipKeeper);
   const {limits} = settings.entry;
@@ -202,11 +213,14 @@
       clock,
       network,
     }),
-    isReady: () => configuration.ageMs() < Infinity,
+    isReady: () => configuration.isReady,
     // The routes of operators are added here.
     routes: [(app) => jobs.mount(app)],
   });
-  parts.resolve(Membership).onHeartbeat(({member, load}) => {
+  const propagation = parts.resolve(ConfigurationPropagation);
+  parts.resolve(Membership).onHeartbeat((heartbeat) => {
+    const {member, load, configurationRevision} = heartbeat;
+    propagation.heard(member, configurationRevision);
     const {free} = (load ?? {}) as Partial<EntryLoad>;
     if (free) entry.peers.noteLoad(member, free);
   });
--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -8,7 +8,9 @@
 
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
+import {createPropagation} from '../contracts/create_propagation.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -58,6 +60,15 @@
   const platform = new HttpPlatformService(settings.platform);
   provide(HttpPlatformService, () => platform);
   provide(ConfigurationStore, () => new ConfigurationStore({clock}));
+  provide(ConfigurationPropagation, () =>
+    createPropagation({
+      ...context,
+      network: parts.resolve(PeerNetwork),
+      store: parts.resolve(ConfigurationStore),
+      platform,
+      livingEntries: () => [],
+    }),
+  );
   provide(PeerNetwork, () => createNetwork(context));
   provide(Inventory, () => {
     const {dataCentre, platform: given} = settings;
@@ -161,9 +172,13 @@
       return client;
     },
   });
-  parts.resolve(Membership).onHeartbeat(({load}, from) => {
-    if (from.role !== ROLE) return;
-    scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
+  const propagation = parts.resolve(ConfigurationPropagation);
+  parts.resolve(Membership).onHeartbeat((heartbeat, from) => {
+    if (from.role === ROLE) {
+      scheduler.noteLoad(heartbeat.load as Partial<SchedulerLoad> | undefined);
+    } else {
+      propagation.heard(heartbeat.member, heartbeat.configurationRevision);
+    }
   });
   return scheduler;
 }
