Keep a task off workers while another run of it is not settled

A new owner read back worker w0 with the task running. w0 restarted; the earlier owner, not yet fenced at w2, saw the restart first and placed the task on w2. The new owner read w2 back and queued a stop for that run, then saw the restart of w0 and placed the task there while w2 still ran it. Ruled out: the expiry of leases and the epoch check, which both held. Change: a task that a worker runs without this owner having placed it there is not placed until that run has ended, and inherited work is placed only once all workers are settled, also if it was found running before.

--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -44,6 +44,10 @@
   /** First progress seen in the current run, in the owner's time. */
   observed: {progress: number; atMs: number} | undefined;
   waitingSinceMs = 0;
+  /** Workers on which it runs although this owner did not place it there. */
+  readonly strayAt = new Set<string>();
+  /** An earlier owner may have placed it. */
+  isInherited = false;
   /** Workers that still hold a record of an earlier run. */
   readonly recordedAt = new Set<string>();
   /** Tasks that are being evicted to make room for this one. */
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -31,6 +31,7 @@
   readonly tasks = new Map<string, ShardTask>();
   private readonly byWorker = new Map<string, Set<ShardTask>>();
   nowMs = 0;
+  private isSettled = false;
 
   constructor(private readonly options: TaskBookOptions) {}
 
@@ -81,11 +82,28 @@
 
   /** All workers are settled: what was not found runs nowhere. */
   settle(): void {
+    this.isSettled = true;
     for (const task of this.tasks.values()) {
       if (task.state === 'inherited') this.advance(task, 'settled');
+      else if (task.state === 'waiting') this.enqueue(task);
     }
   }
 
+  /** A worker runs a task that this owner did not place there. */
+  strayFound(taskId: string, worker: string): void {
+    const task = this.tasks.get(taskId);
+    if (!task) return;
+    task.strayAt.add(worker);
+    this.options.queue.remove(taskId);
+  }
+
+  /** The stray run has certainly ended. */
+  strayEnded(taskId: string, worker: string): void {
+    const task = this.tasks.get(taskId);
+    if (!task?.strayAt.delete(worker)) return;
+    if (task.state === 'waiting') this.enqueue(task);
+  }
+
   /** Tasks that are committed on a worker. */
   tasksOn(worker: string): Iterable<ShardTask> {
     return [...(this.byWorker.get(worker) ?? [])];
@@ -230,7 +248,7 @@
         index,
         isInherited ? inherited : undefined,
       );
-      task.mayHaveRun = isInherited;
+      task.mayHaveRun = task.isInherited = isInherited;
       job.tasks.push(task);
       this.tasks.set(task.taskId, task);
     }
@@ -257,9 +275,15 @@
     } else this.enqueue(task);
   }
 
-  /** A task whose latest checkpoint is not stored yet is not placed. */
+  /**
+   * Makes a waiting task available for placement once its latest checkpoint
+   * is stored. The earlier owner may have moved inherited work to a worker
+   * that is not read back yet, also after it was found on another one.
+   */
   private enqueue(task: ShardTask): void {
     if (!task.isStored || this.options.queue.has(task.taskId)) return;
+    if (task.strayAt.size > 0) return;
+    if (task.isInherited && !this.isSettled) return;
     const {job} = task.owner;
     this.options.queue.add({
       taskId: task.taskId,
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -186,6 +186,7 @@
     this.strays.set(worker.worker, strays);
     if (!strays.has(seen.taskId)) {
       strays.add(seen.taskId);
+      this.options.book.strayFound(seen.taskId, worker.worker);
       const commitment = {
         taskId: strayId(worker, seen.taskId),
         customer: '',
@@ -218,6 +219,7 @@
       if (reported.get(taskId)?.state === WorkerTaskState.RUNNING) continue;
       strays!.delete(taskId);
       this.options.placement.release(strayId(worker, taskId));
+      this.options.book.strayEnded(taskId, worker.worker);
     }
   }
 
