Start slowly only after an absence, measure latency through entries

The entry shows a full target as unavailable, and the routing policy took each refill for a return and limited the target to one request for the start of a 3 s slow start. Change: only a target that was unavailable with free slots starts slowly; a test guards against it. latency now runs banyanmux-entry (one entry, four targets) instead of the relay with decisions.

--- /dev/null
+++ b/measure/entry_fleet.ts
@@ -0,0 +1,116 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {sleep} from '../src/clock/sleep.js';
+import {Caller} from '../testing/caller.js';
+import {Fleet} from '../testing/fleet.js';
+import {hashOf} from '../testing/operator.js';
+import {storeContract} from '../testing/store_contract.js';
+
+/** Contract as an operator writes it. */
+export interface WrittenContract {
+  customer: string;
+  callers: ReadonlyArray<{name: string; keyHash: string}>;
+  [field: string]: unknown;
+}
+
+/** Options of {@link startEntryFleet}. */
+export interface EntryFleetOptions {
+  /** Number of entry VMs. */
+  entries: number;
+  /** Number of targets. */
+  targets: number;
+  /** Time in ms that a request takes unless it names another. */
+  workMs: number;
+  contracts: readonly WrittenContract[];
+}
+
+const SERVICE = 'portal';
+const DATA_CENTRE = 'limoilou';
+const READY_ATTEMPTS = 200;
+
+/** Path of the measured service at an entry. */
+export const SERVICE_PATH = `/v1/services/${SERVICE}/work`;
+
+/** Key that a caller presents in measurements. */
+export function keyOf(customer: string, caller: string): string {
+  return `key-of-${customer}-${caller}`;
+}
+
+/** Callers of a contract with the keys of {@link keyOf}. */
+export function writtenCallers(
+  customer: string,
+  names: readonly string[],
+): Array<{name: string; keyHash: string}> {
+  return names.map((name) => ({name, keyHash: hashOf(keyOf(customer, name))}));
+}
+
+/**
+ * Starts real entries in one data centre with target stand-ins, and waits
+ * until every entry serves every customer.
+ */
+export async function startEntryFleet(
+  options: EntryFleetOptions,
+): Promise<Fleet> {
+  const {entries, targets, workMs, contracts} = options;
+  const fleet = await Fleet.start({
+    folder: mkdtempSync(join(tmpdir(), 'banyanmux-measure-')),
+    dataCentres: [
+      {
+        name: DATA_CENTRE,
+        entryVms: entries,
+        targets,
+        racks: 0,
+        workersPerRack: 0,
+      },
+    ],
+    service: SERVICE,
+    targetsPerShard: 1,
+    targetWorkMs: workMs,
+    withSchedulers: false,
+  });
+  try {
+    await fleet.waitUntilReady();
+    for (const contract of contracts) {
+      await storeContract(fleet.platformPort, contract);
+    }
+    for (const contract of contracts) await waitUntilServed(fleet, contract);
+    return fleet;
+  } catch (error) {
+    await fleet.stop();
+    throw error;
+  }
+}
+
+/** Origins of all entries of a fleet. */
+export function entryOrigins(fleet: Fleet): string[] {
+  return fleet.members.map(({member}) => fleet.entryOrigin(member));
+}
+
+/** Origins of all targets of a fleet by their names. */
+export function targetOrigins(fleet: Fleet): Array<[string, string]> {
+  return fleet.vms
+    .filter(({kind}) => kind === 'target')
+    .map(({vm, host, port}) => [vm, `http://${host}:${port}`]);
+}
+
+async function waitUntilServed(
+  fleet: Fleet,
+  contract: WrittenContract,
+): Promise<void> {
+  const {customer, callers} = contract;
+  for (const origin of entryOrigins(fleet)) {
+    const key = keyOf(customer, callers[0]!.name);
+    const caller = new Caller({origins: [origin], key, service: SERVICE});
+    for (let attempt = 1; ; attempt++) {
+      const result = await caller.call({workMs: 1});
+      if (result.outcome === 'ran') break;
+      if (attempt >= READY_ATTEMPTS) {
+        throw new Error(`Cannot use ${origin}: ${JSON.stringify(result)}`);
+      }
+      await sleep(50);
+    }
+    await caller.stop();
+  }
+}
--- a/measure/scenarios/latency.ts
+++ b/measure/scenarios/latency.ts
@@ -7,9 +7,16 @@
 import {ManagedProcess} from '../../testing/child_process.js';
 import {freePorts} from '../../testing/free_ports.js';
 import {DirectRoute} from '../direct_route.js';
+import {
+  entryOrigins,
+  keyOf,
+  SERVICE_PATH,
+  startEntryFleet,
+  targetOrigins,
+  writtenCallers,
+} from '../entry_fleet.js';
 import {LatencyClient, LatencyRoute} from '../latency_client.js';
 import {ScenarioOptions, ScenarioResult} from '../scenario.js';
-import {startTargetFleet, TargetFleet} from '../target_fleet.js';
 
 const TARGETS = 4;
 const SLOTS = 8;
@@ -26,30 +33,34 @@
 
 const WARM_UP_MS = 1000;
 
-async function startRelay(
-  fleet: TargetFleet,
-  withDecisions: boolean,
+const CUSTOMER = 'kettridge';
+const CALLER = 'crew';
+
+/** Starts a relay without decisions in a process of its own. */
+async function startBareRelay(
+  origins: Array<[string, string]>,
 ): Promise<{child: ManagedProcess; route: LatencyRoute}> {
   const [port] = await freePorts(1);
   const folder = mkdtempSync(join(tmpdir(), 'banyanmux-measure-'));
   const child = new ManagedProcess({
     name: 'relay',
     script: 'build/measure/relay_process.js',
-    arguments: [
-      JSON.stringify({port, withDecisions, origins: [...fleet.origins]}),
-    ],
+    arguments: [JSON.stringify({port, withDecisions: false, origins})],
     logFile: join(folder, 'relay.log'),
   });
   child.start();
   await sleep(1000);
   const origin = `http://127.0.0.1:${port}`;
-  const headers = {};
-  const next = (): ReturnType<LatencyRoute['next']> => ({
-    origin,
-    headers,
-    ended: () => undefined,
-  });
-  return {child, route: {next, path: '/work'}};
+  return {child, route: fixedRoute(origin, {path: '/work', headers: {}})};
+}
+
+function fixedRoute(
+  origin: string,
+  options: {path: string; headers: Record<string, string>},
+): LatencyRoute {
+  const {path, headers} = options;
+  const ended = (): void => undefined;
+  return {path, next: () => ({origin, headers, ended})};
 }
 
 /** Alternates open loads over the routes. */
@@ -124,31 +135,52 @@
 }
 
 /**
- * Time that the decision logic and a relay add to a request at half of the
- * capacity, and the throughput against a relay without decisions.
+ * Time that banyanmux adds to a request at half of the capacity, and its
+ * throughput against a relay without decisions.
  */
 export async function runLatency(
   options: ScenarioOptions,
 ): Promise<ScenarioResult> {
-  const fleet = await startTargetFleet({count: TARGETS, workMs: WORK_MS});
-  const relayed = await startRelay(fleet, true);
-  const bare = await startRelay(fleet, false);
-  const totalMs = Math.min(42, Math.max(10, options.seconds)) * 1000;
+  const callers = writtenCallers(CUSTOMER, [CALLER]);
+  const contracts = [{customer: CUSTOMER, services: ['portal'], callers}];
+  const fleet = await startEntryFleet({
+    entries: 1,
+    targets: TARGETS,
+    workMs: WORK_MS,
+    contracts,
+  });
+  const targets = targetOrigins(fleet);
+  const bare = await startBareRelay(targets);
+  const relayed = fixedRoute(entryOrigins(fleet)[0]!, {
+    path: SERVICE_PATH,
+    headers: {
+      authorization: `Bearer ${keyOf(CUSTOMER, CALLER)}`,
+      'banyanmux-urgency': 'urgent',
+    },
+  });
+  const totalMs = Math.min(38, Math.max(10, options.seconds)) * 1000;
   try {
-    const direct = new DirectRoute([...fleet.origins.values()]);
+    const direct = new DirectRoute(targets.map(([, origin]) => origin));
     await direct.readEpochs();
-    const latency = await compareLatency(
-      {direct, relayed: relayed.route, bare: bare.route},
-      {seed: options.seed, sliceMs: (totalMs * 0.6) / (3 * SLICES)},
-    );
+    const headers = direct.next().headers;
+    const routes = {direct, relayed, bare: withHeaders(bare.route, headers)};
+    const latency = await compareLatency(routes, {
+      seed: options.seed,
+      sliceMs: (totalMs * 0.6) / (3 * SLICES),
+    });
     options.progress(JSON.stringify(latency));
-    const throughput = await compareThroughput(
-      {bare: bare.route, relayed: relayed.route},
-      (totalMs * 0.4) / (2 * SLICES),
-    );
-    const violations = await fleet.violations();
-    return {violations, ...latency, ...throughput};
+    const sliceMs = (totalMs * 0.4) / (2 * SLICES);
+    const throughput = await compareThroughput(routes, sliceMs);
+    return {violations: await fleet.violations(), ...latency, ...throughput};
   } finally {
-    await Promise.all([relayed.child.kill(), bare.child.kill(), fleet.stop()]);
+    await Promise.all([bare.child.kill(), fleet.stop()]);
   }
 }
+
+/** The relay passes the epoch on, because targets refuse lower ones. */
+function withHeaders(
+  route: LatencyRoute,
+  headers: Record<string, string>,
+): LatencyRoute {
+  return {...route, next: () => ({...route.next(), headers})};
+}
--- a/src/routing/least_loaded_routing.ts
+++ b/src/routing/least_loaded_routing.ts
@@ -26,7 +26,7 @@
 }
 
 interface TargetState {
-  wasAvailable: boolean;
+  wasAbsent: boolean;
   isEjected: boolean;
   goodProbes: number;
   nextProbeAtMs: number;
@@ -128,7 +128,7 @@
     let state = this.states.get(load.target);
     if (!state) {
       state = {
-        wasAvailable: load.isAvailable,
+        wasAbsent: false,
         isEjected: false,
         goodProbes: 0,
         nextProbeAtMs: 0,
@@ -136,8 +136,13 @@
       };
       this.states.set(load.target, state);
     }
-    if (load.isAvailable && !state.wasAvailable) state.returnedAtMs = nowMs;
-    state.wasAvailable = load.isAvailable;
+    if (load.isAvailable && state.wasAbsent) {
+      state.returnedAtMs = nowMs;
+      state.wasAbsent = false;
+    } else if (!load.isAvailable && load.inUse < load.slots) {
+      // A target that is only full has not been away: it needs no slow start.
+      state.wasAbsent = true;
+    }
     return state;
   }
 
--- a/src/routing/least_loaded_routing_test.ts
+++ b/src/routing/least_loaded_routing_test.ts
@@ -116,6 +116,18 @@
   assert.equal(simulation.loads[0]!.inUse, 1);
 });
 
+// Guards against slow starts each time that a target had no free slot.
+test('a target that was full does not start slowly', () => {
+  const simulation = new Simulation(3);
+  const load = simulation.loads[0]!;
+  simulation.run(1);
+  Object.assign(load, {isAvailable: false, inUse: 8});
+  simulation.run(1);
+  Object.assign(load, {isAvailable: true, inUse: 0});
+  simulation.run(40);
+  assert.ok(load.inUse > 3, `${load.inUse} in use`);
+});
+
 // Guards against urgent requests that serve as probes while others could.
 test('urgent requests probe only after a longer wait', () => {
   const simulation = new Simulation(10);
--- a/src/routing/routing_policy.ts
+++ b/src/routing/routing_policy.ts
@@ -7,7 +7,7 @@
   slots: number;
   /** Requests that run on it now. */
   inUse: number;
-  /** True if it may take new work. */
+  /** True if it may take new work; a full target may show false. */
   isAvailable: boolean;
 }
 
