Measure floods through real entries

Cause: the flood goals hold for the decision logic alone; they must hold through banyanmux-entry too. Change: flood runs two real entries with three targets, then the three policies without HTTP as before; queuedMax of the entries comes from their metrics and counts all waiting requests.

--- /dev/null
+++ b/measure/flood_figures.ts
@@ -0,0 +1,145 @@
+import {build} from 'hdr-histogram-js';
+
+import {Urgency} from '../src/contracts/urgency.js';
+import {FloodGenerator, FloodPhase} from './flood_generator.js';
+import {
+  fairShares,
+  FLOOD_LOAD,
+  FLOODER,
+  floodContracts,
+  LoadFlow,
+  ordinaryFlows,
+} from './flood_load.js';
+import {FlowRecord} from './flow_record.js';
+
+/** What others kept while one caller flooded. */
+export interface FloodFigures {
+  /** Smallest part a flow kept of its earlier rate, or of a lower floor. */
+  othersKeptFraction: number;
+  /** Part that all others together kept of their earlier rate. */
+  othersKeptOfBefore: number;
+  urgentP99BeforeMs: number;
+  urgentP99DuringMs: number;
+  urgentP99Ratio: number;
+  /** Smallest share of a colleague over its fair share. */
+  callerFairness: number;
+  floodAnsweredPerSecond: number;
+}
+
+/** Options of {@link measureFlood}. */
+export interface MeasureFloodOptions {
+  generator: FloodGenerator;
+  /** Requests per second that all slots can serve. */
+  capacity: number;
+  urgency: Urgency;
+  seed: number;
+  /** Time in ms for both phases. */
+  durationMs: number;
+}
+
+interface FloodPhases {
+  before: FloodPhase;
+  during: FloodPhase;
+}
+
+/** Part of the time that passes before the flood. */
+const BEFORE_PART = 0.4;
+
+const WARM_UP_MS = 500;
+
+const CONTRACTS = floodContracts();
+
+/** Runs ordinary load, then the same with the flood. */
+export async function measureFlood(
+  options: MeasureFloodOptions,
+): Promise<FloodFigures> {
+  const {generator, capacity, urgency, seed, durationMs} = options;
+  const ordinary = ordinaryFlows();
+  const beforeMs = durationMs * BEFORE_PART;
+  // Opens the connections; not part of the figures.
+  await generator.run(ordinary, {durationMs: WARM_UP_MS, seed: seed + 2});
+  const before = await generator.run(ordinary, {durationMs: beforeMs, seed});
+  const flows = [...ordinary, {...FLOODER, urgency, load: FLOOD_LOAD}];
+  const during = await generator.run(flows, {
+    durationMs: durationMs - beforeMs,
+    seed: seed + 1,
+  });
+  const flood = during.records.find((record) => isFlooder(record.flow))!;
+  const urgentP99BeforeMs = urgentP99Ms(before);
+  const urgentP99DuringMs = urgentP99Ms(during);
+  return {
+    othersKeptFraction: smallestKept({before, during}, capacity),
+    othersKeptOfBefore: totalKept({before, during}),
+    urgentP99BeforeMs,
+    urgentP99DuringMs,
+    urgentP99Ratio: urgentP99DuringMs / urgentP99BeforeMs,
+    callerFairness: callerFairness(during, urgency),
+    floodAnsweredPerSecond: perSecond(flood, during),
+  };
+}
+
+function isFlooder(flow: LoadFlow): boolean {
+  return flow.caller === FLOODER.caller;
+}
+
+function perSecond(record: FlowRecord, phase: FloodPhase): number {
+  return (record.answered / phase.durationMs) * 1000;
+}
+
+/**
+ * Smallest part that a flow kept of what it got before, or of its contract's
+ * floor if that is lower. What it got before is taken relative to what was
+ * offered, because random arrivals differ between the phases.
+ */
+function smallestKept(phases: FloodPhases, capacity: number): number {
+  const {before, during} = phases;
+  const kept = during.records
+    .filter((record) => !isFlooder(record.flow))
+    .map((record, index) => {
+      const {customer, urgency, load} = record.flow;
+      const sameClass = before.records
+        .map((other) => other.flow)
+        .filter((f) => f.customer === customer && f.urgency === urgency);
+      const part = load / sameClass.reduce((sum, f) => sum + f.load, 0);
+      const {floor} = CONTRACTS.get(customer)!.urgencies[urgency];
+      const earlier = before.records[index]!;
+      const rateBefore =
+        (earlier.answered / earlier.offered) * offered(record, during);
+      const due = Math.min(rateBefore, floor * capacity * part);
+      return perSecond(record, during) / due;
+    });
+  return Math.min(...kept);
+}
+
+function offered(record: FlowRecord, phase: FloodPhase): number {
+  return (record.offered / phase.durationMs) * 1000;
+}
+
+function totalKept({before, during}: FloodPhases): number {
+  const answeredPart = (phase: FloodPhase): number => {
+    const others = phase.records.filter((r) => !isFlooder(r.flow));
+    const answered = others.reduce((sum, r) => sum + r.answered, 0);
+    return answered / others.reduce((sum, r) => sum + r.offered, 0);
+  };
+  return answeredPart(during) / answeredPart(before);
+}
+
+function urgentP99Ms(phase: FloodPhase): number {
+  const histogram = build({numberOfSignificantValueDigits: 3});
+  for (const {flow, latencyMicroseconds} of phase.records) {
+    if (flow.urgency !== 'urgent' || isFlooder(flow)) continue;
+    histogram.add(latencyMicroseconds);
+  }
+  return histogram.getValueAtPercentile(99) / 1000;
+}
+
+/** Smallest share over fair share among the flooder and its colleagues. */
+function callerFairness(during: FloodPhase, urgency: Urgency): number {
+  const group = during.records.filter(
+    ({flow}) => flow.customer === FLOODER.customer && flow.urgency === urgency,
+  );
+  const demands = group.map((record) => record.offered);
+  const total = group.reduce((sum, record) => sum + record.answered, 0);
+  const fair = fairShares(demands, total);
+  return Math.min(...group.map((record, i) => record.answered / fair[i]!));
+}
--- a/measure/scenarios/flood.ts
+++ b/measure/scenarios/flood.ts
@@ -1,4 +1,4 @@
-import {build} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
 
 import {AdmissionPolicy} from '../../src/admission/admission_policy.js';
 import {BaselinePolicy} from '../../src/admission/baseline_policy.js';
@@ -9,54 +9,50 @@
 import {LeastLoadedRouting} from '../../src/routing/least_loaded_routing.js';
 import {DirectRouter} from '../direct_router.js';
 import {
-  fairShares,
-  FLOOD_LOAD,
-  FLOODER,
-  floodContracts,
-  LoadFlow,
-  ordinaryFlows,
-} from '../flood_load.js';
-import {FlowRecord} from '../flow_record.js';
-import {openArrivals} from '../open_arrivals.js';
+  entryOrigins,
+  keyOf,
+  SERVICE_PATH,
+  startEntryFleet,
+  writtenCallers,
+} from '../entry_fleet.js';
+import {FloodFigures, measureFlood} from '../flood_figures.js';
+import {FloodGenerator, FlowSender} from '../flood_generator.js';
+import {FLOODER, floodContracts} from '../flood_load.js';
 import {ScenarioOptions, ScenarioResult} from '../scenario.js';
 import {startTargetFleet, TargetFleet} from '../target_fleet.js';
+import {WaitingWatch} from '../waiting_watch.js';
 
 const TARGETS = 3;
 const SLOTS = 8;
-const WORK_MS = 40;
 
-/**
- * Work times vary by this part in both directions. Equal times would keep the
- * slots in step from the start of the flood on: all become free at once.
- */
-const WORK_SPREAD = 0.5;
+/** Work time in ms without HTTP towards callers. */
+const DIRECT_WORK_MS = 40;
+
+/** Longer, so that the flood doesn't exhaust the processors of the machine. */
+const ENTRY_WORK_MS = 120;
 
-/** Requests per second that the slots can serve. */
-const CAPACITY = ((TARGETS * SLOTS) / WORK_MS) * 1000;
+const ENTRIES = 2;
 
-const SERVICE = 'dispatch';
+/** Part of the time that is spent on the real entries. */
+const ENTRY_PART = 0.4;
+
+const CONTRACTS = floodContracts();
 
-/** Part of a policy's time that passes before the flood. */
-const BEFORE_PART = 0.4;
+type Figures = FloodFigures & {queuedMax: number; queuedLimit: number};
 
-interface Phase {
+interface Run {
+  urgency: Urgency;
+  seed: number;
   durationMs: number;
-  records: FlowRecord[];
 }
 
-interface Figures {
-  othersKeptFraction: number;
-  othersKeptOfBefore: number;
-  urgentP99BeforeMs: number;
-  urgentP99DuringMs: number;
-  urgentP99Ratio: number;
-  callerFairness: number;
-  queuedMax: number;
-  queuedLimit: number;
-  floodAnsweredPerSecond: number;
+function capacityFor(workMs: number): number {
+  return ((TARGETS * SLOTS) / workMs) * 1000;
 }
 
-const CONTRACTS = floodContracts();
+function queuedLimit(urgency: Urgency): number {
+  return CONTRACTS.get(FLOODER.customer)!.urgencies[urgency].maxWaiting;
+}
 
 function policies(clock: SystemClock): Array<[string, AdmissionPolicy]> {
   const contracts = {contract: (name: string) => CONTRACTS.get(name)};
@@ -73,171 +69,137 @@
   ];
 }
 
-/** Produces the load of a set of flows through one router. */
-class LoadGenerator {
-  private sent = 0;
-  private readonly random = new SeededRandom(1);
-
-  constructor(
-    private readonly router: DirectRouter,
-    private readonly clock: SystemClock,
-  ) {}
-
-  async run(
-    flows: readonly LoadFlow[],
-    options: {durationMs: number; seed: number},
-  ): Promise<Phase> {
-    const {durationMs, seed} = options;
-    const records = flows.map((flow) => new FlowRecord(flow));
-    await Promise.all(
-      records.map((record, index) =>
-        openArrivals({
-          random: new SeededRandom(seed * 100 + index),
-          perSecond: record.flow.load * CAPACITY,
-          durationMs,
-          arrive: () => this.arrive(record),
-        }),
-      ),
-    );
-    return {durationMs, records};
-  }
-
-  private async arrive(record: FlowRecord): Promise<void> {
-    const {customer, caller, urgency} = record.flow;
+function directSender(router: DirectRouter, clock: SystemClock): FlowSender {
+  let sent = 0;
+  return async ({customer, caller, urgency}, workMs) => {
     const {timeoutMs} = CONTRACTS.get(customer)!.urgencies[urgency];
-    const arrivedMs = this.clock.nowMs();
-    record.offered += 1;
-    const request = {
-      requestId: String(this.sent++),
-      customer,
-      caller,
-      service: SERVICE,
-      urgency,
-      arrivedMs,
-      deadlineMs: arrivedMs + timeoutMs,
-    };
-    const factor = 1 + WORK_SPREAD * (2 * this.random.next() - 1);
-    const end = await this.router.submit(request, WORK_MS * factor);
-    if (end === 'answered') record.add(this.clock.nowMs() - arrivedMs);
-  }
-}
-
-function isFlooder(flow: LoadFlow): boolean {
-  return flow.caller === FLOODER.caller;
-}
-
-function perSecond(record: FlowRecord, phase: Phase): number {
-  return (record.answered / phase.durationMs) * 1000;
-}
-
-/**
- * Smallest part that a flow kept of what it got before, or of its contract's
- * floor if that is lower. What it got before is taken relative to what was
- * offered, because random arrivals differ between the phases.
- */
-function smallestKept(before: Phase, during: Phase): number {
-  const kept = during.records
-    .filter((record) => !isFlooder(record.flow))
-    .map((record, index) => {
-      const {customer, urgency, load} = record.flow;
-      const sameClass = before.records
-        .map((other) => other.flow)
-        .filter((f) => f.customer === customer && f.urgency === urgency);
-      const part = load / sameClass.reduce((sum, f) => sum + f.load, 0);
-      const {floor} = CONTRACTS.get(customer)!.urgencies[urgency];
-      const earlier = before.records[index]!;
-      const rateBefore =
-        (earlier.answered / earlier.offered) * offered(record, during);
-      const due = Math.min(rateBefore, floor * CAPACITY * part);
-      return perSecond(record, during) / due;
-    });
-  return Math.min(...kept);
-}
-
-function offered(record: FlowRecord, phase: Phase): number {
-  return (record.offered / phase.durationMs) * 1000;
-}
-
-function totalKept(before: Phase, during: Phase): number {
-  const answeredPart = (phase: Phase): number => {
-    const others = phase.records.filter((r) => !isFlooder(r.flow));
-    const answered = others.reduce((sum, r) => sum + r.answered, 0);
-    return answered / others.reduce((sum, r) => sum + r.offered, 0);
+    const arrivedMs = clock.nowMs();
+    const end = await router.submit(
+      {
+        requestId: String(sent++),
+        customer,
+        caller,
+        service: 'portal',
+        urgency,
+        arrivedMs,
+        deadlineMs: arrivedMs + timeoutMs,
+      },
+      workMs,
+    );
+    return end === 'answered';
   };
-  return answeredPart(during) / answeredPart(before);
-}
-
-function urgentP99Ms(phase: Phase): number {
-  const histogram = build({numberOfSignificantValueDigits: 3});
-  for (const {flow, latencyMicroseconds} of phase.records) {
-    if (flow.urgency !== 'urgent' || isFlooder(flow)) continue;
-    histogram.add(latencyMicroseconds);
-  }
-  return histogram.getValueAtPercentile(99) / 1000;
-}
-
-/** Smallest share over fair share among the flooder and its colleagues. */
-function callerFairness(during: Phase, urgency: Urgency): number {
-  const group = during.records.filter(
-    ({flow}) => flow.customer === FLOODER.customer && flow.urgency === urgency,
-  );
-  const demands = group.map((record) => record.offered);
-  const total = group.reduce((sum, record) => sum + record.answered, 0);
-  const fair = fairShares(demands, total);
-  return Math.min(...group.map((record, i) => record.answered / fair[i]!));
 }
 
+/** Measures one policy without HTTP towards callers. */
 async function runPolicy(
   admission: AdmissionPolicy,
-  options: {
-    fleet: TargetFleet;
-    clock: SystemClock;
-    urgency: Urgency;
-    seed: number;
-    durationMs: number;
-  },
+  options: Run & {fleet: TargetFleet; clock: SystemClock},
 ): Promise<Figures> {
-  const {fleet, clock, urgency, seed, durationMs} = options;
-  const random = new SeededRandom(seed);
+  const {fleet, clock, ...run} = options;
+  const random = new SeededRandom(run.seed);
   const routing = new LeastLoadedRouting({clock, random});
   const {origins} = fleet;
   const router = new DirectRouter({clock, admission, routing, origins});
-  const generator = new LoadGenerator(router, clock);
-  const ordinary = ordinaryFlows();
-  const beforeMs = durationMs * BEFORE_PART;
-  // Opens the connections; not part of the figures.
-  await generator.run(ordinary, {durationMs: 500, seed: seed + 2});
-  const before = await generator.run(ordinary, {durationMs: beforeMs, seed});
-  const flows = [...ordinary, {...FLOODER, urgency, load: FLOOD_LOAD}];
-  const during = await generator.run(flows, {
-    durationMs: durationMs - beforeMs,
-    seed: seed + 1,
-  });
+  const workMs = DIRECT_WORK_MS;
+  const capacity = capacityFor(workMs);
+  const send = directSender(router, clock);
+  const generator = new FloodGenerator({send, workMs, capacity});
+  const figures = await measureFlood({...run, generator, capacity});
   await router.stop();
-  const flood = during.records.find((record) => isFlooder(record.flow))!;
-  const urgentP99BeforeMs = urgentP99Ms(before);
-  const urgentP99DuringMs = urgentP99Ms(during);
-  const key = `${FLOODER.customer}/${urgency}`;
-  return {
-    othersKeptFraction: smallestKept(before, during),
-    othersKeptOfBefore: totalKept(before, during),
-    urgentP99BeforeMs,
-    urgentP99DuringMs,
-    urgentP99Ratio: urgentP99DuringMs / urgentP99BeforeMs,
-    callerFairness: callerFairness(during, urgency),
-    queuedMax: router.waitingMax.get(key) ?? 0,
-    queuedLimit: CONTRACTS.get(FLOODER.customer)!.urgencies[urgency].maxWaiting,
-    floodAnsweredPerSecond: perSecond(flood, during),
+  const key = `${FLOODER.customer}/${run.urgency}`;
+  const queuedMax = router.waitingMax.get(key) ?? 0;
+  return {...figures, queuedMax, queuedLimit: queuedLimit(run.urgency)};
+}
+
+async function comparePolicies(
+  options: Run & {progress: (text: string) => void},
+): Promise<{figures: Record<string, Figures>; violations: number}> {
+  const {progress, urgency, seed} = options;
+  const clock = new SystemClock();
+  const workMs = DIRECT_WORK_MS;
+  const fleet = await startTargetFleet({count: TARGETS, workMs});
+  const figures: Record<string, Figures> = {};
+  const all = policies(clock);
+  const durationMs = options.durationMs / all.length;
+  try {
+    for (const [name, admission] of all) {
+      const run = {fleet, clock, urgency, seed, durationMs};
+      figures[name] = await runPolicy(admission, run);
+      progress(`${name}: ${JSON.stringify(figures[name])}`);
+    }
+    return {figures, violations: await fleet.violations()};
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function entrySender(origins: readonly string[], agent: Agent): FlowSender {
+  let turn = 0;
+  return async ({customer, caller, urgency}, workMs) => {
+    turn = (turn + 1) % origins.length;
+    try {
+      const answer = await request(origins[turn]! + SERVICE_PATH, {
+        dispatcher: agent,
+        headers: {
+          authorization: `Bearer ${keyOf(customer, caller)}`,
+          'banyanmux-urgency': urgency,
+          'x-work-ms': String(workMs),
+        },
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
   };
 }
 
+/** Measures real entries. */
+async function runEntries(run: Run): Promise<Figures & {violations: number}> {
+  const workMs = ENTRY_WORK_MS;
+  const contracts = [...CONTRACTS.values()].map((contract) => {
+    const {customer} = contract;
+    const names = contract.callers.map(({name}) => name);
+    const callers = writtenCallers(customer, names);
+    return {...contract, services: ['portal'], callers};
+  });
+  const fleet = await startEntryFleet({
+    entries: ENTRIES,
+    targets: TARGETS,
+    workMs,
+    contracts,
+  });
+  const agent = new Agent({connections: 500});
+  const origins = entryOrigins(fleet);
+  const watch = new WaitingWatch(origins);
+  try {
+    const capacity = capacityFor(workMs);
+    const send = entrySender(origins, agent);
+    const generator = new FloodGenerator({send, workMs, capacity});
+    const figures = await measureFlood({...run, generator, capacity});
+    return {
+      violations: await fleet.violations(),
+      ...figures,
+      queuedMax: watch.stop(),
+      queuedLimit: queuedLimit(run.urgency),
+    };
+  } finally {
+    watch.stop();
+    await agent.destroy();
+    await fleet.stop();
+  }
+}
+
 /**
  * One caller sends one class of requests at ten times the capacity; measures
- * what the other work keeps, with fair queueing and with both baselines.
+ * what the other work keeps: through real entries, and without HTTP towards
+ * callers for fair queueing and both baselines.
  */
 export async function runFlood(
   options: ScenarioOptions,
 ): Promise<ScenarioResult> {
+  const {seed} = options;
+  const progress = (text: string): void => options.progress(text);
   const name = options.flags['class'] ?? 'batch';
   const urgency = URGENCIES.find((known) => known === name);
   if (!urgency) {
@@ -245,28 +207,23 @@
       `Cannot measure flood: given --class "${name}"; allowed: ${URGENCIES.join(', ')}`,
     );
   }
-  const clock = new SystemClock();
-  const fleet = await startTargetFleet({count: TARGETS, workMs: WORK_MS});
-  const totalMs = Math.min(42, Math.max(12, options.seconds)) * 1000;
-  const baselines: Record<string, Figures> = {};
-  try {
-    const all = policies(clock);
-    for (const [policyName, admission] of all) {
-      baselines[policyName] = await runPolicy(admission, {
-        fleet,
-        clock,
-        urgency,
-        seed: options.seed,
-        durationMs: totalMs / all.length,
-      });
-      options.progress(
-        `${policyName}: ${JSON.stringify(baselines[policyName])}`,
-      );
-    }
-    const {fairQueueing, ...others} = baselines;
-    const violations = await fleet.violations();
-    return {violations, class: urgency, ...fairQueueing, baselines: others};
-  } finally {
-    await fleet.stop();
-  }
+  const totalMs = Math.min(38, Math.max(15, options.seconds)) * 1000;
+  const entries = await runEntries({
+    urgency,
+    seed,
+    durationMs: totalMs * ENTRY_PART,
+  });
+  progress(`entries: ${JSON.stringify(entries)}`);
+  const {figures, violations} = await comparePolicies({
+    urgency,
+    seed,
+    durationMs: totalMs * (1 - ENTRY_PART),
+    progress,
+  });
+  return {
+    ...entries,
+    violations: entries.violations + violations,
+    class: urgency,
+    withoutHttp: figures,
+  };
 }
