--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -23,7 +23,9 @@
 import {ClaimedCalls} from './claimed_calls.js';
 import {EntryProcess} from './entry_process.js';
 import {EntrySettings} from './entry_settings.js';
-import {JobRoute} from './job_route.js';
+import {JobClient} from './job_client.js';
+import {JobRoutes} from './job_routes.js';
+import {JobSubmission} from './job_submission.js';
 import {PolledConfiguration} from './polled_configuration.js';
 
 /** Load that entries report in heartbeats. */
@@ -114,11 +116,10 @@
     }));
 }
 
-/** Schedulers of this data centre, the one on this VM first. */
+/** Members of this data centre, this one first. */
 function schedulersOf(settings: EntrySettings): string[] {
-  const names = addressesOf(settings, 'scheduler').map(({member}) => member);
-  const isOwn = (name: string): boolean => name === settings.member;
-  return [...names.filter(isOwn), ...names.filter((name) => !isOwn(name))];
+  const others = addressesOf(settings, 'entry').map(({member}) => member);
+  return [settings.member, ...others];
 }
 
 function createMembership(
@@ -169,14 +170,18 @@
   const configuration = parts.resolve(PolledConfiguration);
   const network = parts.resolve(PeerNetwork);
   const ownership = parts.resolve(OwnershipKeeper);
-  const jobRoute = new JobRoute({
+  const {limits} = settings.entry;
+  const claims = parts.resolve(ClaimStore);
+  const client = new JobClient({network, schedulers: schedulersOf(settings)});
+  const jobs = new JobRoutes({
     configuration,
-    network: parts.resolve(PeerNetwork),
-    schedulers: schedulersOf(settings),
-    limits: settings.entry.limits,
+    client,
+    submission: new JobSubmission({client, claims, clock}),
+    clock,
+    limits,
     refusal: () => entry.refusal(),
   });
-  const entry: EntryProcess = new EntryProcess({
+  const entry = new EntryProcess({
     settings,
     clock,
     random,
@@ -192,13 +197,14 @@
     }),
     createRouting: () => new LeastLoadedRouting({clock, random}),
     keyedCalls: new ClaimedCalls({
-      claims: parts.resolve(ClaimStore),
+      claims,
       answers: new StoredAnswers({clock}),
       clock,
       network,
     }),
     isReady: () => configuration.ageMs() < Infinity,
-    routes: [(app) => jobRoute.mount(app)],
+    // The routes of operators are added here.
+    routes: [(app) => jobs.mount(app)],
   });
   parts.resolve(Membership).onHeartbeat(({member, load}) => {
     const {free} = (load ?? {}) as Partial<EntryLoad>;
