Give requests that were not sent back to admission

Cause: the entry kept up to 16 requests that failed to reserve a slot at a peer in a list that went before admission; a flood of batch work in that list delayed urgent requests. Change: AdmissionPolicy.putBack returns a taken request to the front of its caller's queue and refunds its charge; ServiceRouter uses it instead of its own list (small change in src/entry, with FifoAdmission).

--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -21,6 +21,12 @@
    * are returned by {@link takeExpired} instead.
    */
   take(service: string): WaitingRequest | undefined;
+  /**
+   * Returns a taken request that could not be sent, or that may be sent again.
+   * It becomes the first of its caller; its use of a slot is forgotten. Until
+   * it leaves, the number of waiting requests may exceed the limit by it.
+   */
+  putBack(request: WaitingRequest): void;
   /** Removes requests whose deadline has passed. */
   takeExpired(): WaitingRequest[];
   /** Removes a request that its caller gave up; true if it was waiting. */
--- a/src/admission/baseline_policy.ts
+++ b/src/admission/baseline_policy.ts
@@ -65,6 +65,15 @@
     return undefined;
   }
 
+  putBack(request: WaitingRequest): void {
+    const key = `${request.customer}/${request.urgency}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+    const queue = this.queueOf(request);
+    const item = {request, queue, previous: undefined, next: undefined};
+    queue.pushFront(item);
+    this.waiting.set(request.requestId, item);
+  }
+
   takeExpired(): WaitingRequest[] {
     const nowMs = this.options.clock.nowMs();
     // A scan is acceptable here, because baselines run in measurements only.
--- a/src/admission/drain_pace.ts
+++ b/src/admission/drain_pace.ts
@@ -27,6 +27,11 @@
     this.taken += 1;
   }
 
+  /** Forgets a departure of a request that was not served. */
+  withdraw(): void {
+    this.taken = Math.max(0, this.taken - 1);
+  }
+
   /**
    * Returns the time in ms between two departures, or undefined if the
    * observation is shorter than `minObservedMs`.
--- a/src/admission/fair_queueing_policy.ts
+++ b/src/admission/fair_queueing_policy.ts
@@ -62,13 +62,24 @@
       this.refuseByLimit(request, service) ??
       this.refuseByDeadline(request, service);
     if (refusal) return refusal;
-    const queued = service.add(request, contract);
-    this.waiting.set(requestId, queued);
-    this.deadlines.add(queued);
-    this.limits.add(request);
+    this.enqueue(service.add(request, contract, {atFront: false}));
     return {admitted: true};
   }
 
+  putBack(request: WaitingRequest): void {
+    const taken = this.running.get(request.requestId);
+    if (!taken) return;
+    const service = this.serviceOf(request.service);
+    this.running.delete(request.requestId);
+    service.ended(taken, undefined);
+    const contract = this.options.contracts.contract(request.customer);
+    if (!contract || request.deadlineMs <= this.options.clock.nowMs()) {
+      this.expired.push(request);
+      return;
+    }
+    this.enqueue(service.add(request, contract, {atFront: true}));
+  }
+
   take(service: string): WaitingRequest | undefined {
     const queue = this.services.get(service);
     const nowMs = this.options.clock.nowMs();
@@ -153,6 +164,12 @@
     return refused('DEADLINE_UNREACHABLE', {retryAfterMs, reason});
   }
 
+  private enqueue(queued: QueuedRequest): void {
+    this.waiting.set(queued.request.requestId, queued);
+    this.deadlines.add(queued);
+    this.limits.add(queued.request);
+  }
+
   private expire(queued: QueuedRequest): void {
     this.leaves(queued);
     this.expired.push(queued.request);
--- a/src/admission/fair_queueing_policy_test.ts
+++ b/src/admission/fair_queueing_policy_test.ts
@@ -16,7 +16,11 @@
   readonly policy: FairQueueingPolicy;
   private nextId = 0;
 
-  constructor(contracts: object[], livingEntries = 1) {
+  constructor(
+    contracts: object[],
+    options: {livingEntries?: number; classFloor?: number} = {},
+  ) {
+    const {livingEntries = 1, classFloor} = options;
     const callers = ['a', 'b', 'c'].map((name) => ({
       name,
       keyHash: '0'.repeat(64),
@@ -31,6 +35,7 @@
       clock: this.clock,
       contracts: {contract: (name) => byName.get(name)},
       livingEntries: () => livingEntries,
+      classFloor,
     });
   }
 
@@ -146,7 +151,9 @@
 // Guards against one caller that fills the waiting room of its customer.
 test('a burst leaves places for other callers within the limit', () => {
   const urgencies = classes({maxWaiting: 90});
-  const driver = new Driver([{customer: 'one', urgencies}], 3);
+  const driver = new Driver([{customer: 'one', urgencies}], {
+    livingEntries: 3,
+  });
   assert.equal(driver.offer(100), 20);
   assert.ok(driver.offer(100, {caller: 'b'}) >= 5);
   assert.equal(driver.offer(1, {caller: 'c'}), 1);
@@ -167,8 +174,22 @@
   assert.equal(driver.policy.offer({...short, deadlineMs: 1e6}).admitted, true);
 });
 
+// Guards against a returned request that overtakes more urgent ones, loses its
+// place in its caller's order, or stays charged to its caller.
+test('a request that was put back waits for its turn again', () => {
+  const driver = new Driver([{customer: 'one'}], {classFloor: 0});
+  driver.offer(3, {urgency: 'batch'});
+  const first = driver.policy.take(SERVICE)!;
+  driver.offer(1, {urgency: 'urgent'});
+  driver.policy.putBack(first);
+  assert.equal(driver.policy.waitingCount(), 4);
+  assert.equal(driver.policy.take(SERVICE)?.urgency, 'urgent');
+  assert.equal(driver.policy.take(SERVICE)?.requestId, first.requestId);
+});
+
 type Step = {
-  action: 'offer' | 'take' | 'cancel' | 'complete' | 'advance' | 'expire';
+  action:
+    'offer' | 'take' | 'putBack' | 'cancel' | 'complete' | 'advance' | 'expire';
   urgency: Urgency;
   caller: string;
   customer: string;
@@ -182,6 +203,8 @@
       'offer',
       'offer',
       'take',
+      'take',
+      'putBack',
       'cancel',
       'complete',
       'advance',
@@ -226,6 +249,11 @@
         } else if (action === 'cancel') {
           const id = `r${amount}`;
           assert.equal(policy.cancel(id), waiting.delete(id));
+        } else if (action === 'putBack') {
+          const request = running.pop();
+          if (!request || waiting.size >= 8) continue;
+          policy.putBack(request);
+          waiting.set(request.requestId, request);
         } else if (action === 'complete') {
           const request = running.shift();
           if (request) policy.completed(request, amount);
--- a/src/admission/linked_queue.ts
+++ b/src/admission/linked_queue.ts
@@ -31,6 +31,16 @@
     this.count += 1;
   }
 
+  /** Inserts an item that is in no queue at the front. */
+  pushFront(item: T): void {
+    item.previous = undefined;
+    item.next = this.front;
+    if (this.front) this.front.previous = item;
+    else this.back = item;
+    this.front = item;
+    this.count += 1;
+  }
+
   /** Removes an item that is in this queue. */
   remove(item: T): void {
     if (item.previous) item.previous.next = item.next;
--- a/src/admission/service_queue.ts
+++ b/src/admission/service_queue.ts
@@ -95,8 +95,12 @@
     return this.classes.get(urgency)!.runTime.meanMs ?? this.runTime.typicalMs;
   }
 
-  /** Adds a request. */
-  add(request: WaitingRequest, contract: Contract): QueuedRequest {
+  /** Adds a request at the back of its caller's queue, or at the front. */
+  add(
+    request: WaitingRequest,
+    contract: Contract,
+    options: {atFront: boolean},
+  ): QueuedRequest {
     const classQueue = this.classes.get(request.urgency)!;
     const customer = this.customerOf(classQueue, request, contract);
     const caller = this.callerOf(customer, request);
@@ -112,7 +116,8 @@
       next: undefined,
     };
     this.count(queued);
-    caller.queue.push(queued);
+    if (options.atFront) caller.queue.pushFront(queued);
+    else caller.queue.push(queued);
     return queued;
   }
 
@@ -163,7 +168,10 @@
     this.floors.advance(differenceMs);
     this.floors.correct(customer.account, differenceMs);
     this.floors.correct(classQueue.account, differenceMs);
-    if (runTimeMs === undefined) return;
+    if (runTimeMs === undefined) {
+      classQueue.pace.withdraw();
+      return;
+    }
     this.runTime.add(runTimeMs);
     classQueue.runTime.add(runTimeMs);
   }
--- a/src/entry/fifo_admission.ts
+++ b/src/entry/fifo_admission.ts
@@ -46,6 +46,13 @@
     return undefined;
   }
 
+  putBack(request: WaitingRequest): void {
+    const others = [...this.waiting];
+    this.waiting.clear();
+    this.waiting.set(request.requestId, request);
+    for (const [requestId, other] of others) this.waiting.set(requestId, other);
+  }
+
   takeExpired(): WaitingRequest[] {
     const nowMs = this.clock.nowMs();
     const expired = [...this.waiting.values()].filter(
--- a/src/entry/service_router.ts
+++ b/src/entry/service_router.ts
@@ -69,8 +69,6 @@
 /** Brings waiting requests and free slots together. */
 export class ServiceRouter {
   private readonly calls = new Map<string, PendingCall>();
-  /** Requests that go before those in admission, by service. */
-  private readonly front = new Map<string, ServiceCall[]>();
   private readonly reserving = new Map<string, number>();
   private readonly budget = new RetryBudget();
   private readonly timer: NodeJS.Timeout;
@@ -116,7 +114,7 @@
 
   /** Starts waiting requests of all services while there are slots. */
   pumpAll(): void {
-    const services = new Set(this.front.keys());
+    const services = new Set<string>();
     for (const {call} of this.calls.values()) services.add(call.service);
     for (const service of services) this.pump(service);
   }
@@ -176,19 +174,12 @@
 
   private mayReserve(service: string, call?: ServiceCall): boolean {
     const {peers, admission} = this.options;
-    const waiting =
-      admission.waitingCount(service) + (this.front.get(service)?.length ?? 0);
-    if (!call && waiting === 0) return false;
+    if (!call && admission.waitingCount(service) === 0) return false;
     if ((this.reserving.get(service) ?? 0) >= MOST_RESERVING) return false;
     return peers.mayHaveSlot(service);
   }
 
   private next(service: string): ServiceCall | undefined {
-    const front = this.front.get(service);
-    while (front && front.length > 0) {
-      const call = front.shift()!;
-      if (!call.hasEnded) return call;
-    }
     for (;;) {
       const waiting = this.options.admission.take(service);
       if (!waiting) return undefined;
@@ -217,10 +208,9 @@
     }
   }
 
+  /** Lets admission decide again when it is this call's turn. */
   private putBack(call: ServiceCall): void {
-    const front = this.front.get(call.service) ?? [];
-    front.unshift(call);
-    this.front.set(call.service, front);
+    this.options.admission.putBack(call.options.waiting);
   }
 
   private async reserve(call: ServiceCall): Promise<void> {
