--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -196,6 +196,7 @@
         kind: job.kind,
         declared: job.declared,
         runTimeMs: job.declaredRunTimeMs,
+        urgency: job.urgency,
         committed: enforced,
         usage,
         speed,
--- a/src/placement/choose_victims.ts
+++ b/src/placement/choose_victims.ts
@@ -17,6 +17,8 @@
    * @default every customer is at its share
    */
   overShare?: (customer: string) => number;
+  /** Tasks that must be spared. @default none */
+  isSpared?: (taskId: string) => boolean;
 }
 
 /** Tasks to evict from one worker. */
@@ -44,6 +46,7 @@
   };
   const ranked = [...record.tasks]
     .filter((entry) => entry.isEvictable && helps(entry, missing))
+    .filter((entry) => !options.isSpared?.(entry.task.taskId))
     .map((entry) => ({entry, cost: evictionCost(entry, options)}))
     .sort((one, other) => one.cost - other.cost);
   const chosen: Array<{entry: TaskRecord; cost: number}> = [];
--- a/src/placement/headroom_fit.ts
+++ b/src/placement/headroom_fit.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../clock/clock.js';
 import {Urgency} from '../contracts/urgency.js';
 import {chooseVictims, VictimChoice} from './choose_victims.js';
+import {EvictionClaims} from './eviction_claims.js';
 import {fitLeftover} from './fit_leftover.js';
 import {GridIndex} from './grid_index.js';
 import {LedgerPlacement} from './ledger_placement.js';
@@ -52,9 +53,9 @@
   /** See {@link ChooseVictimsOptions.overShare}. @default all at their share */
   overShare?: (customer: string) => number;
   /**
-   * Time for `holdMs`.
+   * Time for `holdMs` and for evictions that are under way.
    *
-   * @default no room is held
+   * @default no room is held, and evictions are expected to happen at once
    */
   clock?: Clock;
   /**
@@ -87,6 +88,7 @@
   private readonly reclaimable: GridIndex;
   private readonly racks: RackIndex;
   private readonly headroom: number;
+  private readonly claims: EvictionClaims | undefined;
   private heldPart = 0;
   private heldAtMs = 0;
   private readonly neighbours: NeighbourCost | undefined;
@@ -103,6 +105,7 @@
     this.reclaimable = reclaimable;
     this.racks = racks;
     this.headroom = options.headroom ?? 0.04;
+    if (options.clock) this.claims = new EvictionClaims(options.clock);
     if (options.slowdown) this.neighbours = new NeighbourCost(options.slowdown);
   }
 
@@ -129,6 +132,7 @@
   override release(taskId: string): void {
     const entry = this.ledger.release(taskId);
     if (!entry) return;
+    this.claims?.release(taskId);
     this.neighbours?.count(entry, -1);
     this.countGroup(entry, -1);
   }
@@ -247,6 +251,9 @@
     },
   ): Placement | undefined {
     const {need, passedOver} = state;
+    const {overShare} = this.options;
+    const isSpared = (taskId: string): boolean =>
+      this.claims?.isClaimed(taskId, request.taskId) ?? false;
     let best: {record: WorkerRecord; choice: VictimChoice} | undefined;
     this.reclaimable.search(need, {
       limit: MOST_CANDIDATES,
@@ -254,7 +261,7 @@
       largestFirst: true,
       examine: (record) => {
         if (request.excludedWorkers?.has(record.worker)) return false;
-        const choice = chooseVictims(record, need, this.options);
+        const choice = chooseVictims(record, need, {overShare, isSpared});
         if (choice && (!best || choice.cost < best.choice.cost)) {
           best = {record, choice};
         }
@@ -264,10 +271,12 @@
     if (!best) return undefined;
     this.hold(need);
     const {record, choice} = best;
+    const victims = choice.victims.map((entry) => entry.task.taskId);
+    this.claims?.claim(victims, request.taskId);
     return {
       worker: record.worker,
       reason: `evicts for a cost of ${choice.cost.toFixed(0)}`,
-      victims: choice.victims.map((entry) => entry.task.taskId),
+      victims,
       passedOver,
     };
   }
--- a/src/placement/headroom_fit_test.ts
+++ b/src/placement/headroom_fit_test.ts
@@ -110,6 +110,19 @@
   assert.ok(policy.place(request({taskId: 'more'})));
 });
 
+// Guards against several urgent tasks that wait for the room of one victim.
+test('chooses other victims while an eviction is under way', () => {
+  const policy = policyOf(1, {headroom: 0, clock: new ManualClock()});
+  for (let i = 0; i < 2; i++) fill(policy, {taskId: `t${i}`});
+  const urgent = {urgency: Urgency.URGENT};
+  const first = policy.place(request({...urgent, taskId: 'u0'}));
+  const again = policy.place(request({...urgent, taskId: 'u0'}));
+  const second = policy.place(request({...urgent, taskId: 'u1'}));
+  assert.deepEqual(first?.victims, again?.victims);
+  assert.notDeepEqual(first?.victims, second?.victims);
+  assert.equal(policy.place(request({...urgent, taskId: 'u2'})), undefined);
+});
+
 // Guards against a customer within its share that pays for one beyond it.
 test('evicts work of the customer that is over its share first', () => {
   const overShare = (customer: string): number => (customer === 'b' ? 3 : 1);
--- a/src/placement/learned_estimates.ts
+++ b/src/placement/learned_estimates.ts
@@ -1,3 +1,4 @@
+import {Urgency} from '../contracts/urgency.js';
 import {Resources} from '../workers/resources.js';
 import {LearnedAmount} from './learned_amount.js';
 import {SelfPayingMargin} from './self_paying_margin.js';
@@ -20,6 +21,8 @@
   declared: Resources;
   /** Declared run time in ms; 0 if the task has no end. */
   runTimeMs: number;
+  /** Urgent work gets a larger margin. @default 'batch' */
+  urgency?: Urgency;
 }
 
 /** What a task is expected to need. */
@@ -75,6 +78,12 @@
 const GROWTH_OF_LIMITED = 1.5;
 /** Endless tasks never end, so their usage is learned after these reports. */
 const REPORTS_PER_SAMPLE = 32;
+/**
+ * Part of the tasks that may be killed for too little memory. A killed batch
+ * task loses some work; a killed urgent task misses its limit.
+ */
+const ACCEPTED_PART = 0.005;
+const ACCEPTED_URGENT_PART = 0.0005;
 const SMALLEST_PROCESSORS = 0.05;
 const SMALLEST_MEMORY_MEGABYTES = 16;
 
@@ -152,7 +161,7 @@
     const usage = this.running.get(taskId);
     if (!usage) return;
     this.running.delete(taskId);
-    const kind = this.kindOf(usage.kind);
+    const kind = this.kindOf(usage);
     if (end.outcome === SizeOutcome.OUT_OF_MEMORY) {
       kind.margin.tooSmall();
       usage.peakMemory = usage.committed.memoryMegabytes * GROWTH_OF_LIMITED;
@@ -167,7 +176,7 @@
   }
 
   private learnSize(usage: RunningUsage): void {
-    const kind = this.kindOf(usage.kind);
+    const kind = this.kindOf(usage);
     const {declared, committed, peakProcessors, peakMemory} = usage;
     const isLimited = peakProcessors >= committed.processors * LIMITED_PART;
     const processors = isLimited
@@ -180,7 +189,7 @@
     kind.memory.add(peakMemory, declared.memoryMegabytes);
   }
 
-  private kindOf(name: string): KindState {
+  private kindOf({kind: name, urgency}: DeclaredTask): KindState {
     const existing = this.kinds.get(name);
     if (existing) {
       this.kinds.delete(name);
@@ -194,7 +203,10 @@
       processors: new LearnedAmount(),
       memory: new LearnedAmount(),
       runTime: new LearnedAmount(),
-      margin: new SelfPayingMargin(),
+      margin: new SelfPayingMargin({
+        acceptedPart:
+          urgency === Urgency.URGENT ? ACCEPTED_URGENT_PART : ACCEPTED_PART,
+      }),
     };
     this.kinds.set(name, created);
     return created;
@@ -202,11 +214,12 @@
 }
 
 function startOf(report: UsageReport): RunningUsage {
-  const {kind, declared, runTimeMs, committed} = report;
+  const {kind, declared, runTimeMs, urgency, committed} = report;
   return {
     kind,
     declared,
     runTimeMs,
+    urgency,
     committed,
     peakProcessors: 0,
     peakMemory: 0,
