Evict fewer tasks

Change: each victim has a fixed cost beside the lost work, and room is held with a half-life of 20 s instead of 10 s.

--- a/src/placement/choose_victims.ts
+++ b/src/placement/choose_victims.ts
@@ -5,6 +5,8 @@
 
 /** Time in ms that a restart takes beside the work that is lost. */
 const RESTART_MS = 2_000;
+/** Cost of any eviction, so that few large tasks go rather than many small. */
+const EVICTION_COST = 20_000;
 /** Standard work is evicted only where batch work can't make room. */
 const STANDARD_FACTOR = 8;
 const VALUE_FLOOR = 0.1;
@@ -67,7 +69,7 @@
 ): number {
   const {task, units} = entry;
   const processors = Math.max(0.1, units.processors / 1000);
-  const lostMs = (RESTART_MS + task.lostWorkMs) * processors;
+  const lostMs = (RESTART_MS + task.lostWorkMs) * processors + EVICTION_COST;
   const overShare = Math.max(0.25, options.overShare?.(task.customer) ?? 1);
   const factor = task.urgency === Urgency.STANDARD ? STANDARD_FACTOR : 1;
   return (lostMs * Math.max(VALUE_FLOOR, task.value) * factor) / overShare;
--- a/src/placement/headroom_fit.ts
+++ b/src/placement/headroom_fit.ts
@@ -62,7 +62,7 @@
    * Time in ms in which half of the room is given back that is held for urgent
    * work after it had to evict.
    *
-   * @default 10000
+   * @default 20000
    */
   holdMs?: number;
   /** Largest part of the pool that is held, 0 to 1. @default 0.05 */
@@ -160,7 +160,7 @@
    * take the freed room and is evicted again in the same wave of urgent work.
    */
   private held(): number {
-    const {clock, holdMs = 10_000} = this.options;
+    const {clock, holdMs = 20_000} = this.options;
     if (!clock || this.heldPart === 0) return 0;
     const nowMs = clock.nowMs();
     this.heldPart *= 0.5 ** ((nowMs - this.heldAtMs) / holdMs);
