Commit what half of the batch tasks can use

Cause: 93% of the processors were committed but tasks could use only 74%, since estimates covered 85% of the tasks and a task at its limit counted as 1.5 times as large. Change: work that is not urgent gets the processors that half of its kind can use, urgent work those of 90%; a task at its limit counts 1.2 times.

--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -216,8 +216,8 @@
   }
 
   private estimateOf(job: ColocationJob): {resources: Resources} {
-    const {kind, declared, declaredRunTimeMs: runTimeMs} = job;
-    return this.estimates.estimate({kind, declared, runTimeMs});
+    const {kind, declared, declaredRunTimeMs: runTimeMs, urgency} = job;
+    return this.estimates.estimate({kind, declared, runTimeMs, urgency});
   }
 
   private ended(
--- a/src/placement/headroom_fit_test.ts
+++ b/src/placement/headroom_fit_test.ts
@@ -98,7 +98,12 @@
 // Guards against batch work that takes the freed room and is evicted again.
 test('holds room for a while after an eviction', () => {
   const clock = new ManualClock();
-  const policy = policyOf(4, {headroom: 0, clock, mostHeld: 0.5});
+  const policy = policyOf(4, {
+    headroom: 0,
+    clock,
+    holdMs: 10_000,
+    mostHeld: 0.5,
+  });
   for (let i = 0; i < 8; i++) fill(policy, {taskId: `t${i}`});
   assert.equal(
     policy.place(request({urgency: Urgency.URGENT}))?.victims.length,
--- a/src/placement/learned_estimates.ts
+++ b/src/placement/learned_estimates.ts
@@ -50,8 +50,15 @@
 export interface LearnedEstimatesOptions {
   /** Kinds that are remembered; the least recently used is dropped. @default 512 */
   mostKinds?: number;
-  /** Part of the tasks that get all the processors they can use. @default 0.85 */
+  /**
+   * Part of the tasks that get all the processors they can use. Work that is
+   * not urgent does most per committed processor when it can use all of them.
+   *
+   * @default 0.5
+   */
   processorQuantile?: number;
+  /** The same for urgent work. @default 0.9 */
+  urgentProcessorQuantile?: number;
   /** Part of the tasks that fit into the memory before the margin. @default 0.97 */
   memoryQuantile?: number;
 }
@@ -75,7 +82,8 @@
 const PROCESSOR_SCALE = 1_000;
 /** A task this near to its limit might have used more. */
 const LIMITED_PART = 0.97;
-const GROWTH_OF_LIMITED = 1.5;
+const GROWTH_OF_LIMITED_PROCESSORS = 1.2;
+const GROWTH_OF_LIMITED_MEMORY = 1.5;
 /** Endless tasks never end, so their usage is learned after these reports. */
 const REPORTS_PER_SAMPLE = 32;
 /**
@@ -100,11 +108,13 @@
   private readonly running = new Map<string, RunningUsage>();
   private readonly mostKinds: number;
   private readonly processorQuantile: number;
+  private readonly urgentProcessorQuantile: number;
   private readonly memoryQuantile: number;
 
   constructor(options: LearnedEstimatesOptions = {}) {
     this.mostKinds = options.mostKinds ?? 512;
-    this.processorQuantile = options.processorQuantile ?? 0.85;
+    this.processorQuantile = options.processorQuantile ?? 0.5;
+    this.urgentProcessorQuantile = options.urgentProcessorQuantile ?? 0.9;
     this.memoryQuantile = options.memoryQuantile ?? 0.97;
   }
 
@@ -115,7 +125,10 @@
     if (!kind) return {resources: {...declared}, runTimeMs, samples: 0};
     const processors =
       kind.processors.estimate(declared.processors * PROCESSOR_SCALE, {
-        quantile: this.processorQuantile,
+        quantile:
+          task.urgency === Urgency.URGENT
+            ? this.urgentProcessorQuantile
+            : this.processorQuantile,
       }) / PROCESSOR_SCALE;
     const memory =
       kind.memory.estimate(declared.memoryMegabytes, {
@@ -164,7 +177,8 @@
     const kind = this.kindOf(usage);
     if (end.outcome === SizeOutcome.OUT_OF_MEMORY) {
       kind.margin.tooSmall();
-      usage.peakMemory = usage.committed.memoryMegabytes * GROWTH_OF_LIMITED;
+      usage.peakMemory =
+        usage.committed.memoryMegabytes * GROWTH_OF_LIMITED_MEMORY;
     }
     this.learnSize(usage);
     if (end.outcome !== SizeOutcome.FINISHED) return;
@@ -180,7 +194,8 @@
     const {declared, committed, peakProcessors, peakMemory} = usage;
     const isLimited = peakProcessors >= committed.processors * LIMITED_PART;
     const processors = isLimited
-      ? Math.max(peakProcessors, committed.processors) * GROWTH_OF_LIMITED
+      ? Math.max(peakProcessors, committed.processors) *
+        GROWTH_OF_LIMITED_PROCESSORS
       : peakProcessors;
     kind.processors.add(
       processors * PROCESSOR_SCALE,
