Learn no interference from tasks at their processor limit

Cause: half of the batch tasks now use all the processors they may, and their lower speed was taken for the effect of neighbours. Change: SpeedReport has isLimited, and such reports teach nothing.

--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -74,6 +74,7 @@
 const SLO_FACTOR = 1.5;
 const SLO_WAIT_MS = 1_000;
 const MEMORY_GROWTH = 1.6;
+const LIMITED_PART = 0.97;
 
 /** Runs the same work and faults with one policy, in simulated time. */
 export class ColocationRun {
@@ -205,12 +206,17 @@
     }
     this.model.observeWorker(
       worker.worker,
-      reports.map(({task, speed}) => {
+      reports.map(({task, usage, speed}) => {
         const {job, enforced} = task;
-        const {processors} = this.estimateOf(job).resources;
-        // A task with too few processors is slow without any neighbour.
-        const limit = Math.min(1, enforced.processors / processors);
-        return {taskId: job.job, kind: job.kind, speed, throttle: limit};
+        const isLimited =
+          usage.processors >= enforced.processors * LIMITED_PART;
+        return {
+          taskId: job.job,
+          kind: job.kind,
+          speed,
+          throttle: 1,
+          isLimited,
+        };
       }),
     );
   }
--- a/src/interference/slowdown_model.ts
+++ b/src/interference/slowdown_model.ts
@@ -8,6 +8,13 @@
   speed: number;
   /** Share of its speed that a throttled task keeps; 1 means no throttle. */
   throttle: number;
+  /**
+   * True if the task uses all the processors it may: its speed then says little
+   * about its neighbours, and teaches nothing.
+   *
+   * @default false
+   */
+  isLimited?: boolean;
 }
 
 /** Options of {@link SlowdownModel}. */
@@ -89,7 +96,9 @@
     if (nowMs - state.sinceMs < this.lagMs) return;
     const counts = new Map<string, number>();
     for (const {kind} of tasks) counts.set(kind, (counts.get(kind) ?? 0) + 1);
-    for (const task of tasks) this.observeTask(task, counts);
+    for (const task of tasks) {
+      if (!task.isLimited) this.observeTask(task, counts);
+    }
   }
 
   /** Forgets a worker that is gone. */
--- a/src/interference/slowdown_model_test.ts
+++ b/src/interference/slowdown_model_test.ts
@@ -72,6 +72,19 @@
   assert.ok(model.slowdown('preview', 'render') < 4);
 });
 
+// Guards against too few processors that are taken for interference.
+test('learns nothing from a task at its limit', () => {
+  const {model, clock} = setUp();
+  const tasks = ['preview', 'render'].map((kind) => {
+    return {taskId: kind, kind, speed: 0.25, throttle: 1, isLimited: true};
+  });
+  for (let i = 0; i < 4; i++) {
+    model.observeWorker('w', tasks);
+    clock.advance(3000);
+  }
+  assert.equal(model.slowdown('preview', 'render'), 1);
+});
+
 // Guards against a throttle that is taken for interference.
 test('leaves the throttle out of the slowdown', () => {
   const {model, clock} = setUp();
