--- a/measure/direct_router.ts
+++ b/measure/direct_router.ts
@@ -14,6 +14,11 @@
   origins: ReadonlyMap<string, string>;
   /** Requests that a target may run at once. @default 8 */
   slots?: number;
+  /**
+   * Sends a request to a target; true if the whole answer arrived.
+   * @default a GET request that names the work time
+   */
+  send?: (pool: Pool, request: WaitingRequest) => Promise<boolean>;
 }
 
 /** How a request ended. */
@@ -34,6 +39,9 @@
  * towards the targets, without HTTP towards callers.
  */
 export class DirectRouter {
+  /** Most requests that waited at once, by customer and class. */
+  readonly waitingMax = new Map<string, number>();
+  private readonly waitingNow = new Map<string, number>();
   private readonly loads: TargetLoad[] = [];
   private readonly loadByName = new Map<string, TargetLoad>();
   private readonly pools = new Map<string, Pool>();
@@ -55,6 +63,7 @@
   submit(request: WaitingRequest, workMs: number): Promise<RequestEnd> {
     const result = this.options.admission.offer(request);
     if (!result.admitted) return Promise.resolve('refused');
+    this.countWaiting(request, 1);
     return new Promise((resolve) => {
       this.pending.set(request.requestId, {workMs, resolve});
       this.dispatch(request.service);
@@ -88,9 +97,12 @@
     const load = this.loadByName.get(target)!;
     const {workMs, resolve} = this.pending.get(request.requestId)!;
     this.pending.delete(request.requestId);
+    this.countWaiting(request, -1);
     load.inUse += 1;
     const startMs = clock.nowMs();
-    const succeeded = await this.send(target, workMs);
+    const pool = this.pools.get(target)!;
+    const succeeded = await (this.options.send?.(pool, request) ??
+      this.send(pool, workMs));
     const latencyMs = clock.nowMs() - startMs;
     load.inUse -= 1;
     admission.completed(request, latencyMs);
@@ -100,9 +112,9 @@
     this.dispatch(request.service);
   }
 
-  private async send(target: string, workMs: number): Promise<boolean> {
+  private async send(pool: Pool, workMs: number): Promise<boolean> {
     try {
-      const answer = await this.pools.get(target)!.request({
+      const answer = await pool.request({
         path: '/work',
         method: 'GET',
         headers: {'x-work-ms': String(workMs)},
@@ -114,8 +126,16 @@
     }
   }
 
+  private countWaiting(request: WaitingRequest, change: number): void {
+    const key = `${request.customer}/${request.urgency}`;
+    const now = (this.waitingNow.get(key) ?? 0) + change;
+    this.waitingNow.set(key, now);
+    this.waitingMax.set(key, Math.max(now, this.waitingMax.get(key) ?? 0));
+  }
+
   private expire(): void {
     for (const request of this.options.admission.takeExpired()) {
+      this.countWaiting(request, -1);
       this.pending.get(request.requestId)?.resolve('expired');
       this.pending.delete(request.requestId);
       this.dispatch(request.service);
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -4,9 +4,12 @@
 
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  latency: async () => (await import('./scenarios/latency.js')).runLatency,
+  flood: async () => (await import('./scenarios/flood.js')).runFlood,
   colocation: async () => (await import('./scenarios/colocation.js')).scenario,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
@@ -30,6 +33,7 @@
     options: {
       seed: {type: 'string', default: '1'},
       seconds: {type: 'string', default: '20'},
+      class: {type: 'string', default: 'batch'},
     },
   });
   const name = positionals[0] ?? '';
