Learn sizes from starts and ends, and pass samples on

Cause: a task that was killed for memory before its first report taught nothing, and heartbeats had nothing to carry. Change: LearnedEstimates takes start, report and end; a kill counts without any report; takeSamples and learn pass the newest sample of each kind to other schedulers. The scenarios are renamed to runPlacement and runColocation, as the others are named.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -6,11 +6,13 @@
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
   latency: async () => (await import('./scenarios/latency.js')).runLatency,
   flood: async () => (await import('./scenarios/flood.js')).runFlood,
-  colocation: async () => (await import('./scenarios/colocation.js')).scenario,
+  colocation: async () =>
+    (await import('./scenarios/colocation.js')).runColocation,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
-  placement: async () => (await import('./scenarios/placement.js')).scenario,
+  placement: async () =>
+    (await import('./scenarios/placement.js')).runPlacement,
 };
 
 function fail(text: string): never {
--- a/measure/scenarios/colocation.ts
+++ b/measure/scenarios/colocation.ts
@@ -37,7 +37,7 @@
  * interference that shifts, in simulated time: each policy with the same work
  * and the same faults.
  */
-export const scenario: Scenario = (options) => {
+export const runColocation: Scenario = (options) => {
   const {seed} = options;
   const results: Record<string, ColocationFigures> = {};
   for (const [name, variant] of Object.entries(VARIANTS)) {
--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -191,17 +191,8 @@
   private report(worker: SimulatedWorker): void {
     const reports = worker.report();
     for (const {task, usage, speed} of reports) {
-      const {job, enforced} = task;
-      this.estimates.report({
-        taskId: job.job,
-        kind: job.kind,
-        declared: job.declared,
-        runTimeMs: job.declaredRunTimeMs,
-        urgency: job.urgency,
-        committed: enforced,
-        usage,
-        speed,
-      });
+      const {job} = task;
+      this.estimates.report({taskId: job.job, usage, speed});
       this.policy.setLostWork(job.job, this.clock.nowMs() - task.checkpointMs);
     }
     this.model.observeWorker(
@@ -339,6 +330,9 @@
       beginsMs,
       progress: waiting.progress,
     });
+    const {declared, declaredRunTimeMs: runTimeMs} = job;
+    const task = {taskId: job.job, kind: job.kind, urgency: job.urgency};
+    this.estimates.start({...task, declared, runTimeMs, committed: resources});
     this.noteStart(waiting, beginsMs);
     return true;
   }
--- a/measure/scenarios/placement.ts
+++ b/measure/scenarios/placement.ts
@@ -40,7 +40,7 @@
  * Cost of placement decisions without I/O at several numbers of workers, each
  * with about ten running tasks per worker and all of them full.
  */
-export const scenario: Scenario = async (options) => {
+export const runPlacement: Scenario = async (options) => {
   const create = (): PlacementPolicy =>
     new HeadroomFit({slowdown: learnedSlowdown(options.seed)});
   const sizes: Record<string, SizeResult> = {};
--- a/src/placement/learned_estimates.ts
+++ b/src/placement/learned_estimates.ts
@@ -35,11 +35,25 @@
   samples: number;
 }
 
-/** One report of a running task, from the answer of its worker. */
-export interface UsageReport extends DeclaredTask {
+/** A task that starts, or that a new owner found running. */
+export interface StartedTask extends DeclaredTask {
   taskId: string;
   /** What the worker enforces for the task. */
   committed: Resources;
+}
+
+/** What one task of a kind needed; other schedulers learn from it too. */
+export interface SizeSample extends DeclaredTask {
+  outcome: SizeOutcome;
+  processors: number;
+  memoryMegabytes: number;
+  /** Undisturbed run time in ms; 0 if unknown. */
+  undisturbedMs: number;
+}
+
+/** One report of a running task, from the answer of its worker. */
+export interface UsageReport {
+  taskId: string;
   /** Lagging usage. */
   usage: Resources;
   /** Lagging speed relative to an undisturbed run. */
@@ -70,8 +84,7 @@
   margin: SelfPayingMargin;
 }
 
-interface RunningUsage extends DeclaredTask {
-  committed: Resources;
+interface RunningUsage extends StartedTask {
   peakProcessors: number;
   peakMemory: number;
   speedSum: number;
@@ -105,6 +118,8 @@
  */
 export class LearnedEstimates {
   private readonly kinds = new Map<string, KindState>();
+  /** Newest sample of each kind that no other scheduler was told of. */
+  private readonly fresh = new Map<string, SizeSample>();
   private readonly running = new Map<string, RunningUsage>();
   private readonly mostKinds: number;
   private readonly processorQuantile: number;
@@ -146,62 +161,81 @@
     };
   }
 
+  /** Takes in the start of a task; each start needs an end. */
+  start(task: StartedTask): void {
+    this.running.set(task.taskId, {
+      ...task,
+      peakProcessors: 0,
+      peakMemory: 0,
+      speedSum: 0,
+      reports: 0,
+    });
+  }
+
   /** Takes in one report of a running task. */
-  report(report: UsageReport): void {
+  report({taskId, usage, speed}: UsageReport): void {
+    const task = this.running.get(taskId);
     // Lagging reports show no usage at first.
-    if (report.usage.memoryMegabytes <= 0 && report.usage.processors <= 0) {
-      return;
+    const isEmpty = usage.memoryMegabytes <= 0 && usage.processors <= 0;
+    if (!task || isEmpty) return;
+    task.peakProcessors = Math.max(task.peakProcessors, usage.processors);
+    task.peakMemory = Math.max(task.peakMemory, usage.memoryMegabytes);
+    task.speedSum += speed;
+    task.reports += 1;
+    if (task.reports % REPORTS_PER_SAMPLE === 0) {
+      this.share(sampleOf(task, {outcome: SizeOutcome.OTHER, ranMs: 0}));
     }
-    let usage = this.running.get(report.taskId);
-    if (!usage) this.running.set(report.taskId, (usage = startOf(report)));
-    usage.peakProcessors = Math.max(
-      usage.peakProcessors,
-      report.usage.processors,
-    );
-    usage.peakMemory = Math.max(usage.peakMemory, report.usage.memoryMegabytes);
-    usage.speedSum += report.speed;
-    usage.reports += 1;
-    if (usage.reports % REPORTS_PER_SAMPLE === 0) this.learnSize(usage);
   }
 
   /**
    * Takes in the end of a task.
    *
-   * @param taskId - The task; one that was never reported teaches nothing.
+   * @param taskId - The task; one that did not start here teaches nothing.
    * @param end - How it ended and how long it ran from its beginning, in ms.
    */
   end(taskId: string, end: {outcome: SizeOutcome; ranMs: number}): void {
-    const usage = this.running.get(taskId);
-    if (!usage) return;
+    const task = this.running.get(taskId);
+    if (!task) return;
     this.running.delete(taskId);
-    const kind = this.kindOf(usage);
-    if (end.outcome === SizeOutcome.OUT_OF_MEMORY) {
-      kind.margin.tooSmall();
-      usage.peakMemory =
-        usage.committed.memoryMegabytes * GROWTH_OF_LIMITED_MEMORY;
+    const isKilled = end.outcome === SizeOutcome.OUT_OF_MEMORY;
+    if (task.reports > 0 || isKilled) this.share(sampleOf(task, end));
+  }
+
+  /** Learns from a sample, also from one that another scheduler took. */
+  learn(sample: SizeSample): void {
+    const {declared, outcome, processors, memoryMegabytes} = sample;
+    const kind = this.kindOf(sample);
+    if (outcome === SizeOutcome.OUT_OF_MEMORY) kind.margin.tooSmall();
+    if (outcome === SizeOutcome.FINISHED) kind.margin.sufficient();
+    if (processors > 0) {
+      kind.processors.add(
+        processors * PROCESSOR_SCALE,
+        declared.processors * PROCESSOR_SCALE,
+      );
     }
-    this.learnSize(usage);
-    if (end.outcome !== SizeOutcome.FINISHED) return;
-    kind.margin.sufficient();
-    if (usage.runTimeMs > 0) {
-      const speed = Math.min(1, usage.speedSum / usage.reports);
-      kind.runTime.add(end.ranMs * speed, usage.runTimeMs);
+    kind.memory.add(memoryMegabytes, declared.memoryMegabytes);
+    if (sample.undisturbedMs > 0) {
+      kind.runTime.add(sample.undisturbedMs, sample.runTimeMs);
     }
   }
 
-  private learnSize(usage: RunningUsage): void {
-    const kind = this.kindOf(usage);
-    const {declared, committed, peakProcessors, peakMemory} = usage;
-    const isLimited = peakProcessors >= committed.processors * LIMITED_PART;
-    const processors = isLimited
-      ? Math.max(peakProcessors, committed.processors) *
-        GROWTH_OF_LIMITED_PROCESSORS
-      : peakProcessors;
-    kind.processors.add(
-      processors * PROCESSOR_SCALE,
-      declared.processors * PROCESSOR_SCALE,
-    );
-    kind.memory.add(peakMemory, declared.memoryMegabytes);
+  /**
+   * Takes the newest samples that no other scheduler was told of, at most one
+   * of each kind, for the next heartbeat.
+   */
+  takeSamples(limit: number): SizeSample[] {
+    const taken = [...this.fresh.values()].slice(-limit);
+    this.fresh.clear();
+    return taken;
+  }
+
+  private share(sample: SizeSample): void {
+    this.learn(sample);
+    this.fresh.delete(sample.kind);
+    this.fresh.set(sample.kind, sample);
+    if (this.fresh.size > this.mostKinds) {
+      this.fresh.delete(this.fresh.keys().next().value!);
+    }
   }
 
   private kindOf({kind: name, urgency}: DeclaredTask): KindState {
@@ -228,17 +262,26 @@
   }
 }
 
-function startOf(report: UsageReport): RunningUsage {
-  const {kind, declared, runTimeMs, urgency, committed} = report;
+function sampleOf(
+  task: RunningUsage,
+  {outcome, ranMs}: {outcome: SizeOutcome; ranMs: number},
+): SizeSample {
+  const {kind, declared, runTimeMs, urgency, committed, reports} = task;
+  const isLimited = task.peakProcessors >= committed.processors * LIMITED_PART;
+  const isKilled = outcome === SizeOutcome.OUT_OF_MEMORY;
+  const isTimed = outcome === SizeOutcome.FINISHED && runTimeMs > 0;
+  const speed = Math.min(1, task.speedSum / Math.max(1, reports));
   return {
     kind,
     declared,
     runTimeMs,
     urgency,
-    committed,
-    peakProcessors: 0,
-    peakMemory: 0,
-    speedSum: 0,
-    reports: 0,
+    outcome,
+    processors:
+      task.peakProcessors * (isLimited ? GROWTH_OF_LIMITED_PROCESSORS : 1),
+    memoryMegabytes: isKilled
+      ? committed.memoryMegabytes * GROWTH_OF_LIMITED_MEMORY
+      : task.peakMemory,
+    undisturbedMs: isTimed ? ranMs * speed : 0,
   };
 }
--- a/src/placement/learned_estimates_test.ts
+++ b/src/placement/learned_estimates_test.ts
@@ -20,7 +20,8 @@
     memoryMegabytes: Math.min(committed.memoryMegabytes, need.memoryMegabytes),
     accelerators: 1,
   };
-  estimates.report({...TASK, taskId, committed, usage, speed: 0.5});
+  estimates.start({...TASK, taskId, committed});
+  estimates.report({taskId, usage, speed: 0.5});
   const fits = need.memoryMegabytes <= committed.memoryMegabytes;
   const outcome = fits ? SizeOutcome.FINISHED : SizeOutcome.OUT_OF_MEMORY;
   estimates.end(taskId, {outcome, ranMs: 40_000});
@@ -72,13 +73,35 @@
   assert.ok(estimates.estimate(TASK).resources.memoryMegabytes < 1000);
 });
 
+// Guards against tasks killed again and again before their first report.
+test('learns from a task that was killed before any report', () => {
+  const estimates = new LearnedEstimates();
+  const ended = {outcome: SizeOutcome.OUT_OF_MEMORY, ranMs: 100};
+  for (let i = 0; i < 5; i++) {
+    const committed = estimates.estimate(TASK).resources;
+    estimates.start({...TASK, taskId: 't', committed});
+    estimates.end('t', ended);
+  }
+  assert.ok(estimates.estimate(TASK).resources.memoryMegabytes > 12_000);
+});
+
+// Guards against a scheduler that learns only from its own shards.
+test('passes each sample on once', () => {
+  const [one, other] = [new LearnedEstimates(), new LearnedEstimates()];
+  run(one, {memoryMegabytes: 1000});
+  one.takeSamples(8).forEach((sample) => other.learn(sample));
+  assert.deepEqual(other.estimate(TASK), one.estimate(TASK));
+  assert.deepEqual(one.takeSamples(8), []);
+  assert.deepEqual(other.takeSamples(8), []);
+});
+
 // Guards against memory that grows with the number of kinds.
 test('drops the kind that was least recently used', () => {
   const estimates = new LearnedEstimates({mostKinds: 2});
   const usage = {processors: 1, memoryMegabytes: 100, accelerators: 0};
   for (const kind of ['a', 'b', 'a', 'c']) {
-    const task = {...TASK, kind, taskId: kind};
-    estimates.report({...task, committed: DECLARED, usage, speed: 1});
+    estimates.start({...TASK, kind, taskId: kind, committed: DECLARED});
+    estimates.report({taskId: kind, usage, speed: 1});
     estimates.end(kind, {outcome: SizeOutcome.FINISHED, ranMs: 1});
   }
   const samples = ['a', 'b', 'c'].map(
