--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -3,7 +3,14 @@
 import {Scenario} from './scenario.js';
 
 /** Loads each scenario only when it is asked for. */
-const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {};
+const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
+  latency: async () => (await import('./scenarios/latency.js')).runLatency,
+  flood: async () => (await import('./scenarios/flood.js')).runFlood,
+  colocation: async () => (await import('./scenarios/colocation.js')).scenario,
+  tail: async () => (await import('./scenarios/tail.js')).runTail,
+  slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  placement: async () => (await import('./scenarios/placement.js')).scenario,
+};
 
 function fail(text: string): never {
   process.stderr.write(`${text}\n`);
@@ -25,6 +32,7 @@
     options: {
       seed: {type: 'string', default: '1'},
       seconds: {type: 'string', default: '20'},
+      class: {type: 'string', default: 'batch'},
     },
   });
   const name = positionals[0] ?? '';
