--- /dev/null
+++ b/src/operators/operator_access.ts
@@ -0,0 +1,51 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {Operator, OperatorRole} from './operator_schema.js';
+
+const BEARER = /^Bearer +(\S+)$/i;
+
+/** Tells operators by their tokens and checks their roles. */
+export class OperatorAccess {
+  private readonly operatorsByHash: ReadonlyMap<string, Operator>;
+
+  constructor(operators: readonly Operator[]) {
+    this.operatorsByHash = new Map(
+      operators.map((operator) => [operator.tokenHash, operator]),
+    );
+  }
+
+  /** Returns the operator whose token the header carries, if there is one. */
+  find(authorization: string | undefined): Operator | undefined {
+    const token = BEARER.exec(authorization ?? '')?.[1];
+    if (!token) return undefined;
+    const digest = createHash('sha256').update(token).digest();
+    const operator = this.operatorsByHash.get(digest.toString('hex'));
+    if (!operator) return undefined;
+    const stored = Buffer.from(operator.tokenHash, 'hex');
+    return timingSafeEqual(stored, digest) ? operator : undefined;
+  }
+
+  /**
+   * Returns the operator if it has the role; `change` includes `read`.
+   *
+   * @throws ResultError UNAUTHENTICATED or FORBIDDEN.
+   */
+  require(authorization: string | undefined, role: OperatorRole): Operator {
+    const operator = this.find(authorization);
+    if (!operator) {
+      throw new ResultError(
+        ResultCodes.UNAUTHENTICATED,
+        'Cannot accept: the token is missing or unknown',
+      );
+    }
+    if (role === OperatorRole.CHANGE && operator.role !== role) {
+      throw new ResultError(
+        ResultCodes.FORBIDDEN,
+        `Cannot accept: operator "${operator.name}" has role "${operator.role}", needed is "${role}"`,
+      );
+    }
+    return operator;
+  }
+}
