Add the operators' command line

Cause: operators need contracts, planned stops, status and decisions from a shell, through any entry. Unknown options are refused.

--- /dev/null
+++ b/src/command_line/common_arguments.ts
@@ -0,0 +1,100 @@
+import {readFileSync} from 'node:fs';
+
+import {ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {OperatorClient} from './operator_client.js';
+import {ProgramContext} from './program_context.js';
+
+/** Arguments of all commands that call an entry. */
+export const CLIENT_ARGUMENTS = {
+  address: {
+    type: 'string',
+    valueHint: 'URL,URL',
+    description: 'Entries to call, tried in this order (or BANYANMUX_ADDRESS)',
+  },
+  'token-file': {
+    type: 'string',
+    valueHint: 'FILE',
+    description: 'File with the operator token (or BANYANMUX_TOKEN)',
+  },
+  json: {
+    type: 'boolean',
+    default: false,
+    description: 'Print JSON instead of a table',
+  },
+} as const;
+
+/** Arguments of all commands that change something. */
+export const CHANGE_ARGUMENTS = {
+  'dry-run': {
+    type: 'boolean',
+    default: false,
+    description: 'Check everything and change nothing',
+  },
+  reason: {
+    type: 'string',
+    default: '',
+    valueHint: 'TEXT',
+    description: 'Reason that the history shows',
+  },
+  ...CLIENT_ARGUMENTS,
+} as const;
+
+/** Values of {@link CLIENT_ARGUMENTS}. */
+export interface ClientArguments {
+  address?: string;
+  'token-file'?: string;
+}
+
+/**
+ * Makes a client from arguments and environment.
+ *
+ * @throws ResultError BAD_REQUEST if address or token is missing.
+ */
+export function createClient(
+  given: ClientArguments,
+  context: ProgramContext,
+): OperatorClient {
+  const {environment} = context;
+  const list = given.address ?? environment['BANYANMUX_ADDRESS'] ?? '';
+  const addresses = list
+    .split(',')
+    .map((address) => address.trim().replace(/\/$/, ''))
+    .filter((address) => address !== '')
+    .map((address) =>
+      address.includes('://') ? address : `http://${address}`,
+    );
+  if (addresses.length === 0) {
+    throw usageError('--address: given nothing; allowed: URLs of entries');
+  }
+  const file = given['token-file'];
+  const token = file ? readText(file) : environment['BANYANMUX_TOKEN'];
+  if (!token?.trim()) {
+    throw usageError('--token-file: given nothing; allowed: a file');
+  }
+  return new OperatorClient({addresses, token: token.trim()});
+}
+
+/** Query of a change. */
+export function changeQuery(given: {
+  'dry-run': boolean;
+  reason: string;
+}): string {
+  const query = new URLSearchParams();
+  if (given['dry-run']) query.set('dryRun', 'true');
+  if (given.reason) query.set('reason', given.reason);
+  return query.size > 0 ? `?${query.toString()}` : '';
+}
+
+/** Error of the command line itself. */
+export function usageError(text: string): ResultError {
+  return new ResultError(ResultCodes.BAD_REQUEST, `Cannot run: ${text}`);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw usageError(`--token-file: ${(error as Error).message}`);
+  }
+}
--- /dev/null
+++ b/src/command_line/inspect_commands.ts
@@ -0,0 +1,101 @@
+import {CommandDef, defineCommand} from 'citty';
+
+import {CLIENT_ARGUMENTS} from './common_arguments.js';
+import {formatTable} from './format_table.js';
+import {OperatorAnswer} from './operator_client.js';
+import {ProgramContext} from './program_context.js';
+import {createCallRunner} from './run_call.js';
+
+interface ShownDecision {
+  kind: string;
+  chosen?: string;
+  reason: string;
+  code?: {name: string};
+}
+
+const ENVELOPE = new Set(['code', 'name', 'outcome', 'meaning', 'requestId']);
+
+function formatFields(answer: OperatorAnswer): string {
+  const rows = Object.entries(answer)
+    .filter(([key]) => !ENVELOPE.has(key))
+    .map(([key, value]) => [
+      key,
+      typeof value === 'string' ? value : JSON.stringify(value),
+    ]);
+  return formatTable(['KEY', 'VALUE'], rows);
+}
+
+function formatDecisions(answer: OperatorAnswer): string {
+  const decisions = answer['decisions'] as ShownDecision[];
+  const rows = decisions.map(({kind, chosen, reason, code}) => [
+    kind,
+    chosen,
+    code?.name,
+    reason,
+  ]);
+  return formatTable(['DECISION', 'CHOSEN', 'RESULT', 'REASON'], rows);
+}
+
+/** Shows the state of an entry. */
+export function statusCommand(context: ProgramContext): CommandDef {
+  const run = createCallRunner(context);
+  return defineCommand({
+    meta: {name: 'status', description: 'Show the state of an entry'},
+    args: CLIENT_ARGUMENTS,
+    run: ({args}) => {
+      const request = {method: 'GET', path: '/v1/status'} as const;
+      return run(args, {request, format: formatFields});
+    },
+  }) as CommandDef;
+}
+
+/** Shows why a request or job was treated as it was. */
+export function whyCommand(context: ProgramContext): CommandDef {
+  const run = createCallRunner(context);
+  return defineCommand({
+    meta: {
+      name: 'why',
+      description: 'Show the decisions about a request or job',
+    },
+    args: {
+      id: {
+        type: 'positional',
+        required: true,
+        description: 'Id of the request or job',
+      },
+      ...CLIENT_ARGUMENTS,
+    },
+    run: ({args}) => {
+      const path = `/v1/why/${encodeURIComponent(args.id)}`;
+      const request = {method: 'GET', path, asksAll: true} as const;
+      return run(args, {request, format: formatDecisions});
+    },
+  }) as CommandDef;
+}
+
+/** Commands on jobs. */
+export function jobCommand(context: ProgramContext): CommandDef {
+  const run = createCallRunner(context);
+  const command = (
+    method: 'GET' | 'DELETE',
+    meta: {name: string; description: string},
+  ): CommandDef =>
+    defineCommand({
+      meta,
+      args: {
+        id: {type: 'positional', required: true, description: 'Id of the job'},
+        ...CLIENT_ARGUMENTS,
+      },
+      run: ({args}) => {
+        const path = `/v1/jobs/${encodeURIComponent(args.id)}`;
+        return run(args, {request: {method, path}, format: formatFields});
+      },
+    }) as CommandDef;
+  return defineCommand({
+    meta: {name: 'job', description: 'Show and cancel jobs'},
+    subCommands: {
+      show: command('GET', {name: 'show', description: 'Show a job'}),
+      cancel: command('DELETE', {name: 'cancel', description: 'Cancel a job'}),
+    },
+  });
+}
--- /dev/null
+++ b/src/command_line/run_program.ts
@@ -0,0 +1,126 @@
+import {
+  ArgsDef,
+  CommandDef,
+  defineCommand,
+  renderUsage,
+  runCommand,
+} from 'citty';
+
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {checkSettingsCommand} from './check_settings_command.js';
+import {usageError} from './common_arguments.js';
+import {contractCommand} from './contract_command.js';
+import {jobCommand, statusCommand, whyCommand} from './inspect_commands.js';
+import {ProgramContext} from './program_context.js';
+import {stopCommand} from './stop_command.js';
+
+/** Options of {@link runProgram}. */
+export interface RunProgramOptions extends ProgramContext {
+  /** Version that `--version` prints. */
+  version: string;
+}
+
+interface Resolved {
+  command: CommandDef;
+  parent: CommandDef | undefined;
+  /** Arguments after the names of the commands. */
+  rest: string[];
+}
+
+function createProgram(options: RunProgramOptions): CommandDef {
+  return defineCommand({
+    meta: {
+      name: 'banyanmux',
+      version: options.version,
+      description: 'Contracts, planned stops and state of an installation',
+    },
+    subCommands: {
+      contract: contractCommand(options),
+      stop: stopCommand(options),
+      status: statusCommand(options),
+      job: jobCommand(options),
+      why: whyCommand(options),
+      'check-settings': checkSettingsCommand(options),
+    },
+  });
+}
+
+function resolve(program: CommandDef, words: readonly string[]): Resolved {
+  let command = program;
+  let parent: CommandDef | undefined;
+  const rest = [...words];
+  for (;;) {
+    const subCommands = command.subCommands as
+      Record<string, CommandDef> | undefined;
+    const name = rest[0] ?? '';
+    if (!subCommands || !Object.hasOwn(subCommands, name)) {
+      return {command, parent, rest};
+    }
+    const next = subCommands[name]!;
+    [command, parent] = [next, command];
+    rest.shift();
+  }
+}
+
+/** Refuses options that the command does not know, such as misspelt ones. */
+function checkOptions({command, rest}: Resolved): void {
+  if (command.subCommands) {
+    const allowed = Object.keys(command.subCommands).join(', ');
+    const given = rest[0] === undefined ? 'nothing' : `"${rest[0]}"`;
+    throw usageError(`command: given ${given}; allowed: ${allowed}`);
+  }
+  const known = Object.entries((command.args ?? {}) as ArgsDef);
+  const options = known.filter(([, {type}]) => type !== 'positional');
+  const names = options.map(([name]) => `--${name}`);
+  for (const word of rest) {
+    if (word === '--') return;
+    const name = word.split('=')[0]!;
+    if (word.startsWith('-') && !names.includes(name)) {
+      throw usageError(`${name}: unknown option; allowed: ${names.join(', ')}`);
+    }
+  }
+}
+
+function describeFailure(error: unknown): {text: string; code: ResultCode} {
+  if (error instanceof ResultError) {
+    return {text: error.message, code: error.code};
+  }
+  const {message, name, stack} = error as Error;
+  // citty reports missing arguments with an error class it does not export.
+  return name === 'CLIError'
+    ? {text: message, code: ResultCodes.BAD_REQUEST}
+    : {text: stack ?? message, code: ResultCodes.INTERNAL};
+}
+
+/**
+ * Runs one command.
+ *
+ * @param words - Arguments after the program's name.
+ * @returns The exit status, from the table of result codes.
+ */
+export async function runProgram(
+  words: readonly string[],
+  options: RunProgramOptions,
+): Promise<number> {
+  const program = createProgram(options);
+  const resolved = resolve(program, words);
+  if (words[0] === '--version') {
+    options.write(`${options.version}\n`);
+    return 0;
+  }
+  if (words.some((word) => word === '--help' || word === '-h')) {
+    const usage = await renderUsage(resolved.command, resolved.parent);
+    options.write(`${usage}\n`);
+    return 0;
+  }
+  try {
+    checkOptions(resolved);
+    await runCommand(resolved.command, {rawArgs: resolved.rest});
+    return 0;
+  } catch (error) {
+    const {text, code} = describeFailure(error);
+    options.writeError(`${code.name} (${code.number}): ${text}\n`);
+    return code.exitStatus;
+  }
+}
