--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -161,7 +161,8 @@
       return client;
     },
   });
-  parts.resolve(Membership).onHeartbeat(({load}) => {
+  parts.resolve(Membership).onHeartbeat(({load}, from) => {
+    if (from.role !== ROLE) return;
     scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
   });
   return scheduler;
