Measure how fast configuration changes take effect

Cause: changes have to be in effect in every reachable data centre within 4 s (goal 1 s) and never revert. Not yet measured through entry processes and links.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -9,6 +9,8 @@
   colocation: async () => (await import('./scenarios/colocation.js')).scenario,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  configuration: async () =>
+    (await import('./scenarios/configuration.js')).runConfiguration,
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
