--- a/src/contracts/create_propagation.ts
+++ b/src/contracts/create_propagation.ts
@@ -1,60 +1,65 @@
-import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
-import {Membership} from '../membership/membership.js';
-import {MemberAddress} from '../settings/process_settings.js';
+import {Logger} from 'pino';
+
+import {Clock} from '../clock/clock.js';
+import {PeerNetwork} from '../links/peer_network.js';
+import {PlatformService} from '../platform/platform_service.js';
+import {RandomSource} from '../random/random_source.js';
+import {ProcessSettings} from '../settings/process_settings.js';
 import {ConfigurationPropagation} from './configuration_propagation.js';
-import {ConfigurationWatchOptions} from './configuration_watch.js';
+import {ConfigurationStore} from './configuration_store.js';
 import {
   answerConfigurationRequests,
   LinkConfigurationPeer,
 } from './link_configuration_peer.js';
 
-/** Options of {@link createPropagation}. */
-export interface CreatePropagationOptions extends ConfigurationWatchOptions {
+/** Parts that {@link createPropagation} connects. */
+export interface PropagationParts {
+  settings: ProcessSettings;
   network: PeerNetwork;
-  /** Membership of the role of this process. */
-  membership: Membership;
-  /** Entry VMs of all data centres. */
-  members: readonly MemberAddress[];
-}
-
-const ENTRY_ROLE = 'entry';
-
-function toAddress(member: MemberAddress): PeerAddress {
-  const {member: name, dataCentre, host, entryLinkPort: port} = member;
-  return {member: name, role: ENTRY_ROLE, dataCentre, host, port};
+  store: ConfigurationStore;
+  platform: PlatformService;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  /** Names of the living entries of this data centre as known now. */
+  livingEntries: () => readonly string[];
 }
 
-/** Makes the propagation of a process whose peers are reached over links. */
+/** Creates the propagation of a process whose peers are the entries. */
 export function createPropagation(
-  options: CreatePropagationOptions,
+  parts: PropagationParts,
 ): ConfigurationPropagation {
-  const {network, membership, members} = options;
-  const {member: self, role, dataCentre} = network.identity;
-  const isEntry = role === ENTRY_ROLE;
-  const addresses = members
-    .filter(({member}) => !isEntry || member !== self)
-    .map(toAddress);
-  const local = addresses.filter((peer) => peer.dataCentre === dataCentre);
-  const remote = isEntry
-    ? addresses.filter((peer) => peer.dataCentre !== dataCentre)
-    : [];
-  const toPeer = (address: PeerAddress): LinkConfigurationPeer =>
-    new LinkConfigurationPeer(network, address);
+  const {settings, network, logger} = parts;
+  const {role} = network.identity;
+  const peers = settings.members
+    .filter(({member}) => role !== 'entry' || member !== settings.member)
+    // Schedulers learn from the entries of their own data centre.
+    .filter(
+      ({dataCentre}) => role === 'entry' || dataCentre === settings.dataCentre,
+    )
+    .map(
+      ({member, dataCentre, host, entryLinkPort}) =>
+        new LinkConfigurationPeer(network, {
+          member,
+          role: 'entry',
+          dataCentre,
+          host,
+          port: entryLinkPort,
+        }),
+    );
+  const isLocal = (peer: LinkConfigurationPeer): boolean =>
+    peer.dataCentre === settings.dataCentre;
   const propagation = new ConfigurationPropagation({
-    ...options,
-    self,
+    ...parts,
+    self: settings.member,
     role,
-    localPeers: local.map(toPeer),
-    remotePeers: remote.map(toPeer),
-    livingEntries: () => membership.living().map(({member}) => member),
+    localPeers: peers.filter(isLocal),
+    remotePeers: peers.filter((peer) => !isLocal(peer)),
+    onFailure: (error) =>
+      logger.debug({error: error.message}, 'configuration call failed'),
   });
-  membership.onHeartbeat(({member, configurationRevision}) =>
-    propagation.heard(member, configurationRevision),
-  );
-  if (isEntry) {
-    answerConfigurationRequests(network, (revision) =>
-      propagation.answer(revision),
-    );
+  if (role === 'entry') {
+    answerConfigurationRequests(network, (since) => propagation.answer(since));
   }
   return propagation;
 }
