Mount the operators' routes in the entry

Cause: the routes existed but no program served them. Change: entry settings name operators with the hashes of their tokens (default none, which refuses all); compose_entry mounts the routes. Both are small additions in src/entry. A test with real processes creates a contract through the command line, waits for it at all entries and restarts one in an outage. Conclusion: the change path works through real links.

--- /dev/null
+++ b/src/command_line/real_entries_test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {test} from 'node:test';
+
+import {Fleet, OPERATOR_TOKEN} from '../../testing/fleet.js';
+import {sleep} from '../clock/sleep.js';
+import {runProgram} from './run_program.js';
+
+const LIMIT_MS = 4000;
+
+const dataCentre = {
+  entryVms: 2,
+  targets: 1,
+  racks: 0,
+  workersPerRack: 0,
+};
+
+test('a change reaches real entries and survives a restart in an outage', async (context) => {
+  // Guards against operators' routes that the entry does not mount, changes
+  // that do not reach other data centres over links, and an entry that cannot
+  // start while the platform is down.
+  const folder = mkdtempSync(join(tmpdir(), 'banyanmux-'));
+  const tokenHash = createHash('sha256').update(OPERATOR_TOKEN).digest('hex');
+  const operators = [{name: 'ana', role: 'change', tokenHash}];
+  const fleet = await Fleet.start({
+    dataCentres: [
+      {...dataCentre, name: 'a'},
+      {...dataCentre, name: 'b'},
+    ],
+    folder,
+    withSchedulers: false,
+    entrySettings: {entry: {operators}},
+  });
+  context.after(async () => {
+    await fleet.stop();
+    rmSync(folder, {recursive: true});
+  });
+  await fleet.waitUntilReady();
+  const run = async (words: string[], member: string): Promise<string> => {
+    let output = '';
+    const write = (text: string): void => void (output += text);
+    const address = fleet.entryOrigin(member);
+    const environment = {
+      BANYANMUX_ADDRESS: address,
+      BANYANMUX_TOKEN: OPERATOR_TOKEN,
+    };
+    const options = {version: '1', environment, write, writeError: write};
+    await runProgram(words, options);
+    return output;
+  };
+  const showsAcme = async (member: string): Promise<boolean> =>
+    (await run(['contract', 'list'], member)).includes('acme');
+  const members = fleet.members.map(({member}) => member);
+  const file = join(folder, 'contract.jsonc');
+  const callers = [{name: 'portal', keyHash: 'a'.repeat(64)}];
+  writeFileSync(file, JSON.stringify({customer: 'acme', callers}));
+  const created = await run(['contract', 'create', file], members[0]!);
+  assert.match(created, /create accepted/);
+  const acceptedMs = performance.now();
+  for (const member of members) {
+    while (!(await showsAcme(member))) {
+      const tookMs = performance.now() - acceptedMs;
+      assert.ok(tookMs < LIMIT_MS, `not in effect at ${member}`);
+      await sleep(20);
+    }
+  }
+  context.diagnostic(
+    `in effect everywhere after ${Math.round(performance.now() - acceptedMs)} ms`,
+  );
+  await fleet.setPlatformFaults({down: true});
+  const restarted = members.at(-1)!;
+  await fleet.process('entry', restarted).kill();
+  fleet.startMember(restarted);
+  await fleet.waitUntilReady([restarted]);
+  assert.equal(await showsAcme(restarted), true);
+  const refused = await run(['stop', 'plan', 'vm-1'], restarted);
+  assert.match(refused, /PLATFORM_UNAVAILABLE|CHANGE_IN_DOUBT/);
+});
--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -10,12 +10,18 @@
 import {StoredAnswers} from '../claims/stored_answers.js';
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationChanges} from '../contracts/configuration_changes.js';
 import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
 import {createPropagation} from '../contracts/create_propagation.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
+import {
+  addOperatorRoutes,
+  OperatorRoutesOptions,
+} from '../operators/add_operator_routes.js';
+import {OperatorAccess} from '../operators/operator_access.js';
 import {OwnershipKeeper} from '../ownership/ownership_keeper.js';
 import {HttpPlatformService} from '../platform/http_platform_service.js';
 import {Inventory} from '../platform/inventory.js';
@@ -192,7 +198,28 @@
     limits,
     refusal: () => entry.refusal(),
   });
-  const entry = new EntryProcess({
+  const operatorRoutes: OperatorRoutesOptions = {
+    store: configuration,
+    changes: new ConfigurationChanges({
+      platform: parts.resolve(HttpPlatformService),
+      clock,
+      store: configuration,
+    }),
+    decisions: {
+      decisionsAbout: (subject) => entry.decisions.decisionsAbout(subject),
+    },
+    livingEntries: () => ownership.livingMembers().length,
+    access: new OperatorAccess(settings.entry.operators),
+    status: () => ({
+      member: settings.member,
+      dataCentre: settings.dataCentre,
+      livingMembers: ownership.livingMembers(),
+      ownedShards: ownership.ownedShards(),
+      ownershipRevision: ownership.revision,
+      freeSlots: entry.fleet.freeSlots(),
+    }),
+  };
+  const entry: EntryProcess = new EntryProcess({
     settings,
     clock,
     random,
@@ -214,8 +241,10 @@
       network,
     }),
     isReady: () => configuration.isReady,
-    // The routes of operators are added here.
-    routes: [(app) => jobs.mount(app)],
+    routes: [
+      (app) => jobs.mount(app),
+      (app) => addOperatorRoutes(app, operatorRoutes),
+    ],
   });
   const propagation = parts.resolve(ConfigurationPropagation);
   parts.resolve(Membership).onHeartbeat((heartbeat) => {
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 
+import {operatorSchema} from '../operators/operator_schema.js';
 import {processSettingsSchema} from '../settings/process_settings.js';
 
 const limitsSchema = z.strictObject({
@@ -25,6 +26,8 @@
 export const entrySettingsSchema = processSettingsSchema.extend({
   entry: z
     .strictObject({
+      /** Operators and the hashes of their tokens. */
+      operators: z.array(operatorSchema).default([]),
       limits: limitsSchema.prefault({}),
       /** Attempts for one request, the first one included. */
       maxAttempts: z.int().min(1).max(10).default(3),
--- a/src/operators/operator_handlers.ts
+++ b/src/operators/operator_handlers.ts
@@ -16,7 +16,7 @@
 export interface OperatorHandlersOptions {
   store: ConfigurationStore;
   changes: ConfigurationChanges;
-  decisions: DecisionLog;
+  decisions: Pick<DecisionLog, 'decisionsAbout'>;
   /** Number of living entries of this data centre. */
   livingEntries: () => number;
   /** State of the process beyond its configuration. @default {} */
