--- /dev/null
+++ b/src/result_codes/format_result_codes.ts
@@ -0,0 +1,16 @@
+import {ResultCodes} from './result_code.js';
+
+/** Formats all result codes as a Markdown table, in the order of numbers. */
+export function formatResultCodes(): string {
+  const head = [
+    '| number | name | outcome | HTTP status | exit status | meaning |',
+    '| --- | --- | --- | --- | --- | --- |',
+  ];
+  const rows = Object.values(ResultCodes)
+    .sort((a, b) => a.number - b.number)
+    .map((code) => {
+      const {number, name, outcome, httpStatus, exitStatus, meaning} = code;
+      return `| ${number} | ${name} | ${outcome} | ${httpStatus} | ${exitStatus} | ${meaning} |`;
+    });
+  return `${[...head, ...rows].join('\n')}\n`;
+}
