--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -10,6 +10,8 @@
     (await import('./scenarios/colocation.js')).runColocation,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  configuration: async () =>
+    (await import('./scenarios/configuration.js')).runConfiguration,
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () =>
     (await import('./scenarios/placement.js')).runPlacement,
