Use the configuration store and its propagation in the entry

Cause: contracts were polled by each entry. Change: the entry composes ConfigurationStore and ConfigurationPropagation, answers "configurationSince", passes heartbeat revisions on, and is ready once the platform or a peer has answered; the polling baseline is removed.

Conclusion: one watch path for all entries.

--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -10,6 +10,12 @@
 import {StoredAnswers} from '../claims/stored_answers.js';
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
+import {ConfigurationStore} from '../contracts/configuration_store.js';
+import {
+  answerConfigurationRequests,
+  LinkConfigurationPeer,
+} from '../contracts/link_configuration_peer.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -26,7 +32,6 @@
 import {JobClient} from './job_client.js';
 import {JobRoutes} from './job_routes.js';
 import {JobSubmission} from './job_submission.js';
-import {PolledConfiguration} from './polled_configuration.js';
 
 /** Load that entries report in heartbeats. */
 export interface EntryLoad {
@@ -62,7 +67,8 @@
   });
   provide(Membership, () => createMembership(context, parts));
   provide(OwnershipKeeper, () => createOwnership(context, parts));
-  provide(PolledConfiguration, () => new PolledConfiguration(platform, clock));
+  provide(ConfigurationStore, () => new ConfigurationStore({clock}));
+  provide(ConfigurationPropagation, () => createPropagation(context, parts));
   provide(ClaimStore, () => {
     const {member, incarnation} = parts.resolve(PeerNetwork).identity;
     return new ClaimStore({platform, clock, member, incarnation});
@@ -99,13 +105,12 @@
   });
 }
 
-/** Links to the entries or schedulers of this data centre. */
+/** Links to the other entries, or the schedulers, of all data centres. */
 function addressesOf(
   settings: EntrySettings,
   role: 'entry' | 'scheduler',
 ): PeerAddress[] {
   return settings.members
-    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
     .filter(({member}) => role !== ROLE || member !== settings.member)
     .map(({member, dataCentre, host, entryLinkPort, schedulerLinkPort}) => ({
       member,
@@ -116,9 +121,44 @@
     }));
 }
 
+function localAddressesOf(
+  settings: EntrySettings,
+  role: 'entry' | 'scheduler',
+): PeerAddress[] {
+  return addressesOf(settings, role).filter(
+    ({dataCentre}) => dataCentre === settings.dataCentre,
+  );
+}
+
+function createPropagation(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): ConfigurationPropagation {
+  const network = parts.resolve(PeerNetwork);
+  const peers = addressesOf(settings, 'entry').map(
+    (address) => new LinkConfigurationPeer(network, address),
+  );
+  const isLocal = ({dataCentre}: LinkConfigurationPeer): boolean =>
+    dataCentre === settings.dataCentre;
+  const propagation = new ConfigurationPropagation({
+    store: parts.resolve(ConfigurationStore),
+    platform: parts.resolve(HttpPlatformService),
+    clock,
+    random,
+    self: settings.member,
+    role: ROLE,
+    localPeers: peers.filter(isLocal),
+    remotePeers: peers.filter((peer) => !isLocal(peer)),
+    livingEntries: () => parts.resolve(OwnershipKeeper).livingMembers(),
+    onFailure: ({message}) => logger.debug({message}, 'configuration call'),
+  });
+  answerConfigurationRequests(network, (since) => propagation.answer(since));
+  return propagation;
+}
+
 /** Members of this data centre, this one first. */
 function schedulersOf(settings: EntrySettings): string[] {
-  const others = addressesOf(settings, 'entry').map(({member}) => member);
+  const others = localAddressesOf(settings, 'entry').map(({member}) => member);
   return [settings.member, ...others];
 }
 
@@ -128,14 +168,14 @@
 ): Membership {
   return new Membership({
     network: parts.resolve(PeerNetwork),
-    peers: addressesOf(settings, 'entry'),
-    listeners: addressesOf(settings, 'scheduler'),
+    peers: localAddressesOf(settings, 'entry'),
+    listeners: localAddressesOf(settings, 'scheduler'),
     clock,
     heartbeatMs: settings.membership.heartbeatMs,
     suspectAfterMs: settings.membership.suspectAfterMs,
     contents: () => ({
       ownershipRevision: parts.resolve(OwnershipKeeper).revision,
-      configurationRevision: parts.resolve(PolledConfiguration).revision,
+      configurationRevision: parts.resolve(ConfigurationStore).completeRevision,
       load: {free: parts.resolve(EntryProcess).fleet.freeSlots()},
     }),
   });
@@ -167,7 +207,7 @@
   {settings, clock, random, logger}: Context,
   parts: DependencyContainer,
 ): EntryProcess {
-  const configuration = parts.resolve(PolledConfiguration);
+  const configuration = parts.resolve(ConfigurationStore);
   const network = parts.resolve(PeerNetwork);
   const ownership = parts.resolve(OwnershipKeeper);
   const {limits} = settings.entry;
@@ -202,11 +242,14 @@
       clock,
       network,
     }),
-    isReady: () => configuration.ageMs() < Infinity,
+    isReady: () => configuration.isReady,
     // The routes of operators are added here.
     routes: [(app) => jobs.mount(app)],
   });
-  parts.resolve(Membership).onHeartbeat(({member, load}) => {
+  const propagation = parts.resolve(ConfigurationPropagation);
+  parts.resolve(Membership).onHeartbeat((heartbeat) => {
+    const {member, load, configurationRevision} = heartbeat;
+    propagation.heard(member, configurationRevision);
     const {free} = (load ?? {}) as Partial<EntryLoad>;
     if (free) entry.peers.noteLoad(member, free);
   });
--- a/src/entry/entry_program.ts
+++ b/src/entry/entry_program.ts
@@ -1,6 +1,7 @@
 import {DependencyContainer} from 'tsyringe';
 
 import {ClaimStore} from '../claims/claim_store.js';
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {PeerNetwork} from '../links/peer_network.js';
 import {Membership} from '../membership/membership.js';
 import {HttpPlatformService} from '../platform/http_platform_service.js';
@@ -10,7 +11,6 @@
 import {composeEntry} from './compose_entry.js';
 import {EntryProcess} from './entry_process.js';
 import {EntrySettings} from './entry_settings.js';
-import {PolledConfiguration} from './polled_configuration.js';
 
 const CUT_OFF_EXIT_STATUS = 1;
 
@@ -27,7 +27,7 @@
   const entry = parts.resolve(EntryProcess);
   await parts.resolve(PeerNetwork).listen(own.host, own.entryLinkPort);
   await parts.resolve(Inventory).start();
-  await parts.resolve(PolledConfiguration).start();
+  parts.resolve(ConfigurationPropagation).start();
   await entry.listen(own.host, own.entryHttpPort);
   handleSignals(parts);
 }
@@ -56,7 +56,7 @@
 
 async function stopParts(parts: DependencyContainer): Promise<void> {
   parts.resolve(ClaimStore).stop();
-  parts.resolve(PolledConfiguration).stop();
+  parts.resolve(ConfigurationPropagation).stop();
   parts.resolve(Inventory).stop();
   parts.resolve(Membership).stop();
   await parts.resolve(PeerNetwork).stop();
