--- a/src/entry/claimed_calls.ts
+++ b/src/entry/claimed_calls.ts
@@ -16,7 +16,7 @@
   KeyedCalls,
   KeyedRequest,
 } from './keyed_calls.js';
-import {ServiceCallEnd} from './service_router.js';
+import {ServiceCallEnd} from './service_call_end.js';
 
 /** Options of {@link ClaimedCalls}. */
 export interface ClaimedCallsOptions {
--- a/src/entry/entry_http.ts
+++ b/src/entry/entry_http.ts
@@ -31,11 +31,16 @@
 // read, else the caller sees a reset connection instead of the answer.
 const DISCARD_MS = 2000;
 
+interface OpenRequest {
+  message: IncomingMessage;
+  response: ServerResponse;
+}
+
 /** HTTP server for callers, operators and other entries. */
 export class EntryHttp {
   private readonly server: Server;
-  /** Connections on which a request is being answered. */
-  private readonly answering = new WeakSet<Socket>();
+  /** Requests that are being answered, by connection. */
+  private readonly answering = new WeakMap<Socket, OpenRequest>();
 
   constructor(options: EntryHttpOptions) {
     const app = new App<Request, Response>({
@@ -65,7 +70,7 @@
     this.server.maxConnections = limits.connections;
     const listener = app.handler.bind(app) as unknown as RequestListener;
     this.server.on('request', (message, response) => {
-      this.answering.add(message.socket);
+      this.answering.set(message.socket, {message, response});
       response.on('close', () => this.answering.delete(message.socket));
       discardUnread(message, response);
       if (!hasValidUrl(message.url ?? '')) {
@@ -76,8 +81,8 @@
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
       const socket = stream as Socket;
-      // Bytes of an error would become part of the answer under way.
-      if (this.answering.has(socket)) socket.destroy();
+      const open = this.answering.get(socket);
+      if (open) breakOff(error, open);
       else answerMalformed(error, socket);
     });
   }
@@ -164,6 +169,21 @@
   }
 }
 
+/**
+ * Ends a connection whose further bytes are not valid. Bytes of an error would
+ * become part of the answer under way, so the handler of the request answers.
+ */
+function breakOff(error: NodeJS.ErrnoException, open: OpenRequest): void {
+  const {message, response} = open;
+  const {socket} = message;
+  response.shouldKeepAlive = false;
+  response.once('finish', () => socket.destroySoon());
+  if (message.complete) return;
+  const isRead = message.listenerCount('error') > 0;
+  if (error.code === 'ECONNRESET' || !isRead) socket.destroy();
+  else message.emit('error', error);
+}
+
 /** Answers a request that the HTTP parser refused. */
 function answerMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -241,6 +241,8 @@
     serve: () => Promise<void>,
   ): Promise<void> {
     this.openRequests += 1;
+    // Callers leave an entry that stops before it closes their connections.
+    if (this.isStopping) response.setHeader('connection', 'close');
     const closed = new Promise<void>((resolve) =>
       response.once('close', () => resolve()),
     );
--- a/src/entry/keyed_calls.ts
+++ b/src/entry/keyed_calls.ts
@@ -1,6 +1,6 @@
 import {ResultCodes} from '../result_codes/result_code.js';
 import {HeldAnswer} from './caller_answer.js';
-import {ServiceCallEnd} from './service_router.js';
+import {ServiceCallEnd} from './service_call_end.js';
 
 /** A non-idempotent request and its key. */
 export interface KeyedRequest {
--- a/src/entry/request_body.ts
+++ b/src/entry/request_body.ts
@@ -101,7 +101,11 @@
       timer = setTimeout(() => reject(bodyStalled(timeoutMs)), timeoutMs);
     });
     try {
-      const step = await Promise.race([this.iterator.next(), timeout]);
+      const step = await Promise.race([this.iterator.next(), timeout]).catch(
+        (error: Error) => {
+          throw error instanceof ResultError ? error : malformed(error);
+        },
+      );
       if (step.done) return undefined;
       this.bytes += step.value.length;
       if (this.bytes > maxBytes) throw tooLarge(maxBytes);
@@ -112,6 +116,14 @@
   }
 }
 
+function malformed(cause: Error): ResultError {
+  return new ResultError(
+    ResultCodes.BAD_REQUEST,
+    `Cannot read body: ${cause.message}`,
+    {cause},
+  );
+}
+
 function bodyStalled(timeoutMs: number): ResultError {
   return new ResultError(
     ResultCodes.BAD_REQUEST,
--- a/src/entry/service_route.ts
+++ b/src/entry/service_route.ts
@@ -18,7 +18,8 @@
 import {RequestBody} from './request_body.js';
 import {writeResult} from './result_headers.js';
 import {ServiceCall} from './service_call.js';
-import {ServiceCallEnd, ServiceRouter} from './service_router.js';
+import {ServiceCallEnd} from './service_call_end.js';
+import {ServiceRouter} from './service_router.js';
 import {toResultError} from './to_result_error.js';
 
 /** Options of {@link ServiceRoute}. */
--- a/src/entry/service_router.ts
+++ b/src/entry/service_router.ts
@@ -15,7 +15,6 @@
   TargetResultKind,
 } from '../targets/target_client.js';
 import {TargetFleet} from '../targets/target_fleet.js';
-import {HeldAnswer} from './caller_answer.js';
 import {PeerSlots} from './peer_slots.js';
 import {
   CallerResult,
@@ -24,14 +23,7 @@
 } from './result_headers.js';
 import {resultOfAttempt} from './result_of_attempt.js';
 import {ServiceCall} from './service_call.js';
-
-/** How a call ended. */
-export interface ServiceCallEnd extends CallerResult {
-  /** Status of the target's answer. @default none */
-  status?: number;
-  /** The whole answer if it was held in memory. @default none */
-  answer?: HeldAnswer;
-}
+import {ServiceCallEnd} from './service_call_end.js';
 
 /** Options of {@link ServiceRouter}. */
 export interface ServiceRouterOptions {
