--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -12,10 +12,7 @@
 import {SystemClock} from '../clock/system_clock.js';
 import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
-import {
-  answerConfigurationRequests,
-  LinkConfigurationPeer,
-} from '../contracts/link_configuration_peer.js';
+import {createPropagation} from '../contracts/create_propagation.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -68,7 +65,15 @@
   provide(Membership, () => createMembership(context, parts));
   provide(OwnershipKeeper, () => createOwnership(context, parts));
   provide(ConfigurationStore, () => new ConfigurationStore({clock}));
-  provide(ConfigurationPropagation, () => createPropagation(context, parts));
+  provide(ConfigurationPropagation, () =>
+    createPropagation({
+      ...context,
+      network: parts.resolve(PeerNetwork),
+      store: parts.resolve(ConfigurationStore),
+      platform,
+      livingEntries: () => parts.resolve(OwnershipKeeper).livingMembers(),
+    }),
+  );
   provide(ClaimStore, () => {
     const {member, incarnation} = parts.resolve(PeerNetwork).identity;
     return new ClaimStore({platform, clock, member, incarnation});
@@ -105,12 +110,13 @@
   });
 }
 
-/** Links to the other entries, or the schedulers, of all data centres. */
+/** Links to the entries or schedulers of this data centre. */
 function addressesOf(
   settings: EntrySettings,
   role: 'entry' | 'scheduler',
 ): PeerAddress[] {
   return settings.members
+    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
     .filter(({member}) => role !== ROLE || member !== settings.member)
     .map(({member, dataCentre, host, entryLinkPort, schedulerLinkPort}) => ({
       member,
@@ -121,44 +127,9 @@
     }));
 }
 
-function localAddressesOf(
-  settings: EntrySettings,
-  role: 'entry' | 'scheduler',
-): PeerAddress[] {
-  return addressesOf(settings, role).filter(
-    ({dataCentre}) => dataCentre === settings.dataCentre,
-  );
-}
-
-function createPropagation(
-  {settings, clock, random, logger}: Context,
-  parts: DependencyContainer,
-): ConfigurationPropagation {
-  const network = parts.resolve(PeerNetwork);
-  const peers = addressesOf(settings, 'entry').map(
-    (address) => new LinkConfigurationPeer(network, address),
-  );
-  const isLocal = ({dataCentre}: LinkConfigurationPeer): boolean =>
-    dataCentre === settings.dataCentre;
-  const propagation = new ConfigurationPropagation({
-    store: parts.resolve(ConfigurationStore),
-    platform: parts.resolve(HttpPlatformService),
-    clock,
-    random,
-    self: settings.member,
-    role: ROLE,
-    localPeers: peers.filter(isLocal),
-    remotePeers: peers.filter((peer) => !isLocal(peer)),
-    livingEntries: () => parts.resolve(OwnershipKeeper).livingMembers(),
-    onFailure: ({message}) => logger.debug({message}, 'configuration call'),
-  });
-  answerConfigurationRequests(network, (since) => propagation.answer(since));
-  return propagation;
-}
-
 /** Members of this data centre, this one first. */
 function schedulersOf(settings: EntrySettings): string[] {
-  const others = localAddressesOf(settings, 'entry').map(({member}) => member);
+  const others = addressesOf(settings, 'entry').map(({member}) => member);
   return [settings.member, ...others];
 }
 
@@ -168,14 +139,14 @@
 ): Membership {
   return new Membership({
     network: parts.resolve(PeerNetwork),
-    peers: localAddressesOf(settings, 'entry'),
-    listeners: localAddressesOf(settings, 'scheduler'),
+    peers: addressesOf(settings, 'entry'),
+    listeners: addressesOf(settings, 'scheduler'),
     clock,
     heartbeatMs: settings.membership.heartbeatMs,
     suspectAfterMs: settings.membership.suspectAfterMs,
     contents: () => ({
       ownershipRevision: parts.resolve(OwnershipKeeper).revision,
-      configurationRevision: parts.resolve(ConfigurationStore).completeRevision,
+      configurationRevision: parts.resolve(ConfigurationStore).revision,
       load: {free: parts.resolve(EntryProcess).fleet.freeSlots()},
     }),
   });
