--- /dev/null
+++ b/src/entry/job_submission_test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+
+import {ClaimStore} from '../claims/claim_store.js';
+import {SystemClock} from '../clock/system_clock.js';
+import {HttpPlatformService} from '../platform/http_platform_service.js';
+import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {ResultError} from '../result_codes/result_error.js';
+import {PlatformStandIn} from '../../testing/platform_stand_in.js';
+import {JobClient} from './job_client.js';
+import {JobSubmission} from './job_submission.js';
+
+const standIn = new PlatformStandIn();
+const clock = new SystemClock();
+let platform: HttpPlatformService;
+
+before(async () => {
+  const port = await standIn.listen('127.0.0.1', 0);
+  platform = new HttpPlatformService({origin: `http://127.0.0.1:${port}`});
+});
+
+after(async () => {
+  await platform.stop();
+  await standIn.stop();
+});
+
+/** Scheduler that knows the jobs it accepted; faults fail the next submits. */
+class SchedulerFake {
+  readonly accepted = new Set<string>();
+  readonly faults: Array<{code: ResultCode; isAccepted: boolean}> = [];
+
+  request(
+    _to: unknown,
+    name: string,
+    {body}: {body: unknown},
+  ): Promise<unknown> {
+    const {job, jobId} = body as {job?: {id: string}; jobId?: string};
+    const id = job?.id ?? jobId!;
+    const fault = name === 'submit' ? this.faults.shift() : undefined;
+    if (name === 'submit' && (fault?.isAccepted ?? true)) this.accepted.add(id);
+    if (fault) return Promise.reject(new ResultError(fault.code, 'fault'));
+    if (this.accepted.has(id)) return Promise.resolve({jobId: id, code: 1001});
+    return Promise.reject(new ResultError(ResultCodes.NOT_FOUND, 'unknown'));
+  }
+}
+
+function submitterOf(
+  scheduler: SchedulerFake,
+): (key: string) => Promise<unknown> {
+  const client = new JobClient({network: scheduler, schedulers: ['a', 'b']});
+  const claims = new ClaimStore({
+    platform,
+    clock,
+    member: 'a',
+    incarnation: '1',
+  });
+  const submission = new JobSubmission({client, claims, clock});
+  return (key) =>
+    submission.submit({
+      customer: 'association',
+      caller: 'alice',
+      fields: {kind: 'render'},
+      key,
+      deadlineMs: clock.nowMs() + 1000,
+    });
+}
+
+test('P10: one key makes one job, also when answers are lost', async () => {
+  // Guards against a second job for a repeat or for concurrent submissions.
+  const scheduler = new SchedulerFake();
+  const submit = submitterOf(scheduler);
+  const {ANSWER_LOST} = ResultCodes;
+  scheduler.faults.push({code: ANSWER_LOST, isAccepted: true});
+  await assert.rejects(submit('one'), {
+    code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED,
+  });
+  const answers = await Promise.all([submit('one'), submit('one')]);
+  const expected = {jobId: [...scheduler.accepted][0], code: 1001};
+  assert.deepEqual(answers, [expected, expected]);
+  assert.equal(scheduler.accepted.size, 1);
+});
+
+test('P10: a submission that was lost on its way is submitted again', async () => {
+  // Guards against a key that stands for a job that was never accepted.
+  const scheduler = new SchedulerFake();
+  const submit = submitterOf(scheduler);
+  const {ANSWER_LOST} = ResultCodes;
+  scheduler.faults.push({code: ANSWER_LOST, isAccepted: false});
+  await assert.rejects(submit('two'));
+  await submit('two');
+  assert.equal(scheduler.accepted.size, 1);
+});
+
+test('P10: a refused job leaves its key free; another scheduler is asked', async () => {
+  // Guards against a key that is lost with a refused job.
+  const scheduler = new SchedulerFake();
+  const submit = submitterOf(scheduler);
+  const {NEVER_FITS, NO_OWNER} = ResultCodes;
+  scheduler.faults.push({code: NEVER_FITS, isAccepted: false});
+  await assert.rejects(submit('three'), {code: NEVER_FITS});
+  scheduler.faults.push({code: NO_OWNER, isAccepted: false});
+  await submit('three');
+  assert.equal(scheduler.accepted.size, 1);
+});
