Measure schedulers through a platform outage

Change: scenario platform-outage: the platform is away for up to 20 s under load, then loses a fifth of its answers after the write took effect. Both scheduler scenarios share testing/scheduler_bench.ts.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -7,6 +7,8 @@
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
+  ['platform-outage']: async () =>
+    (await import('./scenarios/platform_outage.js')).runPlatformOutage,
   placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
--- /dev/null
+++ b/measure/scenarios/platform_outage.ts
@@ -0,0 +1,118 @@
+import {sleep} from '../../src/clock/sleep.js';
+import {
+  ownershipOf,
+  probeShard,
+  SchedulerBench,
+  startSchedulerBench,
+  stopSchedulerBench,
+} from '../../testing/scheduler_bench.js';
+import {PlatformCounts} from '../../testing/platform_stand_in.js';
+import {ScenarioOptions, ScenarioResult} from '../scenario.js';
+
+const LONGEST_OUTAGE_MS = 20_000;
+const LOST_ANSWERS_MS = 6000;
+const LOST_ANSWERS_SHARE = 0.2;
+
+interface Measured {
+  placedDuringOutage: number;
+  /** Times in ms from submission to the end of short urgent tasks. */
+  urgentMs: number[];
+  callsPerSecondAfter: {reads: number; writes: number};
+  unfinished: string[];
+}
+
+/**
+ * Takes the platform away under load and brings it back, first with a part of
+ * its answers lost after the write took effect. More jobs are accepted before
+ * the outage than the workers can run, so that waiting ones are placed in it.
+ */
+export async function runPlatformOutage(
+  options: ScenarioOptions,
+): Promise<ScenarioResult> {
+  const bench = await startSchedulerBench({...options, intervalMs: 12});
+  try {
+    const running = bench.load.run();
+    await sleep(3000);
+    bench.load.setInterval(300);
+    const outageMs = Math.min(LONGEST_OUTAGE_MS, options.seconds * 500);
+    const outage = await runOutage(bench, outageMs);
+    const callsPerSecondAfter = await runRecovery(bench);
+    await bench.load.stop();
+    await running;
+    const unfinished = await bench.load.waitForEnds(15_000);
+    return await summarize(bench, {...outage, callsPerSecondAfter, unfinished});
+  } finally {
+    await stopSchedulerBench(bench);
+  }
+}
+
+async function runOutage(
+  bench: SchedulerBench,
+  outageMs: number,
+): Promise<Pick<Measured, 'placedDuringOutage' | 'urgentMs'>> {
+  const shards = Object.keys(await ownershipOf(bench));
+  await bench.fleet.setPlatformFaults({down: true});
+  bench.options.progress(`platform down for ${outageMs} ms`);
+  // Answers that were on their way when it went down are not counted.
+  await sleep(200);
+  const before = await startsOf(bench);
+  const endMs = performance.now() + outageMs;
+  const urgentMs: number[] = [];
+  const probes: Array<Promise<unknown>> = [];
+  for (let count = 0; performance.now() < endMs; count++) {
+    const shard = shards[count % shards.length]!;
+    const probe = probeShard(bench, {shard});
+    probes.push(probe.then((ms) => urgentMs.push(ms)));
+    await sleep(100);
+  }
+  await Promise.all(probes);
+  const placed = (await startsOf(bench)) - before - probes.length;
+  await bench.fleet.setPlatformFaults({loseAnswers: LOST_ANSWERS_SHARE});
+  return {placedDuringOutage: placed, urgentMs};
+}
+
+/** Counts calls a second while answers are lost and after that. */
+async function runRecovery(
+  bench: SchedulerBench,
+): Promise<Measured['callsPerSecondAfter']> {
+  const highest = {reads: 0, writes: 0};
+  let last = await countsOf(bench);
+  for (let elapsedMs = 0; elapsedMs < LOST_ANSWERS_MS + 2000;) {
+    await sleep(1000);
+    elapsedMs += 1000;
+    if (elapsedMs === LOST_ANSWERS_MS) await bench.fleet.setPlatformFaults({});
+    const next = await countsOf(bench);
+    highest.reads = Math.max(highest.reads, next.reads - last.reads);
+    highest.writes = Math.max(highest.writes, next.writes - last.writes);
+    last = next;
+  }
+  return highest;
+}
+
+async function startsOf(bench: SchedulerBench): Promise<number> {
+  return (await bench.fleet.workersControl())['starts'] as number;
+}
+
+async function countsOf(bench: SchedulerBench): Promise<PlatformCounts> {
+  return (await bench.fleet.platformControl())['counts'] as PlatformCounts;
+}
+
+async function summarize(
+  bench: SchedulerBench,
+  measured: Measured,
+): Promise<ScenarioResult> {
+  const control = await bench.fleet.workersControl();
+  const counts = control['violations'] as Record<string, number>;
+  const sorted = [...measured.urgentMs].sort((a, b) => a - b);
+  return {
+    violations: Object.values(counts).reduce((sum, count) => sum + count, 0),
+    placedDuringOutage: measured.placedDuringOutage,
+    urgentStarts: sorted.length,
+    urgentStartP99Ms: Math.round(sorted[Math.floor(sorted.length * 0.99)] ?? 0),
+    callsPerSecondAfter: measured.callsPerSecondAfter,
+    lostJobs: bench.load.lost.size,
+    acceptedJobs: bench.load.accepted.size,
+    unfinishedJobs: measured.unfinished.length,
+    details: control['details'],
+  };
+}
--- a/measure/scenarios/takeover.ts
+++ b/measure/scenarios/takeover.ts
@@ -1,28 +1,14 @@
-import {mkdtempSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-
 import {sleep} from '../../src/clock/sleep.js';
-import {SeededRandom} from '../../src/random/seeded_random.js';
-import {Fleet} from '../../testing/fleet.js';
-import {JobLoad} from '../../testing/job_load.js';
-import {SchedulerCaller} from '../../testing/scheduler_caller.js';
+import {
+  ownershipOf,
+  probeShard,
+  SchedulerBench,
+  startSchedulerBench,
+  stopSchedulerBench,
+} from '../../testing/scheduler_bench.js';
 import {ScenarioOptions, ScenarioResult} from '../scenario.js';
 
-const DATA_CENTRE = 'd';
-const MEMBERS = 3;
-const RACKS = 3;
 const PAUSE_MS = 4000;
-const PROBE_TIMEOUT_MS = 700;
-const GIVE_UP_MS = 12_000;
-
-/** What the scenario works with. */
-interface Bench {
-  fleet: Fleet;
-  callers: Map<string, SchedulerCaller>;
-  load: JobLoad;
-  options: ScenarioOptions;
-}
 
 /**
  * Kills or pauses owners of shards under load. The interruption of a shard is
@@ -32,9 +18,8 @@
 export async function runTakeover(
   options: ScenarioOptions,
 ): Promise<ScenarioResult> {
-  const bench = await startBench(options);
+  const bench = await startSchedulerBench({...options, intervalMs: 60});
   try {
-    await untilOwned(bench);
     const running = bench.load.run();
     await sleep(1500);
     const interruptions: number[] = [];
@@ -44,109 +29,15 @@
     interruptions.push(...(await killAndRestart(bench, members[2]!)));
     await bench.load.stop();
     await running;
-    const unfinishedJobs = await bench.load.waitForEnds(9000);
-    return await summarize(bench, {interruptions, unfinishedJobs});
+    const unfinished = await bench.load.waitForEnds(9000);
+    return await summarize(bench, {interruptions, unfinished});
   } finally {
-    for (const caller of bench.callers.values()) caller.stop();
-    await bench.fleet.stop();
-  }
-}
-
-async function startBench(options: ScenarioOptions): Promise<Bench> {
-  const fleet = await Fleet.start({
-    dataCentres: [
-      {
-        name: DATA_CENTRE,
-        entryVms: MEMBERS,
-        targets: 0,
-        racks: RACKS,
-        workersPerRack: 3,
-      },
-    ],
-    workerCapacity: {processors: 8, memoryMegabytes: 8000, accelerators: 0},
-    clockRates: [0.98, 1, 1.02],
-    seed: options.seed,
-    folder: mkdtempSync(join(tmpdir(), 'takeover-')),
-  });
-  const callers = new Map(
-    fleet.members.map(({member, schedulerLinkPort: port}) => [
-      member,
-      new SchedulerCaller({port, dataCentre: DATA_CENTRE}),
-    ]),
-  );
-  const load = new JobLoad({
-    callers: [...callers.values()],
-    random: new SeededRandom(options.seed),
-    intervalMs: 60,
-  });
-  return {fleet, callers, load, options};
-}
-
-/** Waits until each shard runs a probe and each member owns one. */
-async function untilOwned(bench: Bench): Promise<void> {
-  const deadlineMs = performance.now() + 15_000;
-  for (;;) {
-    const record = await ownershipOf(bench);
-    const owners = new Set(Object.values(record));
-    if (owners.size === MEMBERS) break;
-    if (performance.now() > deadlineMs) {
-      throw new Error(`Cannot start: owners are ${[...owners].join(', ')}`);
-    }
-    await sleep(100);
-  }
-  const shards = Object.keys(await ownershipOf(bench));
-  await Promise.all(shards.map((shard) => probe(bench, {shard})));
-  bench.options.progress('each scheduler owns a shard and runs tasks');
-}
-
-/** Owner of each shard by the platform's record. */
-async function ownershipOf(bench: Bench): Promise<Record<string, string>> {
-  const key = encodeURIComponent(`ownership/${DATA_CENTRE}/scheduler`);
-  const port = bench.fleet.platformPort;
-  const answer = await fetch(`http://127.0.0.1:${port}/kv/${key}`);
-  if (answer.status !== 200) return {};
-  const {value} = (await answer.json()) as {value: string};
-  const {shards} = JSON.parse(value) as {
-    shards: Record<string, {member: string}>;
-  };
-  return Object.fromEntries(
-    Object.entries(shards).map(([shard, {member}]) => [shard, member]),
-  );
-}
-
-/** Runs a short attached task on a shard; returns the time in ms it took. */
-async function probe(
-  bench: Bench,
-  target: {shard: string; without?: string},
-): Promise<number> {
-  const startMs = performance.now();
-  const others = [...bench.callers].filter(
-    ([member]) => member !== target.without,
-  );
-  for (let attempt = 0; ; attempt++) {
-    const [, caller] = others[attempt % others.length]!;
-    const job = {
-      id: `probe-${target.shard}-${startMs}-${attempt}`,
-      customer: 'probe',
-      kind: 'probe',
-      urgency: 'urgent',
-      isAttached: true,
-      resources: {processors: 0.1, memoryMegabytes: 1},
-      payload: {actualRunTimeMs: 20},
-    };
-    try {
-      const body = {job, shard: target.shard};
-      await caller.call('submit', body, PROBE_TIMEOUT_MS);
-      return performance.now() - startMs;
-    } catch {
-      if (performance.now() - startMs > GIVE_UP_MS) return GIVE_UP_MS;
-      await sleep(25);
-    }
+    await stopSchedulerBench(bench);
   }
 }
 
 async function interruptionsOf(
-  bench: Bench,
+  bench: SchedulerBench,
   victim: string,
 ): Promise<number[]> {
   const record = await ownershipOf(bench);
@@ -154,11 +45,14 @@
     (shard) => record[shard] === victim,
   );
   return Promise.all(
-    shards.map((shard) => probe(bench, {shard, without: victim})),
+    shards.map((shard) => probeShard(bench, {shard, without: victim})),
   );
 }
 
-async function killAndRestart(bench: Bench, victim: string): Promise<number[]> {
+async function killAndRestart(
+  bench: SchedulerBench,
+  victim: string,
+): Promise<number[]> {
   const child = bench.fleet.process('scheduler', victim);
   child.signal('SIGKILL');
   const interruptions = await interruptionsOf(bench, victim);
@@ -169,7 +63,7 @@
   return interruptions;
 }
 
-async function pause(bench: Bench, victim: string): Promise<number[]> {
+async function pause(bench: SchedulerBench, victim: string): Promise<number[]> {
   const child = bench.fleet.process('scheduler', victim);
   child.signal('SIGSTOP');
   const resumed = sleep(PAUSE_MS).then(() => child.signal('SIGCONT'));
@@ -184,9 +78,23 @@
   return interruptions.map((ms) => `${Math.round(ms)} ms`).join(', ');
 }
 
+/** What the schedulers answer about jobs, for the report. */
+function statesOf(
+  bench: SchedulerBench,
+  jobIds: readonly string[],
+): Promise<unknown[]> {
+  return Promise.all(
+    jobIds.map((jobId) =>
+      bench.load
+        .call('jobStatus', {jobId})
+        .catch((error: Error) => `${jobId}: ${error.message}`),
+    ),
+  );
+}
+
 async function summarize(
-  bench: Bench,
-  measured: {interruptions: number[]; unfinishedJobs: number},
+  bench: SchedulerBench,
+  measured: {interruptions: number[]; unfinished: string[]},
 ): Promise<ScenarioResult> {
   const sorted = [...measured.interruptions].sort((a, b) => a - b);
   const control = await bench.fleet.workersControl();
@@ -199,7 +107,8 @@
     resumedTwice: (counts['ranAgain'] ?? 0) + (counts['lostProgress'] ?? 0),
     lostJobs: bench.load.lost.size,
     acceptedJobs: bench.load.accepted.size,
-    unfinishedJobs: measured.unfinishedJobs,
+    unfinishedJobs: measured.unfinished.length,
+    firstUnfinished: await statesOf(bench, measured.unfinished.slice(0, 3)),
     details: control['details'],
   };
 }
--- a/testing/job_load.ts
+++ b/testing/job_load.ts
@@ -23,15 +23,23 @@
   readonly lost = new Set<string>();
   private readonly pending: Array<Promise<void>> = [];
   private turn = 0;
+  private intervalMs: number;
   private isStopped = false;
 
-  constructor(private readonly options: JobLoadOptions) {}
+  constructor(private readonly options: JobLoadOptions) {
+    this.intervalMs = options.intervalMs;
+  }
+
+  /** Changes the time in ms between two jobs. */
+  setInterval(intervalMs: number): void {
+    this.intervalMs = intervalMs;
+  }
 
   /** Submits jobs until {@link stop}. */
   async run(): Promise<void> {
     for (let count = 0; !this.isStopped; count++) {
       this.pending.push(this.submit(`job-${count}`));
-      await sleep(this.options.intervalMs);
+      await sleep(this.intervalMs);
     }
   }
 
@@ -41,8 +49,8 @@
     await Promise.all(this.pending);
   }
 
-  /** Waits until all accepted jobs have ended; returns how many have not. */
-  async waitForEnds(limitMs: number): Promise<number> {
+  /** Waits until all accepted jobs have ended; returns those that have not. */
+  async waitForEnds(limitMs: number): Promise<string[]> {
     const deadlineMs = performance.now() + limitMs;
     let open = [...this.accepted];
     while (open.length > 0 && performance.now() < deadlineMs) {
@@ -50,7 +58,7 @@
       open = open.filter((_, index) => states[index] !== 'ended');
       if (open.length > 0) await sleep(200);
     }
-    return open.length;
+    return open;
   }
 
   /** Calls one scheduler after the other. */
@@ -67,6 +75,7 @@
   private async submit(id: string): Promise<void> {
     const {random} = this.options;
     const isUrgent = random.next() < 0.15;
+    const actualRunTimeMs = 200 + random.nextInteger(1800);
     const job = {
       id,
       customer: `customer-${random.nextInteger(3)}`,
@@ -76,7 +85,9 @@
         processors: 1 + random.nextInteger(isUrgent ? 3 : 4),
         memoryMegabytes: 500,
       },
-      payload: {actualRunTimeMs: 200 + random.nextInteger(1800)},
+      // Declared run times are far from the actual ones.
+      runTimeMs: actualRunTimeMs * (0.3 + 2 * random.next()),
+      payload: {actualRunTimeMs},
     };
     const deadlineMs = performance.now() + 25_000;
     while (performance.now() < deadlineMs) {
--- /dev/null
+++ b/testing/scheduler_bench.ts
@@ -0,0 +1,138 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {sleep} from '../src/clock/sleep.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {Fleet} from './fleet.js';
+import {JobLoad} from './job_load.js';
+import {SchedulerCaller} from './scheduler_caller.js';
+
+const DATA_CENTRE = 'd';
+const MEMBERS = 3;
+const RACKS = 3;
+const PROBE_TIMEOUT_MS = 700;
+const GIVE_UP_MS = 12_000;
+
+/** Options of {@link startSchedulerBench}. */
+export interface SchedulerBenchOptions {
+  seed: number;
+  /** Time in ms between two jobs of the load. */
+  intervalMs: number;
+  progress(text: string): void;
+}
+
+/** Three schedulers with three racks of workers, and a load of jobs. */
+export interface SchedulerBench {
+  fleet: Fleet;
+  /** Callers by the member whose scheduler they call. */
+  callers: Map<string, SchedulerCaller>;
+  load: JobLoad;
+  options: SchedulerBenchOptions;
+}
+
+/** Starts the processes and waits until each scheduler owns a shard. */
+export async function startSchedulerBench(
+  options: SchedulerBenchOptions,
+): Promise<SchedulerBench> {
+  const fleet = await Fleet.start({
+    dataCentres: [
+      {
+        name: DATA_CENTRE,
+        entryVms: MEMBERS,
+        targets: 0,
+        racks: RACKS,
+        workersPerRack: 3,
+      },
+    ],
+    workerCapacity: {processors: 8, memoryMegabytes: 8000, accelerators: 0},
+    clockRates: [0.98, 1, 1.02],
+    seed: options.seed,
+    folder: mkdtempSync(join(tmpdir(), 'schedulers-')),
+  });
+  const callers = new Map(
+    fleet.members.map(({member, schedulerLinkPort: port}) => [
+      member,
+      new SchedulerCaller({port, dataCentre: DATA_CENTRE}),
+    ]),
+  );
+  const load = new JobLoad({
+    callers: [...callers.values()],
+    random: new SeededRandom(options.seed),
+    intervalMs: options.intervalMs,
+  });
+  const bench = {fleet, callers, load, options};
+  await untilOwned(bench);
+  return bench;
+}
+
+/** Waits until each shard runs a probe and each member owns one. */
+async function untilOwned(bench: SchedulerBench): Promise<void> {
+  const deadlineMs = performance.now() + 15_000;
+  for (;;) {
+    const record = await ownershipOf(bench);
+    const owners = new Set(Object.values(record));
+    if (owners.size === MEMBERS) break;
+    if (performance.now() > deadlineMs) {
+      throw new Error(`Cannot start: owners are ${[...owners].join(', ')}`);
+    }
+    await sleep(100);
+  }
+  const shards = Object.keys(await ownershipOf(bench));
+  await Promise.all(shards.map((shard) => probeShard(bench, {shard})));
+  bench.options.progress('each scheduler owns a shard and runs tasks');
+}
+
+/** Owner of each shard by the platform's record. */
+export async function ownershipOf(
+  bench: SchedulerBench,
+): Promise<Record<string, string>> {
+  const key = encodeURIComponent(`ownership/${DATA_CENTRE}/scheduler`);
+  const port = bench.fleet.platformPort;
+  const answer = await fetch(`http://127.0.0.1:${port}/kv/${key}`);
+  if (answer.status !== 200) return {};
+  const {value} = (await answer.json()) as {value: string};
+  const {shards} = JSON.parse(value) as {
+    shards: Record<string, {member: string}>;
+  };
+  return Object.fromEntries(
+    Object.entries(shards).map(([shard, {member}]) => [shard, member]),
+  );
+}
+
+/** Runs a short attached task on a shard; returns the time in ms it took. */
+export async function probeShard(
+  bench: SchedulerBench,
+  target: {shard: string; without?: string},
+): Promise<number> {
+  const startMs = performance.now();
+  const others = [...bench.callers].filter(
+    ([member]) => member !== target.without,
+  );
+  for (let attempt = 0; ; attempt++) {
+    const [, caller] = others[attempt % others.length]!;
+    const job = {
+      id: `probe-${target.shard}-${startMs}-${attempt}`,
+      customer: 'probe',
+      kind: 'probe',
+      urgency: 'urgent',
+      isAttached: true,
+      resources: {processors: 0.1, memoryMegabytes: 1},
+      payload: {actualRunTimeMs: 20},
+    };
+    try {
+      const body = {job, shard: target.shard};
+      await caller.call('submit', body, PROBE_TIMEOUT_MS);
+      return performance.now() - startMs;
+    } catch {
+      if (performance.now() - startMs > GIVE_UP_MS) return GIVE_UP_MS;
+      await sleep(25);
+    }
+  }
+}
+
+/** Ends all processes. */
+export async function stopSchedulerBench(bench: SchedulerBench): Promise<void> {
+  for (const caller of bench.callers.values()) caller.stop();
+  await bench.fleet.stop();
+}
