--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -116,7 +116,7 @@
   applyDelta(delta: ConfigurationDelta, askedMs: number): void {
     const applied = this.entries.applyDelta(delta);
     const hasAll = this.entries.completeRevision >= delta.completeRevision;
-    if (delta.ageMs !== undefined && !delta.isCut && hasAll) {
+    if (delta.ageMs !== undefined && hasAll) {
       const confirmedMs = askedMs - delta.ageMs;
       this.confirmedMs = Math.max(this.confirmedMs ?? -Infinity, confirmedMs);
     }
--- a/src/contracts/revisioned_entries.ts
+++ b/src/contracts/revisioned_entries.ts
@@ -4,11 +4,6 @@
 export interface RevisionedEntriesOptions {
   /** Deleted keys that are remembered for deltas. @default 10000 */
   maxTombstones?: number;
-  /**
-   * Characters of keys and values in a delta. The default leaves room for
-   * multi-byte text below the frame limit of links. @default 1000000
-   */
-  maxDeltaCharacters?: number;
 }
 
 /**
@@ -21,15 +16,13 @@
   /** Deleted keys in the order in which they were deleted here. */
   private readonly tombstones = new Map<string, ConfigurationEntry>();
   private readonly maxTombstones: number;
-  private readonly maxDeltaCharacters: number;
   private completeThrough = 0;
   private highest = 0;
-  /** Highest revision of a tombstone that was dropped to bound memory. */
-  private droppedThrough = 0;
+  /** All deletions with a higher revision are known here. */
+  private deletionsKnownAfter = 0;
 
   constructor(options: RevisionedEntriesOptions = {}) {
     this.maxTombstones = options.maxTombstones ?? 10_000;
-    this.maxDeltaCharacters = options.maxDeltaCharacters ?? 1_000_000;
   }
 
   /** All changes up to this revision are known here. */
@@ -86,43 +79,21 @@
   }
 
   /**
-   * Returns the changes after `sinceRevision`, oldest first, or a snapshot if
-   * deletions after it are no longer remembered. A large delta is cut; the
-   * rest follows when the receiver asks again from `completeRevision`.
+   * Returns the changes after `sinceRevision`, or a snapshot if not all
+   * deletions after it are known here.
    */
   deltaSince(sinceRevision: number): ConfigurationDelta {
-    const isSnapshot =
-      sinceRevision === 0 || sinceRevision < this.droppedThrough;
-    const since = isSnapshot ? 0 : sinceRevision;
+    const completeRevision = this.completeThrough;
+    if (sinceRevision === 0 || sinceRevision < this.deletionsKnownAfter) {
+      const entries = [...this.entries.values()];
+      return {sinceRevision: 0, completeRevision, entries, isSnapshot: true};
+    }
     const known: ConfigurationEntry[] = [];
-    if (since < this.highest) {
+    if (sinceRevision < this.highest) {
       known.push(...this.entries.values(), ...this.tombstones.values());
     }
-    const entries = known
-      .filter((entry) => entry.revision > since)
-      .sort((a, b) => a.revision - b.revision);
-    const count = this.countWithinLimit(entries);
-    if (count < entries.length) {
-      const last = entries[count - 1]!.revision;
-      return {
-        sinceRevision: since,
-        completeRevision: Math.min(last, this.completeThrough),
-        entries: entries.slice(0, count),
-        isSnapshot: false,
-        isCut: true,
-      };
-    }
-    const completeRevision = this.completeThrough;
-    return {sinceRevision: since, completeRevision, entries, isSnapshot};
-  }
-
-  private countWithinLimit(entries: readonly ConfigurationEntry[]): number {
-    let characters = 0;
-    for (const [index, {key, value}] of entries.entries()) {
-      characters += key.length + (value?.length ?? 0);
-      if (index > 0 && characters > this.maxDeltaCharacters) return index;
-    }
-    return entries.length;
+    const entries = known.filter(({revision}) => revision > sinceRevision);
+    return {sinceRevision, completeRevision, entries, isSnapshot: false};
   }
 
   private applySnapshot(delta: ConfigurationDelta): ConfigurationEntry[] {
@@ -136,6 +107,9 @@
       this.replace(deletion);
       applied.push(deletion);
     }
+    // A key that was written and deleted since the last known state leaves no
+    // trace in a snapshot, while another store may hold its old value.
+    if (revision > this.completeThrough) this.deletionsKnownAfter = revision;
     this.advance(revision);
     return applied;
   }
@@ -165,7 +139,7 @@
       if (this.tombstones.size <= this.maxTombstones) return;
       if (revision > this.completeThrough) continue;
       this.tombstones.delete(key);
-      this.droppedThrough = Math.max(this.droppedThrough, revision);
+      this.deletionsKnownAfter = Math.max(this.deletionsKnownAfter, revision);
     }
   }
 }
