Admit and start tasks by contract; drain broken workers; keep empty racks

Cause: contracts, worker health and racks whose VMs are all gone had no effect on the scheduler. In the last case the rack left the ownership record, and its accepted jobs were found nowhere.

Change: each shard applies its part of maxWaiting, vmShare and the quotas. WorkerHealth stops new work on workers on which everything fails and lets one cheap task probe them; a task ends as failed after failures on three healthy workers, or on all workers of a smaller rack. TaskPlacer holds the placement of waiting tasks. Configuration comes from the entries. The record keeps every shard that it has named; a rack without workers refuses new jobs, so that the next rack takes them.

Conclusion: jobs of a rack that never returns wait; moving them to another shard is not done yet.

--- a/src/jobs/waiting_queue.ts
+++ b/src/jobs/waiting_queue.ts
@@ -43,6 +43,7 @@
   );
   private readonly lines = new Map<string, Line>();
   private readonly present = new Map<string, WaitingEntry>();
+  private readonly counts = new Map<string, number>();
   private readonly virtualTimes = new Map<string, number>();
   private readonly floors = new Map<Urgency, number>();
 
@@ -60,7 +61,9 @@
 
   /** Adds a task, or replaces its entry. */
   add(entry: WaitingEntry): void {
+    this.remove(entry.taskId);
     this.present.set(entry.taskId, entry);
+    this.countOne(entry, 1);
     const key = `${entry.urgency} ${entry.customer}`;
     const line = this.lines.get(key);
     if (line) {
@@ -83,7 +86,15 @@
 
   /** Takes a task out; no effect if it does not wait. */
   remove(taskId: string): void {
+    const entry = this.present.get(taskId);
+    if (!entry) return;
     this.present.delete(taskId);
+    this.countOne(entry, -1);
+  }
+
+  /** Number of a customer's waiting tasks of one class. */
+  waitingOf(customer: string, urgency: Urgency): number {
+    return this.counts.get(`${urgency} ${customer}`) ?? 0;
   }
 
   /**
@@ -110,6 +121,11 @@
     }
   }
 
+  private countOne(entry: WaitingEntry, change: 1 | -1): void {
+    const key = `${entry.urgency} ${entry.customer}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + change);
+  }
+
   /** Classes by urgency; one whose next entry is old enough goes first. */
   private inOrder(nowMs: number): Array<{urgency: Urgency; lines: Line[]}> {
     const {agingMs = 600_000} = this.options;
@@ -143,7 +159,7 @@
       if (take(entry)) {
         // The taker may have put the task back already.
         if (this.present.get(entry.taskId) === entry) {
-          this.present.delete(entry.taskId);
+          this.remove(entry.taskId);
         }
         this.nextOf(line);
         this.compact(line);
--- /dev/null
+++ b/src/jobs/waiting_queue_test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {Urgency} from '../contracts/urgency.js';
+import {WaitingEntry, WaitingQueue} from './waiting_queue.js';
+
+function entry(
+  taskId: string,
+  fields: Partial<WaitingEntry> = {},
+): WaitingEntry {
+  const urgency = Urgency.BATCH;
+  return {taskId, customer: 'a', urgency, sinceMs: 0, cost: 1, ...fields};
+}
+
+function order(queue: WaitingQueue, nowMs = 0): string[] {
+  const taken: string[] = [];
+  queue.pass(nowMs, ({taskId}) => taken.push(taskId) > 0);
+  return taken;
+}
+
+test('a flood of one customer does not hold up another', () => {
+  // Guards against service in order of arrival, which starves small customers.
+  const shareOf = (customer: string): number => (customer === 'b' ? 2 : 1);
+  const queue = new WaitingQueue({shareOf});
+  for (let index = 0; index < 6; index++) queue.add(entry(`a${index}`));
+  for (let index = 0; index < 4; index++) {
+    queue.add(entry(`b${index}`, {customer: 'b'}));
+  }
+  const first = order(queue).slice(0, 6);
+  assert.equal(first.filter((taskId) => taskId.startsWith('b')).length, 4);
+});
+
+test('urgent work goes first, and old work rises a class', () => {
+  // Guards against overnight work that never ends while others keep coming.
+  const queue = new WaitingQueue({agingMs: 100});
+  queue.add(entry('old'));
+  queue.add(entry('new', {urgency: Urgency.URGENT, sinceMs: 1000}));
+  assert.deepEqual(order(queue, 1000), ['old', 'new']);
+  queue.add(entry('batch', {sinceMs: 1000}));
+  queue.add(entry('urgent', {urgency: Urgency.URGENT, sinceMs: 1000}));
+  assert.deepEqual(order(queue, 1000), ['urgent', 'batch']);
+});
+
+test('cancelled and refused tasks are counted and offered correctly', () => {
+  // Guards against places in maxWaiting that cancelled tasks keep, and against
+  // tasks that disappear because they could not be placed at once.
+  const queue = new WaitingQueue();
+  for (const taskId of ['x', 'y', 'z']) queue.add(entry(taskId));
+  queue.remove('y');
+  assert.equal(queue.waitingOf('a', Urgency.BATCH), 2);
+  queue.pass(0, () => false);
+  assert.deepEqual(order(queue), ['x', 'z']);
+  assert.equal(queue.waitingOf('a', Urgency.BATCH), 0);
+});
--- a/src/ownership/ownership_keeper.ts
+++ b/src/ownership/ownership_keeper.ts
@@ -105,6 +105,11 @@
       .map(([shard, owner]) => ({shard, epoch: owner.epoch}));
   }
 
+  /** Shards that the record names. */
+  recordedShards(): string[] {
+    return Object.keys(this.record.shards);
+  }
+
   ownerOf(shard: string): ShardOwner | undefined {
     return this.record.shards[shard];
   }
--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -8,7 +8,9 @@
 
 import {Clock} from '../clock/clock.js';
 import {SystemClock} from '../clock/system_clock.js';
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
+import {LinkConfigurationPeer} from '../contracts/link_configuration_peer.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -58,6 +60,7 @@
   const platform = new HttpPlatformService(settings.platform);
   provide(HttpPlatformService, () => platform);
   provide(ConfigurationStore, () => new ConfigurationStore({clock}));
+  provide(ConfigurationPropagation, () => createPropagation(context, parts));
   provide(PeerNetwork, () => createNetwork(context));
   provide(Inventory, () => {
     const {dataCentre, platform: given} = settings;
@@ -84,6 +87,32 @@
   });
 }
 
+/** Schedulers hold no watch: they ask the entries whose heartbeats are newer. */
+function createPropagation(
+  {settings, clock, random, logger}: Context,
+  parts: DependencyContainer,
+): ConfigurationPropagation {
+  const network = parts.resolve(PeerNetwork);
+  const localPeers = settings.members
+    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
+    .map(({member, dataCentre, host, entryLinkPort: port}) => {
+      const address = {member, role: 'entry', dataCentre, host, port};
+      return new LinkConfigurationPeer(network, address);
+    });
+  return new ConfigurationPropagation({
+    store: parts.resolve(ConfigurationStore),
+    platform: parts.resolve(HttpPlatformService),
+    clock,
+    random,
+    self: settings.member,
+    role: ROLE,
+    localPeers,
+    remotePeers: [],
+    livingEntries: () => [],
+    onFailure: (error) => logger.debug({error: error.message}, 'configuration'),
+  });
+}
+
 function createMembership(
   {settings, clock}: Context,
   parts: DependencyContainer,
@@ -117,16 +146,20 @@
   parts: DependencyContainer,
 ): OwnershipKeeper {
   const inventory = parts.resolve(Inventory);
-  return new OwnershipKeeper({
+  const keeper: OwnershipKeeper = new OwnershipKeeper({
     platform: parts.resolve(HttpPlatformService),
     membership: parts.resolve(Membership),
     network: parts.resolve(PeerNetwork),
     clock,
     random,
     logger,
-    shards: () => workerShards(inventory),
+    // A rack whose VMs are all gone may still have stored jobs.
+    shards: () => [
+      ...new Set([...workerShards(inventory), ...keeper.recordedShards()]),
+    ],
     joinAfterMs: settings.membership.joinAfterMs,
   });
+  return keeper;
 }
 
 function workerShards(inventory: Inventory): string[] {
@@ -161,9 +194,14 @@
       return client;
     },
   });
-  parts.resolve(Membership).onHeartbeat(({load}, from) => {
-    if (from.role !== ROLE) return;
-    scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
+  parts.resolve(Membership).onHeartbeat((heartbeat, from) => {
+    const {load, configurationRevision} = heartbeat;
+    if (from.role === ROLE) {
+      scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
+      return;
+    }
+    const propagation = parts.resolve(ConfigurationPropagation);
+    propagation.heard(from.member, configurationRevision);
   });
   return scheduler;
 }
--- a/src/scheduler/scheduler_process.ts
+++ b/src/scheduler/scheduler_process.ts
@@ -8,6 +8,7 @@
 import {DecisionLog} from '../logging/decision_log.js';
 import {OwnedShard, OwnershipView} from '../ownership/ownership_view.js';
 import {PlacementPolicy} from '../placement/placement_policy.js';
+import {WorkerHealth} from '../placement/worker_health.js';
 import {Inventory} from '../platform/inventory.js';
 import {
   PlatformService,
@@ -16,6 +17,7 @@
 } from '../platform/platform_service.js';
 import {RandomSource} from '../random/random_source.js';
 import {WorkerClient} from '../workers/worker_client.js';
+import {CustomerLimits} from './customer_limits.js';
 import {JobDesk} from './job_desk.js';
 import {PlatformGate} from './platform_gate.js';
 import {SchedulerSettings} from './scheduler_settings.js';
@@ -26,6 +28,8 @@
 export interface SchedulerOwnership extends OwnershipView {
   /** Reads the record at once, after a worker refused an epoch. */
   noteFenced(): Promise<void>;
+  /** Shards that the record names, also those without workers. */
+  recordedShards(): readonly string[];
   /** Hands all shards over; true if the record without them was written. */
   handOver(): Promise<boolean>;
 }
@@ -129,7 +133,8 @@
     const workers = this.parts.inventory
       .list()
       .filter(({kind}) => kind === VmKind.WORKER);
-    return [...new Set(workers.map(({shard}) => shard))];
+    const listed = workers.map(({shard}) => shard);
+    return [...new Set([...listed, ...this.parts.ownership.recordedShards()])];
   }
 
   private freeOf(shard: string): number {
@@ -166,6 +171,8 @@
       random,
       wallMs: () => clock.wallMs(),
       shareOf: (customer) => configuration.contract(customer)?.share ?? 1,
+      limitsOf: (customer) => this.limitsOf(customer),
+      health: new WorkerHealth(clock),
     });
     const driver = new ShardDriver({
       ...parts,
@@ -184,6 +191,24 @@
     driver.start();
   }
 
+  /** A data centre's limits are divided evenly among its shards. */
+  private limitsOf(customer: string): CustomerLimits | undefined {
+    const contract = this.parts.configuration.contract(customer);
+    if (!contract) return undefined;
+    const shards = Math.max(1, this.knownShards().length);
+    const {vmShare, quota, urgencies} = contract;
+    return {
+      vmShare,
+      runningTasks: Math.ceil(quota.runningTasks / shards),
+      accelerators: Math.ceil(quota.accelerators / shards),
+      maxWaiting: {
+        urgent: Math.ceil(urgencies.urgent.maxWaiting / shards),
+        standard: Math.ceil(urgencies.standard.maxWaiting / shards),
+        batch: Math.ceil(urgencies.batch.maxWaiting / shards),
+      },
+    };
+  }
+
   private drop(shard: string): void {
     this.parts.logger.info({shard}, 'shard dropped');
     this.drivers.get(shard)?.stop();
--- a/src/scheduler/scheduler_program.ts
+++ b/src/scheduler/scheduler_program.ts
@@ -1,5 +1,6 @@
 import {DependencyContainer} from 'tsyringe';
 
+import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {PeerNetwork} from '../links/peer_network.js';
 import {Membership} from '../membership/membership.js';
 import {HttpPlatformService} from '../platform/http_platform_service.js';
@@ -23,6 +24,7 @@
   await parts.resolve(Inventory).start();
   parts.resolve(SchedulerProcess);
   parts.resolve(Membership);
+  parts.resolve(ConfigurationPropagation).start();
   await parts.resolve(PeerNetwork).listen(own.host, own.schedulerLinkPort);
   let isStopping = false;
   const onSignal = (): void => {
@@ -36,6 +38,7 @@
 
 async function stop(parts: DependencyContainer): Promise<void> {
   await parts.resolve(SchedulerProcess).stop();
+  parts.resolve(ConfigurationPropagation).stop();
   parts.resolve(Inventory).stop();
   parts.resolve(Membership).stop();
   await parts.resolve(PeerNetwork).stop();
--- a/src/scheduler/scheduler_program_test.ts
+++ b/src/scheduler/scheduler_program_test.ts
@@ -115,15 +115,24 @@
   });
 
   await context.test(
-    'jobs that always fail and cancelled ones end',
+    'a job that fails on each worker ends as failed',
     async () => {
-      const endless = {payload: {actualRunTimeMs: 0}};
-      await caller.call('submit', job('watcher', endless));
-      const status = await caller.call('cancel', {jobId: 'watcher'});
-      assert.match(String(status.tasks[0]?.result), /^cancelled/);
+      const failing = {payload: {actualRunTimeMs: 50, fails: true}};
+      await caller.call('submit', job('failing', failing));
+      const {code, tasks} = await ended(caller, 'failing');
+      assert.equal(code, ResultCodes.FAILED.number);
+      const workers = tasks[0]!.failures!.map(({worker}) => worker);
+      assert.equal(new Set(workers).size, 2);
     },
   );
 
+  await context.test('an endless job ends when it is cancelled', async () => {
+    const endless = {payload: {actualRunTimeMs: 0}};
+    await caller.call('submit', job('watcher', endless));
+    const status = await caller.call('cancel', {jobId: 'watcher'});
+    assert.match(String(status.tasks[0]?.result), /^cancelled/);
+  });
+
   const control = await fleet.workersControl();
   assert.deepEqual(control['details'], []);
   const scheduler = fleet.process('scheduler', fleet.members[0]!.member);
--- a/src/scheduler/shard_controller.ts
+++ b/src/scheduler/shard_controller.ts
@@ -1,15 +1,19 @@
+import {Urgency} from '../contracts/urgency.js';
 import {Job} from '../jobs/job.js';
 import {JobPages} from '../jobs/job_pages.js';
 import {JobRecord} from '../jobs/job_record.js';
-import {WaitingEntry, WaitingQueue} from '../jobs/waiting_queue.js';
+import {WaitingQueue} from '../jobs/waiting_queue.js';
 import {WriteBudget} from '../jobs/write_budget.js';
 import {PlacementPolicy} from '../placement/placement_policy.js';
+import {WorkerHealth} from '../placement/worker_health.js';
 import {RandomSource} from '../random/random_source.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
+import {CustomerLimits} from './customer_limits.js';
 import {ShardCommand, ShardEvent} from './shard_command.js';
 import {ShardJob, ShardTask} from './shard_task.js';
 import {SHARD_TIMINGS, ShardTimings} from './shard_timings.js';
 import {TaskBook} from './task_book.js';
+import {TaskPlacer} from './task_placer.js';
 import {WorkerExchange} from './worker_exchange.js';
 
 /** Options of {@link ShardController}. */
@@ -27,8 +31,10 @@
   wallMs: () => number;
   /** Weight of a customer. @default 1 for all */
   shareOf?: (customer: string) => number;
-  /** Tells whether the contract lets the task start now. @default always */
-  mayStart?: (task: ShardTask) => boolean;
+  /** What the contract allows a customer here. @default no limits */
+  limitsOf?: (customer: string) => CustomerLimits | undefined;
+  /** Judges workers by how tasks end on them. @default all are healthy */
+  health?: WorkerHealth;
   /** @default SHARD_TIMINGS */
   timings?: Partial<ShardTimings>;
 }
@@ -47,6 +53,7 @@
   private readonly book: TaskBook;
   private readonly pages: JobPages;
   private readonly exchange: WorkerExchange;
+  private readonly placer: TaskPlacer;
   private nowMs = 0;
 
   constructor(private readonly options: ShardControllerOptions) {
@@ -77,9 +84,17 @@
       book: this.book,
       placement,
       random,
+      health: options.health,
       emit: (command) => this.emit(command),
       onSuperseded: (reason) => this.supersede(reason),
     });
+    this.placer = new TaskPlacer({
+      ...options,
+      book: this.book,
+      queue: this.queue,
+      exchange: this.exchange,
+      emit: (command) => this.emit(command),
+    });
   }
 
   /** Tells whether the stored jobs are loaded and new ones are accepted. */
@@ -118,8 +133,7 @@
     if (this.isSuperseded) return [];
     this.nowMs = this.book.nowMs = nowMs;
     this.apply(event);
-    if (!this.isSuperseded) this.drainLeaving();
-    if (!this.isSuperseded) this.placeWaiting();
+    if (!this.isSuperseded) this.placer.run(nowMs);
     if (!this.isSuperseded) this.tickPages();
     const {commands} = this;
     this.commands = [];
@@ -181,17 +195,35 @@
       return;
     }
     const request = this.book.requestOfJob(job, 0);
-    const reason = this.exchange.isSettled
-      ? this.options.placement.whyNeverFits(request)
-      : undefined;
+    const hasNoWorker =
+      this.exchange.isSettled && this.exchange.workers.size === 0;
+    const reason = hasNoWorker
+      ? 'the rack has no workers'
+      : this.options.placement.whyNeverFits(request);
     if (reason !== undefined) {
-      this.refuse(job.id, {code: ResultCodes.NEVER_FITS, reason});
+      // A worker that is not read back yet may be able to hold it.
+      const code = this.exchange.isSettled
+        ? ResultCodes.NEVER_FITS
+        : ResultCodes.NO_OWNER;
+      this.refuse(job.id, {code, reason});
+      return;
+    }
+    if (this.exceedsWaiting(job)) {
+      const text = `"${job.customer}" has as much waiting as its contract allows`;
+      this.refuse(job.id, {code: ResultCodes.QUEUE_FULL, reason: text});
       return;
     }
     this.book.add(job);
     if (job.isAttached) this.emit({type: 'accepted', jobId: job.id});
   }
 
+  private exceedsWaiting({customer, urgency, count}: Job): boolean {
+    const limits = this.options.limitsOf?.(customer);
+    if (!limits) return false;
+    const waiting = this.queue.waitingOf(customer, urgency as Urgency);
+    return waiting + count > limits.maxWaiting[urgency as Urgency];
+  }
+
   private refuse(
     jobId: string,
     refusal: {code: ResultCode; reason: string},
@@ -235,92 +267,6 @@
     );
   }
 
-  private placeWaiting(): void {
-    if (this.queue.size === 0) return;
-    this.queue.pass(this.nowMs, (entry) => this.place(entry));
-  }
-
-  private place(entry: WaitingEntry): boolean {
-    const task = this.book.tasks.get(entry.taskId)!;
-    if (task.victims.size > 0 && this.isEvicting(task)) return false;
-    if (this.options.mayStart && !this.options.mayStart(task)) return false;
-    const request = {
-      ...this.book.requestOf(task),
-      excludedWorkers: excludedWorkers(task),
-    };
-    const placement = this.options.placement.place(request);
-    if (!placement) return false;
-    const {worker: name, victims} = placement;
-    const worker = this.exchange.workers.get(name);
-    if (!worker?.canTakeWork(this.nowMs)) {
-      this.options.placement.setAccepting(name, false);
-      return false;
-    }
-    if (victims.length > 0) {
-      this.preempt(task, victims);
-      return false;
-    }
-    this.book.commit(task, {worker: name, incarnation: worker.incarnation});
-    this.book.advance(task, 'placed');
-    this.emit({
-      type: 'decided',
-      kind: 'place',
-      subject: task.taskId,
-      chosen: name,
-      reason: placement.reason,
-      passedOver: placement.passedOver,
-    });
-    this.exchange.enqueue(
-      name,
-      {name: 'start', taskId: task.taskId},
-      this.nowMs,
-    );
-    return true;
-  }
-
-  private isEvicting(task: ShardTask): boolean {
-    for (const victim of task.victims) {
-      if (!this.book.tasks.get(victim)?.place) task.victims.delete(victim);
-    }
-    return task.victims.size > 0;
-  }
-
-  /** Moves running tasks off workers that are about to be removed. */
-  private drainLeaving(): void {
-    for (const worker of this.exchange.workers.values()) {
-      if (!worker.isLeaving || !worker.isReadBack) continue;
-      if (this.book.countOn(worker.worker) === 0) continue;
-      for (const task of this.book.tasksOn(worker.worker)) {
-        this.evict(task, `${worker.worker} is leaving`);
-      }
-    }
-  }
-
-  /** Evicts tasks that make room for a more urgent one. */
-  private preempt(task: ShardTask, victims: readonly string[]): void {
-    for (const taskId of victims) {
-      const victim = this.book.tasks.get(taskId);
-      if (!victim?.place) continue;
-      task.victims.add(taskId);
-      this.evict(victim, `makes room for ${task.taskId}`);
-    }
-  }
-
-  /** Checkpoints a running task; it stops once the checkpoint is taken. */
-  private evict(victim: ShardTask, reason: string): void {
-    const {taskId, place} = victim;
-    if (!place || !this.book.advance(victim, 'evicted')) return;
-    const {worker} = place;
-    this.emit({
-      type: 'decided',
-      kind: 'evict',
-      subject: taskId,
-      chosen: worker,
-      reason,
-    });
-    this.exchange.enqueue(worker, {name: 'checkpoint', taskId}, this.nowMs);
-  }
-
   private tickPages(): void {
     const calls = this.pages.tick(this.nowMs, this.options.wallMs());
     this.commands.push(...calls);
@@ -336,12 +282,3 @@
     this.commands.push(command);
   }
 }
-
-function excludedWorkers(task: ShardTask): ReadonlySet<string> | undefined {
-  const failures = task.record.failures ?? [];
-  if (failures.length === 0) return task.recordedAt;
-  return new Set([
-    ...task.recordedAt,
-    ...failures.map((failure) => failure.worker),
-  ]);
-}
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -6,12 +6,10 @@
 import {PlacementPolicy} from '../placement/placement_policy.js';
 import {PlacementRequest} from '../placement/placement_request.js';
 import {WorkerTask} from '../workers/worker_client.js';
+import {CustomerUsage} from './customer_limits.js';
 import {ShardJob, ShardTask} from './shard_task.js';
 import {tryCommit} from './try_commit.js';
 
-/** Healthy workers on which a task may fail before its job ends as failed. */
-const MOST_FAILURES = 3;
-
 /** Options of {@link TaskBook}. */
 export interface TaskBookOptions {
   placement: PlacementPolicy;
@@ -29,6 +27,7 @@
 export class TaskBook {
   readonly jobs = new Map<string, ShardJob>();
   readonly tasks = new Map<string, ShardTask>();
+  readonly usage = new CustomerUsage();
   private readonly byWorker = new Map<string, Set<ShardTask>>();
   nowMs = 0;
 
@@ -118,6 +117,8 @@
       lostWorkMs: 0,
     });
     task.place = {...place, isSent: false, startBeforeMs: 0};
+    const {customer, resources} = task.owner.job;
+    this.usage.count(customer, resources, 1);
     const tasks = this.byWorker.get(place.worker) ?? new Set();
     this.byWorker.set(place.worker, tasks.add(task));
     return isWithin;
@@ -127,6 +128,8 @@
   release(task: ShardTask): void {
     if (!task.place) return;
     this.options.placement.release(task.taskId);
+    const {customer, resources} = task.owner.job;
+    this.usage.count(customer, resources, -1);
     this.byWorker.get(task.place.worker)?.delete(task);
     task.place = undefined;
     task.observed = undefined;
@@ -194,6 +197,11 @@
     this.advance(task, 'stopped');
   }
 
+  /** The task failed on enough workers; its job ends as failed. */
+  giveUp(task: ShardTask): void {
+    this.end(task, 'gaveUp', TaskResult.FAILED);
+  }
+
   /** What placement has to know of a task. */
   requestOf(task: ShardTask): PlacementRequest {
     return this.requestOfJob(task.owner.job, task.index);
@@ -247,14 +255,9 @@
 
   private becomeWaiting(task: ShardTask): void {
     task.waitingSinceMs = this.nowMs;
-    const failedOn = new Set(
-      task.record.failures?.map((failure) => failure.worker),
-    );
     if (task.isKnownFinished) this.finished(task);
     else if (task.owner.isCancelRequested) this.advanceCancelled(task);
-    else if (failedOn.size >= MOST_FAILURES) {
-      this.end(task, 'gaveUp', TaskResult.FAILED);
-    } else this.enqueue(task);
+    else this.enqueue(task);
   }
 
   /** A task whose latest checkpoint is not stored yet is not placed. */
--- a/src/scheduler/worker_exchange.ts
+++ b/src/scheduler/worker_exchange.ts
@@ -1,5 +1,7 @@
 import {PlacementPolicy} from '../placement/placement_policy.js';
+import {HealthState, WorkerHealth} from '../placement/worker_health.js';
 import {RandomSource} from '../random/random_source.js';
+import {Resources} from '../workers/resources.js';
 import {WorkerReport} from '../workers/worker_client.js';
 import {ShardCommand, WorkerOperation} from './shard_command.js';
 import {ShardTimings} from './shard_timings.js';
@@ -16,6 +18,8 @@
   book: TaskBook;
   placement: PlacementPolicy;
   random: RandomSource;
+  /** Judges workers by how tasks end on them. @default all are healthy */
+  health?: WorkerHealth;
   /** Takes commands for the surroundings. */
   emit: (command: ShardCommand) => void;
   onSuperseded: (reason: string) => void;
@@ -35,6 +39,8 @@
  */
 export class WorkerExchange {
   readonly workers = new Map<string, ShardWorker>();
+  /** Workers that get one cheap task at a time until they are healthy. */
+  readonly probing = new Set<string>();
   private readonly pending = new Map<number, ShardWorker>();
   private readonly reports: WorkerReports;
   private confirmation: Confirmation | undefined;
@@ -49,6 +55,7 @@
       shard,
       book,
       placement,
+      health: options.health,
       enqueue: (worker, operation) => worker.operations.push(operation),
     });
   }
@@ -58,6 +65,17 @@
     return this.isSettledNow;
   }
 
+  /** Resources of all workers that are known. */
+  capacity(): Resources {
+    const sum = {processors: 0, memoryMegabytes: 0, accelerators: 0};
+    for (const {capacity} of this.workers.values()) {
+      sum.processors += capacity?.processors ?? 0;
+      sum.memoryMegabytes += capacity?.memoryMegabytes ?? 0;
+      sum.accelerators += capacity?.accelerators ?? 0;
+    }
+    return sum;
+  }
+
   /** Takes a VM list that was read after the ownership was gained. */
   listed(
     workers: ReadonlyArray<{worker: string; isLeaving: boolean}>,
@@ -279,15 +297,22 @@
   private remove(worker: ShardWorker): void {
     worker.isGone = true;
     this.workers.delete(worker.worker);
+    this.probing.delete(worker.worker);
+    this.options.health?.removeWorker(worker.worker);
     this.reports.gone(worker);
   }
 
   private refreshAccepting(worker: ShardWorker, nowMs: number): void {
     if (!worker.capacity) return;
-    this.options.placement.setAccepting(
-      worker.worker,
-      worker.canTakeWork(nowMs),
-    );
+    const {health, placement, book} = this.options;
+    const state = health?.state(worker.worker) ?? HealthState.HEALTHY;
+    if (state === HealthState.PROBING) this.probing.add(worker.worker);
+    else this.probing.delete(worker.worker);
+    const isFit =
+      state === HealthState.HEALTHY ||
+      (state === HealthState.PROBING && book.countOn(worker.worker) === 0);
+    const isAccepting = isFit && worker.canTakeWork(nowMs);
+    placement.setAccepting(worker.worker, isAccepting);
   }
 
   private settleIfPossible(): void {
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -1,5 +1,6 @@
 import {Urgency} from '../contracts/urgency.js';
 import {PlacementPolicy} from '../placement/placement_policy.js';
+import {WorkerHealth} from '../placement/worker_health.js';
 import {
   WorkerReport,
   WorkerTask,
@@ -16,6 +17,8 @@
   shard: string;
   book: TaskBook;
   placement: PlacementPolicy;
+  /** @default none */
+  health?: WorkerHealth;
   enqueue: (worker: ShardWorker, operation: QueuedOperation) => void;
 }
 
@@ -117,9 +120,11 @@
         book.advance(task, 'confirmed');
         break;
       case WorkerTaskState.FINISHED:
+        this.judge(worker, task, false);
         book.finished(task);
         break;
       case WorkerTaskState.FAILED:
+        this.judge(worker, task, true);
         book.failed(task, {worker: worker.worker, task: seen});
         break;
       case WorkerTaskState.STOPPED:
@@ -128,6 +133,15 @@
     }
   }
 
+  private judge(
+    {worker}: ShardWorker,
+    {owner: {job}}: ShardTask,
+    hasFailed: boolean,
+  ): void {
+    const {health} = this.options;
+    health?.record({worker, kind: job.kind, job: job.id, hasFailed});
+  }
+
   private applyInherited(
     worker: ShardWorker,
     task: ShardTask,
