--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -10,7 +10,7 @@
 import {SystemClock} from '../clock/system_clock.js';
 import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
-import {LinkConfigurationPeer} from '../contracts/link_configuration_peer.js';
+import {createPropagation} from '../contracts/create_propagation.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -60,7 +60,15 @@
   const platform = new HttpPlatformService(settings.platform);
   provide(HttpPlatformService, () => platform);
   provide(ConfigurationStore, () => new ConfigurationStore({clock}));
-  provide(ConfigurationPropagation, () => createPropagation(context, parts));
+  provide(ConfigurationPropagation, () =>
+    createPropagation({
+      ...context,
+      network: parts.resolve(PeerNetwork),
+      store: parts.resolve(ConfigurationStore),
+      platform,
+      livingEntries: () => [],
+    }),
+  );
   provide(PeerNetwork, () => createNetwork(context));
   provide(Inventory, () => {
     const {dataCentre, platform: given} = settings;
@@ -87,32 +95,6 @@
   });
 }
 
-/** Schedulers hold no watch: they ask the entries whose heartbeats are newer. */
-function createPropagation(
-  {settings, clock, random, logger}: Context,
-  parts: DependencyContainer,
-): ConfigurationPropagation {
-  const network = parts.resolve(PeerNetwork);
-  const localPeers = settings.members
-    .filter(({dataCentre}) => dataCentre === settings.dataCentre)
-    .map(({member, dataCentre, host, entryLinkPort: port}) => {
-      const address = {member, role: 'entry', dataCentre, host, port};
-      return new LinkConfigurationPeer(network, address);
-    });
-  return new ConfigurationPropagation({
-    store: parts.resolve(ConfigurationStore),
-    platform: parts.resolve(HttpPlatformService),
-    clock,
-    random,
-    self: settings.member,
-    role: ROLE,
-    localPeers,
-    remotePeers: [],
-    livingEntries: () => [],
-    onFailure: (error) => logger.debug({error: error.message}, 'configuration'),
-  });
-}
-
 function createMembership(
   {settings, clock}: Context,
   parts: DependencyContainer,
@@ -194,14 +176,13 @@
       return client;
     },
   });
+  const propagation = parts.resolve(ConfigurationPropagation);
   parts.resolve(Membership).onHeartbeat((heartbeat, from) => {
-    const {load, configurationRevision} = heartbeat;
     if (from.role === ROLE) {
-      scheduler.noteLoad(load as Partial<SchedulerLoad> | undefined);
-      return;
+      scheduler.noteLoad(heartbeat.load as Partial<SchedulerLoad> | undefined);
+    } else {
+      propagation.heard(heartbeat.member, heartbeat.configurationRevision);
     }
-    const propagation = parts.resolve(ConfigurationPropagation);
-    propagation.heard(from.member, configurationRevision);
   });
   return scheduler;
 }
--- a/src/scheduler/scheduler_program.ts
+++ b/src/scheduler/scheduler_program.ts
@@ -24,8 +24,8 @@
   await parts.resolve(Inventory).start();
   parts.resolve(SchedulerProcess);
   parts.resolve(Membership);
-  parts.resolve(ConfigurationPropagation).start();
   await parts.resolve(PeerNetwork).listen(own.host, own.schedulerLinkPort);
+  parts.resolve(ConfigurationPropagation).start();
   let isStopping = false;
   const onSignal = (): void => {
     if (isStopping) return;
