--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,7 +40,7 @@
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
         {selector: 'function', format: ['camelCase']},
-        {selector: 'method', format: ['camelCase']},
+        {selector: 'classMethod', format: ['camelCase']},
         {
           selector: 'parameter',
           modifiers: ['unused'],
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -15,9 +15,8 @@
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () =>
     (await import('./scenarios/placement.js')).runPlacement,
-  ['platform-outage']: async () =>
+  'platform-outage': async () =>
     (await import('./scenarios/platform_outage.js')).runPlatformOutage,
-  placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
 function fail(text: string): never {
