Measure requests and jobs under random faults

Cause: single faults are covered by tests, combinations were not. Change: the scenario "faults" with two lanes of random faults (kill, pause, platform, links between members and to targets, targets, leaving), idempotent and keyed requests with repeats, keyed jobs, cancellations, racing amendments.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -5,6 +5,7 @@
 /** Loads each scenario only when it is asked for. */
 const SCENARIOS: Readonly<Record<string, () => Promise<Scenario>>> = {
   latency: async () => (await import('./scenarios/latency.js')).runLatency,
+  faults: async () => (await import('./scenarios/faults.js')).runFaults,
   flood: async () => (await import('./scenarios/flood.js')).runFlood,
   colocation: async () =>
     (await import('./scenarios/colocation.js')).runColocation,
--- /dev/null
+++ b/measure/scenarios/fault_load.ts
@@ -0,0 +1,159 @@
+import {sleep} from '../../src/clock/sleep.js';
+import {RandomSource} from '../../src/random/random_source.js';
+import {Caller, CallerResult} from '../../testing/caller.js';
+
+const REQUEST_INTERVAL_MS = 10;
+const JOB_INTERVAL_MS = 150;
+const CANCEL_INTERVAL_MS = 4000;
+const REQUEST_TIMEOUT_MS = 5000;
+/** Times a caller repeats an idempotent request that got no answer. */
+const MOST_REPEATS = 3;
+
+/** Requests and jobs of one customer, and what became of them. */
+export class FaultLoad {
+  requests = 0;
+  answered = 0;
+  notRun = 0;
+  mayHaveRun = 0;
+  noAnswer = 0;
+  wrongAnswers = 0;
+  /** Idempotent requests, and those that had an answer after repeats. */
+  idempotent = 0;
+  served = 0;
+  /** Keys of which each answer was "did not run". */
+  readonly toldNotRun = new Set<string>();
+  readonly acceptedJobs = new Set<string>();
+  readonly cancelledBeforeStart = new Set<string>();
+  private readonly pending = new Set<Promise<void>>();
+
+  constructor(
+    private readonly caller: Caller,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Sends load until `untilMs`, a reading of `performance.now()`. */
+  async run(untilMs: number): Promise<void> {
+    await Promise.all([
+      this.repeat(untilMs, REQUEST_INTERVAL_MS, (n) => this.sendOne(n)),
+      this.repeat(untilMs, JOB_INTERVAL_MS, (n) => this.submitJob(n)),
+      this.repeat(untilMs, CANCEL_INTERVAL_MS, () => this.cancelWave()),
+    ]);
+    await Promise.all(this.pending);
+  }
+
+  /** Waits until all accepted jobs have ended; returns those that have not. */
+  async waitForJobs(limitMs: number): Promise<string[]> {
+    const deadlineMs = performance.now() + limitMs;
+    const open = new Set(this.acceptedJobs);
+    while (open.size > 0 && performance.now() < deadlineMs) {
+      for (const id of open) {
+        if ((await this.stateOf(id)) === 'ended') open.delete(id);
+      }
+      await sleep(200);
+    }
+    return [...open];
+  }
+
+  private async repeat(
+    untilMs: number,
+    intervalMs: number,
+    act: (count: number) => Promise<void>,
+  ): Promise<void> {
+    for (let count = 0; performance.now() < untilMs; count++) {
+      const done: Promise<void> = act(count).finally(() =>
+        this.pending.delete(done),
+      );
+      this.pending.add(done);
+      await sleep(intervalMs * (0.5 + this.random.next()));
+    }
+  }
+
+  private async sendOne(count: number): Promise<void> {
+    const isIdempotent = this.random.next() < 0.8;
+    const nonIdempotentKey = isIdempotent ? undefined : `key-${count}`;
+    const input = {
+      body: `request ${count} `.repeat(1 + this.random.nextInteger(200)),
+      urgency: this.random.next() < 0.3 ? 'urgent' : 'standard',
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      nonIdempotentKey,
+    };
+    if (isIdempotent) this.idempotent += 1;
+    let isAlwaysRefused = true;
+    for (let attempt = 0; attempt <= MOST_REPEATS; attempt++) {
+      const result = await this.caller.call(input);
+      this.count(result);
+      if (result.outcome !== 'did-not-run') isAlwaysRefused = false;
+      if (result.outcome === 'ran') {
+        if (isIdempotent) this.served += 1;
+        return;
+      }
+      // A repeat of a keyed request is safe too, and tests the claims.
+      await sleep(100 + 200 * attempt);
+    }
+    if (nonIdempotentKey && isAlwaysRefused) {
+      this.toldNotRun.add(nonIdempotentKey);
+    }
+  }
+
+  private count(result: CallerResult): void {
+    this.requests += 1;
+    if (!result.isRight) this.wrongAnswers += 1;
+    if (result.outcome === 'ran') this.answered += 1;
+    else if (result.outcome === 'did-not-run') this.notRun += 1;
+    else if (result.outcome === 'may-have-run') this.mayHaveRun += 1;
+    else this.noAnswer += 1;
+  }
+
+  private async submitJob(count: number): Promise<void> {
+    const actualRunTimeMs = 200 + this.random.nextInteger(2000);
+    const body = {
+      kind: 'catalogue-render',
+      urgency: this.random.next() < 0.2 ? 'urgent' : 'batch',
+      resources: {
+        processors: 1 + this.random.nextInteger(6),
+        memoryMegabytes: 2000,
+        accelerators: 0,
+      },
+      runTimeMs: 1000,
+      payload: {actualRunTimeMs},
+    };
+    for (let attempt = 0; attempt < 20; attempt++) {
+      try {
+        const answer = await this.caller.job('POST', {
+          body,
+          idempotencyKey: `job-${count}`,
+        });
+        if (answer.status < 300 && answer.body['jobId']) {
+          this.acceptedJobs.add(answer.body['jobId'] as string);
+          return;
+        }
+      } catch {
+        // The entry died; the same key is used again.
+      }
+      await sleep(300);
+    }
+  }
+
+  private async cancelWave(): Promise<void> {
+    const jobs = [...this.acceptedJobs].slice(-8);
+    await Promise.all(jobs.map((id) => this.cancel(id)));
+  }
+
+  private async cancel(id: string): Promise<void> {
+    try {
+      const answer = await this.caller.job('DELETE', {path: `/${id}`});
+      const isBeforeStart = answer.body['code'] === 1003;
+      if (isBeforeStart) this.cancelledBeforeStart.add(id);
+    } catch {
+      // The job ends in its own time.
+    }
+  }
+
+  private async stateOf(id: string): Promise<unknown> {
+    try {
+      return (await this.caller.job('GET', {path: `/${id}`})).body['state'];
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/measure/scenarios/faults.ts
@@ -0,0 +1,150 @@
+import {readFileSync} from 'node:fs';
+
+import {sleep} from '../../src/clock/sleep.js';
+import {SeededRandom} from '../../src/random/seeded_random.js';
+import {Caller} from '../../testing/caller.js';
+import {Fleet} from '../../testing/fleet.js';
+import {callOperator, hashOf} from '../../testing/operator.js';
+import {ScenarioOptions, ScenarioResult} from '../scenario.js';
+import {FaultLoad} from './fault_load.js';
+import {FaultPlan} from './fault_plan.js';
+import {OperatorRace} from './operator_race.js';
+
+const KEY = 'counter-key';
+const CONTRACT = {
+  customer: 'association',
+  services: ['portal'],
+  callers: [{name: 'counter', keyHash: hashOf(KEY)}],
+};
+const SETTLE_MS = 4000;
+const JOBS_LIMIT_MS = 30_000;
+/** Memory is compared from this part of the run to its end. */
+const WARM_UP_PART = 0.4;
+
+/** Requests and jobs under faults at random, alone and two at a time. */
+export async function runFaults(
+  options: ScenarioOptions,
+): Promise<ScenarioResult> {
+  const fleet = await startFleet(options);
+  const origins = fleet.members.map(({member}) => fleet.entryOrigin(member));
+  const caller = new Caller({origins, key: KEY, connections: 256});
+  try {
+    await fleet.waitUntilReady();
+    await createContract(fleet);
+    await sleep(SETTLE_MS);
+    const random = new SeededRandom(options.seed);
+    const load = new FaultLoad(caller, random);
+    const plan = new FaultPlan(fleet, new SeededRandom(options.seed + 1));
+    const race = new OperatorRace(fleet, CONTRACT);
+    const durationMs = options.seconds * 1000;
+    const untilMs = performance.now() + durationMs;
+    const warm = sleep(durationMs * WARM_UP_PART).then(() => memoryOf(fleet));
+    await Promise.all([
+      load.run(untilMs),
+      plan.run(untilMs),
+      race.run(untilMs),
+    ]);
+    options.progress(`faults: ${JSON.stringify(plan.counts)}`);
+    const growth = memoryGrowth(await warm, {fleet, plan});
+    const unfinished = await load.waitForJobs(JOBS_LIMIT_MS);
+    return await summarize(fleet, {load, plan, race, growth, unfinished});
+  } finally {
+    await caller.stop();
+    await fleet.stop();
+  }
+}
+
+function startFleet({seed}: ScenarioOptions): Promise<Fleet> {
+  const dataCentre = {entryVms: 2, targets: 4, racks: 2, workersPerRack: 3};
+  return Fleet.start({
+    folder: `.run/faults-${seed}`,
+    dataCentres: [
+      {name: 'limoilou', ...dataCentre},
+      {name: 'levis', ...dataCentre},
+    ],
+    clockRates: [1, 0.99, 1.01],
+    withFaultyLinks: true,
+    seed,
+  });
+}
+
+async function createContract(fleet: Fleet): Promise<void> {
+  const answer = await callOperator(fleet.entryOrigin('limoilou-vm-1'), {
+    method: 'PUT',
+    path: '/v1/contracts/association',
+    body: CONTRACT,
+    ifMatch: 0,
+  });
+  if (answer.status >= 300) throw new Error(JSON.stringify(answer.body));
+}
+
+/** Resident memory in MB of each process of the system. */
+function memoryOf(fleet: Fleet): Map<string, number> {
+  const memory = new Map<string, number>();
+  for (const {member} of fleet.members) {
+    for (const role of ['entry', 'scheduler']) {
+      const {pid} = fleet.process(role, member);
+      if (pid === undefined) continue;
+      const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+      const kilobytes = /VmRSS:\s+(\d+)/.exec(status)?.[1];
+      memory.set(`${role} ${member}`, Number(kilobytes) / 1024);
+    }
+  }
+  return memory;
+}
+
+/** Largest growth over processes that were never restarted. */
+function memoryGrowth(
+  warm: ReadonlyMap<string, number>,
+  run: {fleet: Fleet; plan: FaultPlan},
+): number {
+  const growths = [0];
+  for (const [name, megabytes] of memoryOf(run.fleet)) {
+    const before = warm.get(name);
+    if (before === undefined || run.plan.restarted.has(name)) continue;
+    growths.push(megabytes / before - 1);
+  }
+  return Number(Math.max(...growths).toFixed(3));
+}
+
+async function summarize(
+  fleet: Fleet,
+  run: {
+    load: FaultLoad;
+    plan: FaultPlan;
+    race: OperatorRace;
+    growth: number;
+    unfinished: string[];
+  },
+): Promise<ScenarioResult> {
+  const {load, plan, race, growth, unfinished} = run;
+  const targets = await fleet.targetsControl({ranAmong: [...load.toldNotRun]});
+  const workers = await fleet.workersControl();
+  const violations = targets['violations'] as Record<string, number>;
+  const toldNotRunButRan = (targets['ranAmong'] as string[]).length;
+  return {
+    violations: (await fleet.violations()) + toldNotRunButRan,
+    requests: load.requests,
+    answered: load.answered,
+    notRun: load.notRun,
+    mayHaveRun: load.mayHaveRun,
+    noAnswer: load.noAnswer,
+    wrongAnswers: load.wrongAnswers,
+    ranTwice: violations['ranTwice'],
+    toldNotRunButRan,
+    availability: Number((load.served / load.idempotent).toFixed(5)),
+    jobsAccepted: load.acceptedJobs.size,
+    cancelledBeforeStart: load.cancelledBeforeStart.size,
+    lostJobs: unfinished.length,
+    unfinished: unfinished.slice(0, 3),
+    reverted: race.reverted,
+    changes: race.changes,
+    conflicts: race.conflicts,
+    lostUpdates: race.lostUpdates,
+    memoryGrowth: growth,
+    faults: plan.counts,
+    targetViolations: violations,
+    taskViolations: workers['violations'],
+    details: workers['details'],
+  };
+}
--- /dev/null
+++ b/measure/scenarios/operator_race.ts
@@ -0,0 +1,83 @@
+import {sleep} from '../../src/clock/sleep.js';
+import {Fleet} from '../../testing/fleet.js';
+import {callOperator} from '../../testing/operator.js';
+
+const INTERVAL_MS = 700;
+
+/** Operators that amend one contract at the same time through two entries. */
+export class OperatorRace {
+  changes = 0;
+  conflicts = 0;
+  inDoubt = 0;
+  lostUpdates = 0;
+  reverted = 0;
+  private readonly seen = new Map<string, number>();
+  private accepted = 0;
+
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly contract: Record<string, unknown>,
+  ) {}
+
+  /** Amends until `untilMs`, a reading of `performance.now()`. */
+  async run(untilMs: number): Promise<void> {
+    for (let round = 1; performance.now() < untilMs; round++) {
+      const revision = await this.currentRevision();
+      if (revision > 0) await this.raceOnce(round, revision);
+      await this.checkEntries();
+      await sleep(INTERVAL_MS);
+    }
+  }
+
+  private async raceOnce(round: number, revision: number): Promise<void> {
+    const members = [this.fleet.members[0]!, this.fleet.members.at(-1)!];
+    const answers = await Promise.all(
+      members.map(({member}, index) =>
+        callOperator(this.fleet.entryOrigin(member), {
+          method: 'PUT',
+          path: '/v1/contracts/association',
+          body: {...this.contract, share: round + index / 2},
+          ifMatch: revision,
+        }).catch(() => undefined),
+      ),
+    );
+    const accepted = answers.filter((answer) => answer && answer.status < 300);
+    this.changes += accepted.length;
+    this.conflicts += answers.filter((one) => one?.status === 409).length;
+    this.inDoubt += answers.filter((one) => !one || one.status >= 500).length;
+    // Both were based on one revision, so that at most one can be accepted.
+    if (accepted.length > 1) this.lostUpdates += 1;
+    for (const answer of accepted) {
+      const given = Number(answer!.body['revision']);
+      this.accepted = Math.max(this.accepted, given);
+    }
+  }
+
+  private async currentRevision(): Promise<number> {
+    const origin = this.fleet.entryOrigin(this.fleet.members[0]!.member);
+    const answer = await callOperator(origin, {
+      method: 'GET',
+      path: '/v1/contracts/association',
+    }).catch(() => undefined);
+    const revision = Number(answer?.body['revision'] ?? 0);
+    if (answer?.status === 200 && revision < this.accepted) this.reverted += 1;
+    return revision;
+  }
+
+  private async checkEntries(): Promise<void> {
+    await Promise.all(
+      this.fleet.members.map(({member}) => this.checkEntry(member)),
+    );
+  }
+
+  private async checkEntry(member: string): Promise<void> {
+    const answer = await callOperator(this.fleet.entryOrigin(member), {
+      method: 'GET',
+      path: '/v1/contracts/association?source=memory',
+    }).catch(() => undefined);
+    if (answer?.status !== 200) return;
+    const revision = Number(answer.body['revisionInForceHere']);
+    if (revision < (this.seen.get(member) ?? 0)) this.reverted += 1;
+    this.seen.set(member, revision);
+  }
+}
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 
@@ -298,7 +299,15 @@
         vmListIntervalMs: 500,
       },
     };
-    const roles = {entry: entrySettings, scheduler: schedulerSettings};
+    const operator = {
+      name: 'operator',
+      role: 'change',
+      tokenHash: createHash('sha256').update(OPERATOR_TOKEN).digest('hex'),
+    };
+    const roles = {
+      entry: {entry: {operators: [operator]}, ...entrySettings},
+      scheduler: schedulerSettings,
+    };
     for (const [role, extra] of Object.entries(roles)) {
       const file = join(folder, `${role}-${own.member}.jsonc`);
       writeFileSync(file, JSON.stringify({...settings, ...extra}, null, 2));
--- a/testing/operator.ts
+++ b/testing/operator.ts
@@ -16,6 +16,7 @@
     method: 'GET' | 'PUT' | 'POST' | 'DELETE';
     path: string;
     body?: unknown;
+    /** Revision the change is based on; 0 to create. */
     ifMatch?: number;
   },
 ): Promise<{status: number; body: Record<string, unknown>}> {
@@ -23,7 +24,8 @@
     authorization: `Bearer ${OPERATOR_TOKEN}`,
     'content-type': 'application/json',
   };
-  if (call.ifMatch !== undefined) headers['if-match'] = String(call.ifMatch);
+  if (call.ifMatch === 0) headers['if-none-match'] = '*';
+  else if (call.ifMatch) headers['if-match'] = String(call.ifMatch);
   const answer = await request(origin + call.path, {
     method: call.method,
     headers,
--- a/testing/quickstart.ts
+++ b/testing/quickstart.ts
@@ -4,8 +4,7 @@
 import {sleep} from '../src/clock/sleep.js';
 import {Caller, CallerResult} from './caller.js';
 import {Fleet} from './fleet.js';
-import {hashOf} from './operator.js';
-import {storeContract} from './store_contract.js';
+import {callOperator, hashOf} from './operator.js';
 
 const FOLDER = '.run/quickstart';
 const CALLER_KEY = 'counter-key';
@@ -66,7 +65,14 @@
   }
 
   private async createContract(): Promise<void> {
-    await storeContract(this.fleet.platformPort, CONTRACT);
+    const origin = this.fleet.entryOrigin('levis-vm-1');
+    const answer = await callOperator(origin, {
+      method: 'PUT',
+      path: '/v1/contracts/association',
+      body: CONTRACT,
+      ifMatch: 0,
+    });
+    check(answer.status < 300, `contract: ${JSON.stringify(answer.body)}`);
     say('An operator in levis created the contract of "association".');
     const startMs = performance.now();
     await waitFor('the contract in limoilou', async () => {
--- a/testing/targets_process.ts
+++ b/testing/targets_process.ts
@@ -47,5 +47,8 @@
   if (body['faults']) standIn?.setFaults(body['faults']);
   if (body['leave']) standIn?.leave();
   if (body['comeBack']) standIn?.comeBack();
-  return report();
+  const ranAmong = (body['ranAmong'] as string[] | undefined)?.filter((key) =>
+    ranKeys.has(key),
+  );
+  return {...report(), ranAmong};
 });
