Pass measured slowdowns on to other schedulers

Cause: each scheduler learned interference only from its own workers. Change: SlowdownModel has takeSamples and learn, as LearnedEstimates has; a test shows that learning changes no commitment of a running task. Conclusion: heartbeats can carry both.

--- a/src/interference/slowdown_model.ts
+++ b/src/interference/slowdown_model.ts
@@ -17,6 +17,15 @@
   isLimited?: boolean;
 }
 
+/** One measured slowdown; other schedulers learn from it too. */
+export interface SlowdownSample {
+  kind: string;
+  /** Number of neighbours by kind. */
+  neighbours: ReadonlyArray<readonly [kind: string, count: number]>;
+  /** Slowdown by all neighbours together; 1 means none. */
+  slowdown: number;
+}
+
 /** Options of {@link SlowdownModel}. */
 export interface SlowdownModelOptions {
   /** Time in ms that speeds lag behind the tasks of a worker. @default 2500 */
@@ -47,6 +56,8 @@
 /** Variance of one lagging measurement of the logarithm of a speed. */
 const NOISE_VARIANCE = 0.02;
 const MOST_SLOWDOWN = 4;
+/** Kinds whose newest sample waits for the next heartbeat. */
+const MOST_FRESH = 512;
 const LEAST_SPEED = 0.02;
 
 /**
@@ -58,6 +69,8 @@
  */
 export class SlowdownModel {
   private readonly pairs = new Map<string, Map<string, Pair>>();
+  /** Newest sample of each kind that no other scheduler was told of. */
+  private readonly fresh = new Map<string, SlowdownSample>();
   private readonly workers = new Map<string, WorkerState>();
   private readonly lagMs: number;
   private readonly halfLifeMs: number;
@@ -106,26 +119,17 @@
     this.workers.delete(worker);
   }
 
-  private observeTask(
-    task: SpeedReport,
-    counts: ReadonlyMap<string, number>,
-  ): void {
-    const inputs: Array<{pair: Pair; count: number}> = [];
-    for (const [kind, all] of counts) {
-      const count = kind === task.kind ? all - 1 : all;
-      const pair = count > 0 && this.pairOf(task.kind, kind);
-      if (pair) inputs.push({pair, count});
-    }
-    const speed = Math.max(LEAST_SPEED, task.speed / task.throttle);
-    const expected = inputs.reduce(
-      (sum, {pair, count}) => sum + count * pair.mean,
-      0,
-    );
-    const variance = inputs.reduce(
-      (sum, {pair, count}) => sum + count * count * pair.variance,
-      NOISE_VARIANCE,
-    );
-    const error = -Math.log(speed) - expected;
+  /** Learns from a sample, also from one that another scheduler took. */
+  learn({kind, neighbours, slowdown}: SlowdownSample): void {
+    let expected = 0;
+    let variance = NOISE_VARIANCE;
+    const inputs = neighbours.map(([neighbour, count]) => {
+      const pair = this.pairOf(kind, neighbour);
+      expected += count * pair.mean;
+      variance += count * count * pair.variance;
+      return {pair, count};
+    });
+    const error = Math.log(slowdown) - expected;
     for (const {pair, count} of inputs) {
       const gain = (count * pair.variance) / variance;
       pair.mean += gain * error;
@@ -134,8 +138,33 @@
     }
   }
 
+  /**
+   * Takes the newest samples that no other scheduler was told of, at most one
+   * of each kind, for the next heartbeat.
+   */
+  takeSamples(limit: number): SlowdownSample[] {
+    const taken = [...this.fresh.values()].slice(-limit);
+    this.fresh.clear();
+    return taken;
+  }
+
+  private observeTask(
+    task: SpeedReport,
+    counts: ReadonlyMap<string, number>,
+  ): void {
+    const neighbours = [...counts]
+      .map(([kind, all]) => [kind, kind === task.kind ? all - 1 : all] as const)
+      .filter(([, count]) => count > 0);
+    if (neighbours.length === 0) return;
+    const speed = Math.max(LEAST_SPEED, task.speed / task.throttle);
+    const sample = {kind: task.kind, neighbours, slowdown: 1 / speed};
+    this.learn(sample);
+    this.fresh.delete(task.kind);
+    if (this.fresh.size < MOST_FRESH) this.fresh.set(task.kind, sample);
+  }
+
   /** The pair with what was learned aged up to now. */
-  private pairOf(kind: string, neighbour: string): Pair | undefined {
+  private pairOf(kind: string, neighbour: string): Pair {
     let row = this.pairs.get(kind);
     if (!row) this.pairs.set(kind, (row = new Map<string, Pair>()));
     const nowMs = this.clock.nowMs();
--- a/src/interference/slowdown_model_test.ts
+++ b/src/interference/slowdown_model_test.ts
@@ -114,6 +114,18 @@
   assert.ok(state.model.slowdown('preview', 'render') < 1.1);
 });
 
+// Guards against a scheduler that learns only from its own workers.
+test('passes each sample on once', () => {
+  const state = setUp();
+  const other = new SlowdownModel(state.clock);
+  for (let i = 0; i < 60; i++) {
+    observe(state, 'w');
+    state.model.takeSamples(8).forEach((sample) => other.learn(sample));
+  }
+  assert.ok(Math.abs(other.slowdown('preview', 'render') - 1.8) < 0.4);
+  assert.deepEqual(state.model.takeSamples(8), []);
+});
+
 // Guards against memory that grows with the square of the number of kinds.
 test('keeps at most the given number of pairs', () => {
   const clock = new ManualClock();
--- a/src/placement/learned_estimates_test.ts
+++ b/src/placement/learned_estimates_test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {Urgency} from '../contracts/urgency.js';
 import {Resources} from '../workers/resources.js';
 import {SeededRandom} from '../random/seeded_random.js';
+import {BestFit} from './best_fit.js';
 import {LearnedEstimates, SizeOutcome} from './learned_estimates.js';
 
 const DECLARED = {processors: 8, memoryMegabytes: 8000, accelerators: 1};
@@ -95,6 +97,24 @@
   assert.deepEqual(other.takeSamples(8), []);
 });
 
+// Guards against commitments that shrink below what the worker enforces.
+test('changes no commitment of a task that runs', () => {
+  const estimates = new LearnedEstimates();
+  const policy = new BestFit();
+  const capacity = {processors: 32, memoryMegabytes: 64_000, accelerators: 2};
+  policy.addWorker({worker: 'w', rack: 'r', capacity});
+  const {resources} = estimates.estimate(TASK);
+  const enforced = {...resources};
+  const work = {customer: 'c', urgency: Urgency.BATCH, value: 1, lostWorkMs: 0};
+  policy.commit({...TASK, ...work, taskId: 't', worker: 'w', resources});
+  for (let i = 0; i < 100; i++) {
+    run(estimates, {processors: 1, memoryMegabytes: 500});
+  }
+  assert.ok(estimates.estimate(TASK).resources.memoryMegabytes < 2000);
+  assert.deepEqual(policy.committed('t')?.resources, enforced);
+  assert.equal(policy.freeTotals().memoryMegabytes, 56_000);
+});
+
 // Guards against memory that grows with the number of kinds.
 test('drops the kind that was least recently used', () => {
   const estimates = new LearnedEstimates({mostKinds: 2});
