--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -10,9 +10,14 @@
     (await import('./scenarios/colocation.js')).runColocation,
   tail: async () => (await import('./scenarios/tail.js')).runTail,
   slopes: async () => (await import('./scenarios/slopes.js')).runSlopes,
+  configuration: async () =>
+    (await import('./scenarios/configuration.js')).runConfiguration,
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () =>
     (await import('./scenarios/placement.js')).runPlacement,
+  ['platform-outage']: async () =>
+    (await import('./scenarios/platform_outage.js')).runPlatformOutage,
+  placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
 function fail(text: string): never {
--- a/src/entry/service_router.ts
+++ b/src/entry/service_router.ts
@@ -15,7 +15,6 @@
   TargetResultKind,
 } from '../targets/target_client.js';
 import {TargetFleet} from '../targets/target_fleet.js';
-import {HeldAnswer} from './caller_answer.js';
 import {PeerSlots} from './peer_slots.js';
 import {
   CallerResult,
@@ -24,14 +23,7 @@
 } from './result_headers.js';
 import {resultOfAttempt} from './result_of_attempt.js';
 import {ServiceCall} from './service_call.js';
-
-/** How a call ended. */
-export interface ServiceCallEnd extends CallerResult {
-  /** Status of the target's answer. @default none */
-  status?: number;
-  /** The whole answer if it was held in memory. @default none */
-  answer?: HeldAnswer;
-}
+import {ServiceCallEnd} from './service_call_end.js';
 
 /** Options of {@link ServiceRouter}. */
 export interface ServiceRouterOptions {
@@ -69,8 +61,6 @@
 /** Brings waiting requests and free slots together. */
 export class ServiceRouter {
   private readonly calls = new Map<string, PendingCall>();
-  /** Requests that go before those in admission, by service. */
-  private readonly front = new Map<string, ServiceCall[]>();
   private readonly reserving = new Map<string, number>();
   private readonly budget = new RetryBudget();
   private readonly timer: NodeJS.Timeout;
@@ -116,7 +106,7 @@
 
   /** Starts waiting requests of all services while there are slots. */
   pumpAll(): void {
-    const services = new Set(this.front.keys());
+    const services = new Set<string>();
     for (const {call} of this.calls.values()) services.add(call.service);
     for (const service of services) this.pump(service);
   }
@@ -176,19 +166,12 @@
 
   private mayReserve(service: string, call?: ServiceCall): boolean {
     const {peers, admission} = this.options;
-    const waiting =
-      admission.waitingCount(service) + (this.front.get(service)?.length ?? 0);
-    if (!call && waiting === 0) return false;
+    if (!call && admission.waitingCount(service) === 0) return false;
     if ((this.reserving.get(service) ?? 0) >= MOST_RESERVING) return false;
     return peers.mayHaveSlot(service);
   }
 
   private next(service: string): ServiceCall | undefined {
-    const front = this.front.get(service);
-    while (front && front.length > 0) {
-      const call = front.shift()!;
-      if (!call.hasEnded) return call;
-    }
     for (;;) {
       const waiting = this.options.admission.take(service);
       if (!waiting) return undefined;
@@ -217,10 +200,9 @@
     }
   }
 
+  /** Lets admission decide again when it is this call's turn. */
   private putBack(call: ServiceCall): void {
-    const front = this.front.get(call.service) ?? [];
-    front.unshift(call);
-    this.front.set(call.service, front);
+    this.options.admission.putBack(call.options.waiting);
   }
 
   private async reserve(call: ServiceCall): Promise<void> {
