--- a/measure/scenarios/colocation_run.ts
+++ b/measure/scenarios/colocation_run.ts
@@ -74,6 +74,7 @@
 const SLO_FACTOR = 1.5;
 const SLO_WAIT_MS = 1_000;
 const MEMORY_GROWTH = 1.6;
+const LIMITED_PART = 0.97;
 
 /** Runs the same work and faults with one policy, in simulated time. */
 export class ColocationRun {
@@ -190,33 +191,30 @@
   private report(worker: SimulatedWorker): void {
     const reports = worker.report();
     for (const {task, usage, speed} of reports) {
-      const {job, enforced} = task;
-      this.estimates.report({
-        taskId: job.job,
-        kind: job.kind,
-        declared: job.declared,
-        runTimeMs: job.declaredRunTimeMs,
-        committed: enforced,
-        usage,
-        speed,
-      });
+      const {job} = task;
+      this.estimates.report({taskId: job.job, usage, speed});
       this.policy.setLostWork(job.job, this.clock.nowMs() - task.checkpointMs);
     }
     this.model.observeWorker(
       worker.worker,
-      reports.map(({task, speed}) => {
+      reports.map(({task, usage, speed}) => {
         const {job, enforced} = task;
-        const {processors} = this.estimateOf(job).resources;
-        // A task with too few processors is slow without any neighbour.
-        const limit = Math.min(1, enforced.processors / processors);
-        return {taskId: job.job, kind: job.kind, speed, throttle: limit};
+        const isLimited =
+          usage.processors >= enforced.processors * LIMITED_PART;
+        return {
+          taskId: job.job,
+          kind: job.kind,
+          speed,
+          throttle: 1,
+          isLimited,
+        };
       }),
     );
   }
 
   private estimateOf(job: ColocationJob): {resources: Resources} {
-    const {kind, declared, declaredRunTimeMs: runTimeMs} = job;
-    return this.estimates.estimate({kind, declared, runTimeMs});
+    const {kind, declared, declaredRunTimeMs: runTimeMs, urgency} = job;
+    return this.estimates.estimate({kind, declared, runTimeMs, urgency});
   }
 
   private ended(
@@ -332,6 +330,9 @@
       beginsMs,
       progress: waiting.progress,
     });
+    const {declared, declaredRunTimeMs: runTimeMs} = job;
+    const task = {taskId: job.job, kind: job.kind, urgency: job.urgency};
+    this.estimates.start({...task, declared, runTimeMs, committed: resources});
     this.noteStart(waiting, beginsMs);
     return true;
   }
--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -128,16 +128,20 @@
   parts: DependencyContainer,
 ): OwnershipKeeper {
   const inventory = parts.resolve(Inventory);
-  return new OwnershipKeeper({
+  const keeper: OwnershipKeeper = new OwnershipKeeper({
     platform: parts.resolve(HttpPlatformService),
     membership: parts.resolve(Membership),
     network: parts.resolve(PeerNetwork),
     clock,
     random,
     logger,
-    shards: () => workerShards(inventory),
+    // A rack whose VMs are all gone may still have stored jobs.
+    shards: () => [
+      ...new Set([...workerShards(inventory), ...keeper.recordedShards()]),
+    ],
     joinAfterMs: settings.membership.joinAfterMs,
   });
+  return keeper;
 }
 
 function workerShards(inventory: Inventory): string[] {
