Remove the baseline queue and the refused keyed calls of the entry

Cause: fair queueing and claims replaced them; only the test bench still used the first-in-first-out queue. Change: both are removed, and the bench runs the policy that the program runs.

Conclusion: the tests cover what is deployed.

--- a/src/entry/keyed_calls.ts
+++ b/src/entry/keyed_calls.ts
@@ -1,4 +1,3 @@
-import {ResultCodes} from '../result_codes/result_code.js';
 import {HeldAnswer} from './caller_answer.js';
 import {ServiceCallEnd} from './service_call_end.js';
 
@@ -37,13 +36,3 @@
     submit: (call: KeyedCall) => Promise<ServiceCallEnd>,
   ): Promise<KeyedCallEnd>;
 }
-
-/** Refuses all keyed requests, for processes without a platform. */
-export class RefusedKeyedCalls implements KeyedCalls {
-  run(): Promise<KeyedCallEnd> {
-    return Promise.resolve({
-      code: ResultCodes.PLATFORM_UNAVAILABLE,
-      text: 'Cannot claim the key: claims are not available',
-    });
-  }
-}
--- a/testing/entry_bench.ts
+++ b/testing/entry_bench.ts
@@ -3,6 +3,7 @@
 
 import {pino} from 'pino';
 
+import {FairQueueingPolicy} from '../src/admission/fair_queueing_policy.js';
 import {ClaimStore} from '../src/claims/claim_store.js';
 import {StoredAnswers} from '../src/claims/stored_answers.js';
 import {sleep} from '../src/clock/sleep.js';
@@ -10,7 +11,6 @@
 import {ClaimedCalls} from '../src/entry/claimed_calls.js';
 import {EntryParts, EntryProcess} from '../src/entry/entry_process.js';
 import {entrySettingsSchema} from '../src/entry/entry_settings.js';
-import {FifoAdmission} from '../src/entry/fifo_admission.js';
 import {PeerNetwork} from '../src/links/peer_network.js';
 import {HttpPlatformService} from '../src/platform/http_platform_service.js';
 import {VmEntry} from '../src/platform/platform_service.js';
@@ -231,7 +231,10 @@
       inventory: this.inventory,
       ownership,
       configuration: this.configuration,
-      admission: new FifoAdmission(clock),
+      admission: new FairQueueingPolicy({
+        clock,
+        contracts: this.configuration,
+      }),
       createRouting: () => new LeastLoadedRouting({clock, random}),
       keyedCalls: new ClaimedCalls({
         claims,
