--- a/src/command_line/contract_command.ts
+++ b/src/command_line/contract_command.ts
@@ -37,6 +37,24 @@
   description: 'Revision that the change is based on, as "show" prints it',
 } as const;
 
+const IN_FORCE_ARGUMENTS = {
+  'in-force': {
+    type: 'boolean',
+    default: false,
+    description: 'Show what is in force at the entry, without the platform',
+  },
+  ...CLIENT_ARGUMENTS,
+} as const;
+
+function queryOf(
+  given: {'in-force': boolean},
+  fields: Record<string, string> = {},
+): string {
+  const query = new URLSearchParams(fields);
+  if (given['in-force']) query.set('source', 'memory');
+  return `?${query.toString()}`;
+}
+
 function pathOf(customer: string): string {
   return `/v1/contracts/${encodeURIComponent(customer)}`;
 }
@@ -166,9 +184,12 @@
   });
   const showCommand = defineCommand({
     meta: {name: 'show', description: 'Show a contract and its revision'},
-    args: {customer: CUSTOMER, ...CLIENT_ARGUMENTS},
+    args: {customer: CUSTOMER, ...IN_FORCE_ARGUMENTS},
     run: ({args}) =>
-      run(args, {request: show(args.customer), format: formatContract}),
+      run(args, {
+        request: show(args.customer, queryOf(args)),
+        format: formatContract,
+      }),
   });
   const list = defineCommand({
     meta: {name: 'list', description: 'List all contracts'},
@@ -190,10 +211,10 @@
   });
   const explain = defineCommand({
     meta: {name: 'explain', description: 'Show the limits of a customer'},
-    args: {customer: CUSTOMER, ...CLIENT_ARGUMENTS},
+    args: {customer: CUSTOMER, ...IN_FORCE_ARGUMENTS},
     run: ({args}) =>
       run(args, {
-        request: show(args.customer, '?explain=true'),
+        request: show(args.customer, queryOf(args, {explain: 'true'})),
         format: formatExplanation,
       }),
   });
--- a/src/command_line/operator_client.ts
+++ b/src/command_line/operator_client.ts
@@ -8,7 +8,10 @@
   /** Base addresses of entries, tried in this order. */
   addresses: readonly string[];
   token: string;
-  /** Longest wait in ms for one entry. @default 6000 */
+  /**
+   * Longest wait in ms for one entry; longer than the time in which an entry
+   * settles a write in doubt. @default 8000
+   */
   timeoutMs?: number;
 }
 
@@ -92,7 +95,7 @@
     address: string,
     given: OperatorRequest,
   ): Promise<OperatorAnswer> {
-    const {token, timeoutMs = 6000} = this.options;
+    const {token, timeoutMs = 8000} = this.options;
     let body: OperatorAnswer;
     try {
       const answer = await request(address + given.path, {
--- a/src/command_line/real_entries_test.ts
+++ b/src/command_line/real_entries_test.ts
@@ -76,6 +76,11 @@
   fleet.startMember(restarted);
   await fleet.waitUntilReady([restarted]);
   assert.equal(await showsAcme(restarted), true);
+  const shown = await run(
+    ['contract', 'show', 'acme', '--in-force'],
+    restarted,
+  );
+  assert.match(shown, /"customer": "acme"/);
   const refused = await run(['stop', 'plan', 'vm-1'], restarted);
   assert.match(refused, /PLATFORM_UNAVAILABLE|CHANGE_IN_DOUBT/);
 });
--- a/src/command_line/run_call.ts
+++ b/src/command_line/run_call.ts
@@ -1,3 +1,5 @@
+import VError from 'verror';
+
 import {ClientArguments, createClient} from './common_arguments.js';
 import {OperatorAnswer, OperatorRequest} from './operator_client.js';
 import {ProgramContext} from './program_context.js';
@@ -19,10 +21,17 @@
 export function createCallRunner(context: ProgramContext): CallRunner {
   return async (given, {request, format}) => {
     const client = createClient(given, context);
+    const writeJson = (value: unknown): void =>
+      context.write(`${JSON.stringify(value, undefined, 2)}\n`);
     try {
       const answer = await client.call(request);
-      const json = `${JSON.stringify(answer, undefined, 2)}\n`;
-      context.write(given.json ? json : format(answer));
+      if (given.json) writeJson(answer);
+      else context.write(format(answer));
+    } catch (error) {
+      // A refusal of an entry carries facts, such as the current contract.
+      const info = VError.info(error as Error);
+      if (given.json && 'code' in info) writeJson(info);
+      throw error;
     } finally {
       await client.stop();
     }
--- a/src/contracts/explain_contract.ts
+++ b/src/contracts/explain_contract.ts
@@ -73,7 +73,12 @@
     ),
     row('optimizeFor', contract.optimizeFor, 'what matters most'),
     row('services', contract.services.join(', ') || 'none', 'may be used'),
-    row('callers', String(callers.length), 'keys that authenticate'),
+    {
+      key: 'callers',
+      value: String(callers.length),
+      isDefault: false,
+      meaning: 'keys that authenticate',
+    },
     ...explainUrgencies(contract, {defaults, livingEntries}),
     row(
       'spill',
