Measure configuration changes through real entries

Cause: the first form of the scenario had all entries in one process and no links. A second, wrong entry for placement in measure.ts, left by a merge, is removed because it did not compile.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -17,7 +17,6 @@
     (await import('./scenarios/placement.js')).runPlacement,
   ['platform-outage']: async () =>
     (await import('./scenarios/platform_outage.js')).runPlatformOutage,
-  placement: async () => (await import('./scenarios/placement.js')).scenario,
 };
 
 function fail(text: string): never {
--- a/measure/scenarios/configuration.ts
+++ b/measure/scenarios/configuration.ts
@@ -10,6 +10,7 @@
 import {PlatformStandIn} from '../../testing/platform_stand_in.js';
 import {ScenarioOptions, ScenarioResult} from '../scenario.js';
 import {BenchEntry, ConfigurationBench} from './configuration_bench.js';
+import {runConfigurationProcesses} from './configuration_processes.js';
 
 const DATA_CENTRES = ['a', 'b', 'c'];
 const ENTRIES_PER_DATA_CENTRE = 3;
@@ -115,10 +116,16 @@
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
-/** Measures how fast configuration changes take effect under faults. */
+/**
+ * Measures how fast configuration changes take effect under faults; with
+ * `--class processes` through real entries.
+ */
 export async function runConfiguration(
   options: ScenarioOptions,
 ): Promise<ScenarioResult> {
+  if (options.flags['class'] === 'processes') {
+    return runConfigurationProcesses(options);
+  }
   const standIn = new PlatformStandIn({seed: options.seed});
   const port = await standIn.listen('127.0.0.1', 0);
   const origin = `http://127.0.0.1:${port}`;
