Test that a worker on which everything fails is left out

Cause: the worker health was wired in without a test of the whole path.

Change: the process test breaks one worker, runs 36 jobs to their end and then asks that none of 20 further jobs fails on it.

Conclusion: broken workers are drained and cost no job.

--- a/src/scheduler/scheduler_program_test.ts
+++ b/src/scheduler/scheduler_program_test.ts
@@ -126,6 +126,31 @@
     },
   );
 
+  await context.test('a worker that fails everything is left out', async () => {
+    const worker = 'd-worker-1';
+    await fleet.workersControl({worker, faults: {failsEverything: true}});
+    const small = {
+      resources: {processors: 1, memoryMegabytes: 100},
+      runTimeMs: 50,
+      payload: {actualRunTimeMs: 50},
+    };
+    const failuresAmong = async (ids: string[]): Promise<number> => {
+      for (const id of ids) {
+        await caller.call('submit', job(id, small));
+        await sleep(80);
+      }
+      const answers = await Promise.all(ids.map((id) => ended(caller, id)));
+      assert.ok(answers.every(({code}) => code === ResultCodes.OK.number));
+      return answers.filter(({tasks}) => tasks[0]!.failures).length;
+    };
+    // Enough ends for the evidence; the rest after it lasts 15 s.
+    const early = Array.from({length: 36}, (_, index) => `early-${index}`);
+    const late = Array.from({length: 20}, (_, index) => `late-${index}`);
+    assert.ok((await failuresAmong(early)) > 0);
+    assert.equal(await failuresAmong(late), 0);
+    await fleet.workersControl({worker, faults: {}});
+  });
+
   await context.test('an endless job ends when it is cancelled', async () => {
     const endless = {payload: {actualRunTimeMs: 0}};
     await caller.call('submit', job('watcher', endless));
