Wait for all workers before inherited work that was found is placed again

Cause: a new owner read back a task as running on worker A. A restarted, the earlier owner noticed that and started the task on B, which was not read back yet; the new owner then noticed the restart of A and started the task on C while it ran on B.

Change: rule 5 also holds for inherited work that was found and then stopped; a task with a second copy that has to stop is neither placed nor reported as cancelled until the stop is certain. A task whose newest checkpoint is not stored is not placed even if it waits already.

--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -33,6 +33,10 @@
   readonly taskId: string;
   state: TaskLifeState;
   place: TaskPlace | undefined;
+  /** An earlier owner may have started it, also where it is not found yet. */
+  isInherited = false;
+  /** Workers on which a second copy runs that has to stop first. */
+  readonly strayAt = new Set<string>();
   /** False only if it is certain that no worker ever ran it. */
   mayHaveRun = false;
   /** A worker is known to have finished it. */
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -28,6 +28,7 @@
   readonly jobs = new Map<string, ShardJob>();
   readonly tasks = new Map<string, ShardTask>();
   readonly usage = new CustomerUsage();
+  private isSettled = false;
   private readonly byWorker = new Map<string, Set<ShardTask>>();
   nowMs = 0;
 
@@ -80,11 +81,20 @@
 
   /** All workers are settled: what was not found runs nowhere. */
   settle(): void {
+    this.isSettled = true;
     for (const task of this.tasks.values()) {
       if (task.state === 'inherited') this.advance(task, 'settled');
+      else if (task.state === 'waiting') this.becomeWaiting(task);
     }
   }
 
+  /** A second copy of a task certainly runs no more. */
+  strayStopped(taskId: string, worker: string): void {
+    const task = this.tasks.get(taskId);
+    if (!task?.strayAt.delete(worker)) return;
+    if (task.state === 'waiting') this.becomeWaiting(task);
+  }
+
   /** Tasks that are committed on a worker. */
   tasksOn(worker: string): Iterable<ShardTask> {
     return [...(this.byWorker.get(worker) ?? [])];
@@ -238,7 +248,7 @@
         index,
         isInherited ? inherited : undefined,
       );
-      task.mayHaveRun = isInherited;
+      task.mayHaveRun = task.isInherited = isInherited;
       job.tasks.push(task);
       this.tasks.set(task.taskId, task);
     }
@@ -256,13 +266,20 @@
   private becomeWaiting(task: ShardTask): void {
     task.waitingSinceMs = this.nowMs;
     if (task.isKnownFinished) this.finished(task);
+    else if (!this.runsNowhere(task)) return;
     else if (task.owner.isCancelRequested) this.advanceCancelled(task);
     else this.enqueue(task);
   }
 
+  /** Rule 5: inherited work may run on a worker that is not read back yet. */
+  private runsNowhere(task: ShardTask): boolean {
+    return (!task.isInherited || this.isSettled) && task.strayAt.size === 0;
+  }
+
   /** A task whose latest checkpoint is not stored yet is not placed. */
   private enqueue(task: ShardTask): void {
-    if (!task.isStored || this.options.queue.has(task.taskId)) return;
+    if (!task.isStored || !this.runsNowhere(task)) return;
+    if (this.options.queue.has(task.taskId)) return;
     const {job} = task.owner;
     this.options.queue.add({
       taskId: task.taskId,
@@ -275,6 +292,7 @@
 
   private advanceCancelled(task: ShardTask): void {
     if (task.state === 'waiting') {
+      if (!this.runsNowhere(task)) return;
       const result = task.mayHaveRun
         ? TaskResult.CANCELLED
         : TaskResult.CANCELLED_BEFORE_START;
--- a/src/scheduler/task_placer.ts
+++ b/src/scheduler/task_placer.ts
@@ -41,6 +41,8 @@
 
   private place(entry: WaitingEntry): boolean {
     const task = this.options.book.tasks.get(entry.taskId)!;
+    // A worker that came back may have told a newer checkpoint meanwhile.
+    if (!task.isStored) return false;
     if (task.victims.size > 0 && this.isEvicting(task)) return false;
     if (this.hasFailedEverywhere(task)) {
       this.options.book.giveUp(task);
--- a/src/scheduler/worker_exchange.ts
+++ b/src/scheduler/worker_exchange.ts
@@ -342,7 +342,10 @@
   private hasExpired(worker: ShardWorker, nowMs: number): boolean {
     if (!worker.wasReadBack || worker.isExpiryConfirmed) return false;
     if (nowMs <= worker.leasesEndMs) return false;
-    return this.options.book.countOn(worker.worker) > 0;
+    return (
+      this.options.book.countOn(worker.worker) > 0 ||
+      this.reports.hasStrays(worker)
+    );
   }
 
   private jittered(durationMs: number): number {
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -43,6 +43,11 @@
     this.forget(worker, report.tasks);
   }
 
+  /** Tells whether tasks run on the worker that must stop there. */
+  hasStrays(worker: ShardWorker): boolean {
+    return (this.strays.get(worker.worker)?.size ?? 0) > 0;
+  }
+
   /** The worker restarted: what it ran has stopped (rule 6 b). */
   restarted(worker: ShardWorker, incarnation: string): void {
     this.allStopped(worker);
@@ -176,6 +181,7 @@
     seen: WorkerTask,
   ): void {
     if (seen.state === WorkerTaskState.RUNNING) {
+      task?.strayAt.add(worker.worker);
       this.stopStray(worker, seen);
       return;
     }
@@ -232,6 +238,7 @@
       if (reported.get(taskId)?.state === WorkerTaskState.RUNNING) continue;
       strays!.delete(taskId);
       this.options.placement.release(strayId(worker, taskId));
+      this.options.book.strayStopped(taskId, worker.worker);
     }
   }
 
--- a/testing/simulated_shard.ts
+++ b/testing/simulated_shard.ts
@@ -209,7 +209,7 @@
   }
 
   private newJob(): Job {
-    const isUrgent = this.chance(0.3);
+    const isUrgent = this.chance(0.4);
     const job = jobSchema.parse({
       id: `j${this.jobs.length}`,
       customer: `c${this.random.nextInteger(2)}`,
