--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -33,6 +33,10 @@
   readonly taskId: string;
   state: TaskLifeState;
   place: TaskPlace | undefined;
+  /** An earlier owner may have started it, also where it is not found yet. */
+  isInherited = false;
+  /** Workers on which a second copy runs that has to stop first. */
+  readonly strayAt = new Set<string>();
   /** False only if it is certain that no worker ever ran it. */
   mayHaveRun = false;
   /** A worker is known to have finished it. */
@@ -44,10 +48,6 @@
   /** First progress seen in the current run, in the owner's time. */
   observed: {progress: number; atMs: number} | undefined;
   waitingSinceMs = 0;
-  /** Workers on which it runs although this owner did not place it there. */
-  readonly strayAt = new Set<string>();
-  /** An earlier owner may have placed it. */
-  isInherited = false;
   /** Workers that still hold a record of an earlier run. */
   readonly recordedAt = new Set<string>();
   /** Tasks that are being evicted to make room for this one. */
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -28,9 +28,9 @@
   readonly jobs = new Map<string, ShardJob>();
   readonly tasks = new Map<string, ShardTask>();
   readonly usage = new CustomerUsage();
+  private isSettled = false;
   private readonly byWorker = new Map<string, Set<ShardTask>>();
   nowMs = 0;
-  private isSettled = false;
 
   constructor(private readonly options: TaskBookOptions) {}
 
@@ -84,23 +84,15 @@
     this.isSettled = true;
     for (const task of this.tasks.values()) {
       if (task.state === 'inherited') this.advance(task, 'settled');
-      else if (task.state === 'waiting') this.enqueue(task);
+      else if (task.state === 'waiting') this.becomeWaiting(task);
     }
   }
 
-  /** A worker runs a task that this owner did not place there. */
-  strayFound(taskId: string, worker: string): void {
-    const task = this.tasks.get(taskId);
-    if (!task) return;
-    task.strayAt.add(worker);
-    this.options.queue.remove(taskId);
-  }
-
-  /** The stray run has certainly ended. */
-  strayEnded(taskId: string, worker: string): void {
+  /** A second copy of a task certainly runs no more. */
+  strayStopped(taskId: string, worker: string): void {
     const task = this.tasks.get(taskId);
     if (!task?.strayAt.delete(worker)) return;
-    if (task.state === 'waiting') this.enqueue(task);
+    if (task.state === 'waiting') this.becomeWaiting(task);
   }
 
   /** Tasks that are committed on a worker. */
@@ -274,19 +266,20 @@
   private becomeWaiting(task: ShardTask): void {
     task.waitingSinceMs = this.nowMs;
     if (task.isKnownFinished) this.finished(task);
+    else if (!this.runsNowhere(task)) return;
     else if (task.owner.isCancelRequested) this.advanceCancelled(task);
     else this.enqueue(task);
   }
 
-  /**
-   * Makes a waiting task available for placement once its latest checkpoint
-   * is stored. The earlier owner may have moved inherited work to a worker
-   * that is not read back yet, also after it was found on another one.
-   */
+  /** Rule 5: inherited work may run on a worker that is not read back yet. */
+  private runsNowhere(task: ShardTask): boolean {
+    return (!task.isInherited || this.isSettled) && task.strayAt.size === 0;
+  }
+
+  /** A task whose latest checkpoint is not stored yet is not placed. */
   private enqueue(task: ShardTask): void {
-    if (!task.isStored || this.options.queue.has(task.taskId)) return;
-    if (task.strayAt.size > 0) return;
-    if (task.isInherited && !this.isSettled) return;
+    if (!task.isStored || !this.runsNowhere(task)) return;
+    if (this.options.queue.has(task.taskId)) return;
     const {job} = task.owner;
     this.options.queue.add({
       taskId: task.taskId,
@@ -299,6 +292,7 @@
 
   private advanceCancelled(task: ShardTask): void {
     if (task.state === 'waiting') {
+      if (!this.runsNowhere(task)) return;
       const result = task.mayHaveRun
         ? TaskResult.CANCELLED
         : TaskResult.CANCELLED_BEFORE_START;
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -43,6 +43,11 @@
     this.forget(worker, report.tasks);
   }
 
+  /** Tells whether tasks run on the worker that must stop there. */
+  hasStrays(worker: ShardWorker): boolean {
+    return (this.strays.get(worker.worker)?.size ?? 0) > 0;
+  }
+
   /** The worker restarted: what it ran has stopped (rule 6 b). */
   restarted(worker: ShardWorker, incarnation: string): void {
     this.allStopped(worker);
@@ -176,6 +181,7 @@
     seen: WorkerTask,
   ): void {
     if (seen.state === WorkerTaskState.RUNNING) {
+      task?.strayAt.add(worker.worker);
       this.stopStray(worker, seen);
       return;
     }
@@ -200,7 +206,6 @@
     this.strays.set(worker.worker, strays);
     if (!strays.has(seen.taskId)) {
       strays.add(seen.taskId);
-      this.options.book.strayFound(seen.taskId, worker.worker);
       const commitment = {
         taskId: strayId(worker, seen.taskId),
         customer: '',
@@ -233,7 +238,7 @@
       if (reported.get(taskId)?.state === WorkerTaskState.RUNNING) continue;
       strays!.delete(taskId);
       this.options.placement.release(strayId(worker, taskId));
-      this.options.book.strayEnded(taskId, worker.worker);
+      this.options.book.strayStopped(taskId, worker.worker);
     }
   }
 
