--- a/src/interference/slowdown_model.ts
+++ b/src/interference/slowdown_model.ts
@@ -8,6 +8,22 @@
   speed: number;
   /** Share of its speed that a throttled task keeps; 1 means no throttle. */
   throttle: number;
+  /**
+   * True if the task uses all the processors it may: its speed then says little
+   * about its neighbours, and teaches nothing.
+   *
+   * @default false
+   */
+  isLimited?: boolean;
+}
+
+/** One measured slowdown; other schedulers learn from it too. */
+export interface SlowdownSample {
+  kind: string;
+  /** Number of neighbours by kind. */
+  neighbours: ReadonlyArray<readonly [kind: string, count: number]>;
+  /** Slowdown by all neighbours together; 1 means none. */
+  slowdown: number;
 }
 
 /** Options of {@link SlowdownModel}. */
@@ -40,6 +56,8 @@
 /** Variance of one lagging measurement of the logarithm of a speed. */
 const NOISE_VARIANCE = 0.02;
 const MOST_SLOWDOWN = 4;
+/** Kinds whose newest sample waits for the next heartbeat. */
+const MOST_FRESH = 512;
 const LEAST_SPEED = 0.02;
 
 /**
@@ -51,6 +69,8 @@
  */
 export class SlowdownModel {
   private readonly pairs = new Map<string, Map<string, Pair>>();
+  /** Newest sample of each kind that no other scheduler was told of. */
+  private readonly fresh = new Map<string, SlowdownSample>();
   private readonly workers = new Map<string, WorkerState>();
   private readonly lagMs: number;
   private readonly halfLifeMs: number;
@@ -89,7 +109,9 @@
     if (nowMs - state.sinceMs < this.lagMs) return;
     const counts = new Map<string, number>();
     for (const {kind} of tasks) counts.set(kind, (counts.get(kind) ?? 0) + 1);
-    for (const task of tasks) this.observeTask(task, counts);
+    for (const task of tasks) {
+      if (!task.isLimited) this.observeTask(task, counts);
+    }
   }
 
   /** Forgets a worker that is gone. */
@@ -97,26 +119,17 @@
     this.workers.delete(worker);
   }
 
-  private observeTask(
-    task: SpeedReport,
-    counts: ReadonlyMap<string, number>,
-  ): void {
-    const inputs: Array<{pair: Pair; count: number}> = [];
-    for (const [kind, all] of counts) {
-      const count = kind === task.kind ? all - 1 : all;
-      const pair = count > 0 && this.pairOf(task.kind, kind);
-      if (pair) inputs.push({pair, count});
-    }
-    const speed = Math.max(LEAST_SPEED, task.speed / task.throttle);
-    const expected = inputs.reduce(
-      (sum, {pair, count}) => sum + count * pair.mean,
-      0,
-    );
-    const variance = inputs.reduce(
-      (sum, {pair, count}) => sum + count * count * pair.variance,
-      NOISE_VARIANCE,
-    );
-    const error = -Math.log(speed) - expected;
+  /** Learns from a sample, also from one that another scheduler took. */
+  learn({kind, neighbours, slowdown}: SlowdownSample): void {
+    let expected = 0;
+    let variance = NOISE_VARIANCE;
+    const inputs = neighbours.map(([neighbour, count]) => {
+      const pair = this.pairOf(kind, neighbour);
+      expected += count * pair.mean;
+      variance += count * count * pair.variance;
+      return {pair, count};
+    });
+    const error = Math.log(slowdown) - expected;
     for (const {pair, count} of inputs) {
       const gain = (count * pair.variance) / variance;
       pair.mean += gain * error;
@@ -125,8 +138,33 @@
     }
   }
 
+  /**
+   * Takes the newest samples that no other scheduler was told of, at most one
+   * of each kind, for the next heartbeat.
+   */
+  takeSamples(limit: number): SlowdownSample[] {
+    const taken = [...this.fresh.values()].slice(-limit);
+    this.fresh.clear();
+    return taken;
+  }
+
+  private observeTask(
+    task: SpeedReport,
+    counts: ReadonlyMap<string, number>,
+  ): void {
+    const neighbours = [...counts]
+      .map(([kind, all]) => [kind, kind === task.kind ? all - 1 : all] as const)
+      .filter(([, count]) => count > 0);
+    if (neighbours.length === 0) return;
+    const speed = Math.max(LEAST_SPEED, task.speed / task.throttle);
+    const sample = {kind: task.kind, neighbours, slowdown: 1 / speed};
+    this.learn(sample);
+    this.fresh.delete(task.kind);
+    if (this.fresh.size < MOST_FRESH) this.fresh.set(task.kind, sample);
+  }
+
   /** The pair with what was learned aged up to now. */
-  private pairOf(kind: string, neighbour: string): Pair | undefined {
+  private pairOf(kind: string, neighbour: string): Pair {
     let row = this.pairs.get(kind);
     if (!row) this.pairs.set(kind, (row = new Map<string, Pair>()));
     const nowMs = this.clock.nowMs();
--- a/src/placement/learned_estimates_test.ts
+++ b/src/placement/learned_estimates_test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {Urgency} from '../contracts/urgency.js';
 import {Resources} from '../workers/resources.js';
 import {SeededRandom} from '../random/seeded_random.js';
+import {BestFit} from './best_fit.js';
 import {LearnedEstimates, SizeOutcome} from './learned_estimates.js';
 
 const DECLARED = {processors: 8, memoryMegabytes: 8000, accelerators: 1};
@@ -20,7 +22,8 @@
     memoryMegabytes: Math.min(committed.memoryMegabytes, need.memoryMegabytes),
     accelerators: 1,
   };
-  estimates.report({...TASK, taskId, committed, usage, speed: 0.5});
+  estimates.start({...TASK, taskId, committed});
+  estimates.report({taskId, usage, speed: 0.5});
   const fits = need.memoryMegabytes <= committed.memoryMegabytes;
   const outcome = fits ? SizeOutcome.FINISHED : SizeOutcome.OUT_OF_MEMORY;
   estimates.end(taskId, {outcome, ranMs: 40_000});
@@ -72,13 +75,53 @@
   assert.ok(estimates.estimate(TASK).resources.memoryMegabytes < 1000);
 });
 
+// Guards against tasks killed again and again before their first report.
+test('learns from a task that was killed before any report', () => {
+  const estimates = new LearnedEstimates();
+  const ended = {outcome: SizeOutcome.OUT_OF_MEMORY, ranMs: 100};
+  for (let i = 0; i < 5; i++) {
+    const committed = estimates.estimate(TASK).resources;
+    estimates.start({...TASK, taskId: 't', committed});
+    estimates.end('t', ended);
+  }
+  assert.ok(estimates.estimate(TASK).resources.memoryMegabytes > 12_000);
+});
+
+// Guards against a scheduler that learns only from its own shards.
+test('passes each sample on once', () => {
+  const [one, other] = [new LearnedEstimates(), new LearnedEstimates()];
+  run(one, {memoryMegabytes: 1000});
+  one.takeSamples(8).forEach((sample) => other.learn(sample));
+  assert.deepEqual(other.estimate(TASK), one.estimate(TASK));
+  assert.deepEqual(one.takeSamples(8), []);
+  assert.deepEqual(other.takeSamples(8), []);
+});
+
+// Guards against commitments that shrink below what the worker enforces.
+test('changes no commitment of a task that runs', () => {
+  const estimates = new LearnedEstimates();
+  const policy = new BestFit();
+  const capacity = {processors: 32, memoryMegabytes: 64_000, accelerators: 2};
+  policy.addWorker({worker: 'w', rack: 'r', capacity});
+  const {resources} = estimates.estimate(TASK);
+  const enforced = {...resources};
+  const work = {customer: 'c', urgency: Urgency.BATCH, value: 1, lostWorkMs: 0};
+  policy.commit({...TASK, ...work, taskId: 't', worker: 'w', resources});
+  for (let i = 0; i < 100; i++) {
+    run(estimates, {processors: 1, memoryMegabytes: 500});
+  }
+  assert.ok(estimates.estimate(TASK).resources.memoryMegabytes < 2000);
+  assert.deepEqual(policy.committed('t')?.resources, enforced);
+  assert.equal(policy.freeTotals().memoryMegabytes, 56_000);
+});
+
 // Guards against memory that grows with the number of kinds.
 test('drops the kind that was least recently used', () => {
   const estimates = new LearnedEstimates({mostKinds: 2});
   const usage = {processors: 1, memoryMegabytes: 100, accelerators: 0};
   for (const kind of ['a', 'b', 'a', 'c']) {
-    const task = {...TASK, kind, taskId: kind};
-    estimates.report({...task, committed: DECLARED, usage, speed: 1});
+    estimates.start({...TASK, kind, taskId: kind, committed: DECLARED});
+    estimates.report({taskId: kind, usage, speed: 1});
     estimates.end(kind, {outcome: SizeOutcome.FINISHED, ranMs: 1});
   }
   const samples = ['a', 'b', 'c'].map(
--- a/src/scheduler/worker_reports.ts
+++ b/src/scheduler/worker_reports.ts
@@ -181,7 +181,6 @@
     seen: WorkerTask,
   ): void {
     if (seen.state === WorkerTaskState.RUNNING) {
-      task?.strayAt.add(worker.worker);
       this.stopStray(worker, seen);
       return;
     }
@@ -206,6 +205,7 @@
     this.strays.set(worker.worker, strays);
     if (!strays.has(seen.taskId)) {
       strays.add(seen.taskId);
+      this.options.book.strayFound(seen.taskId, worker.worker);
       const commitment = {
         taskId: strayId(worker, seen.taskId),
         customer: '',
@@ -238,7 +238,7 @@
       if (reported.get(taskId)?.state === WorkerTaskState.RUNNING) continue;
       strays!.delete(taskId);
       this.options.placement.release(strayId(worker, taskId));
-      this.options.book.strayStopped(taskId, worker.worker);
+      this.options.book.strayEnded(taskId, worker.worker);
     }
   }
 
