--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -35,7 +35,7 @@
   place: TaskPlace | undefined;
   /** An earlier owner may have started it, also where it is not found yet. */
   isInherited = false;
-  /** Workers on which a second copy runs that has to stop first. */
+  /** Workers on which it runs although this owner did not place it there. */
   readonly strayAt = new Set<string>();
   /** False only if it is certain that no worker ever ran it. */
   mayHaveRun = false;
--- a/src/scheduler/task_book.ts
+++ b/src/scheduler/task_book.ts
@@ -88,8 +88,16 @@
     }
   }
 
-  /** A second copy of a task certainly runs no more. */
-  strayStopped(taskId: string, worker: string): void {
+  /** A worker runs a task that this owner did not place there. */
+  strayFound(taskId: string, worker: string): void {
+    const task = this.tasks.get(taskId);
+    if (!task) return;
+    task.strayAt.add(worker);
+    this.options.queue.remove(taskId);
+  }
+
+  /** The stray run has certainly ended. */
+  strayEnded(taskId: string, worker: string): void {
     const task = this.tasks.get(taskId);
     if (!task?.strayAt.delete(worker)) return;
     if (task.state === 'waiting') this.becomeWaiting(task);
