Compare latencies with peers of the same moment, reserve without a request

Cause: through entries a batch flood cut the others to a third. Two faults: the routing policy compared with a reference that follows slowly, so that after a change of run times a target with fewer new results looked slow, got less, and stayed so (one target served 1 request/s, its twin 30); and the entry tied up the most urgent requests in reservations at peers while own slots went to less urgent ones. Change: means of each class are compared with the peers' medians of the last 5 s; a target that looks bad gets no work for 250 ms and one latency, and is judged again before it is ejected (limits 1.5 and 2 instead of 2 and 2.5). ServiceRouter reserves a slot first and takes the next request when it is granted; the state 'reserving' is gone (small change in src/entry). flood uses four targets on two entries at 240 ms work. The test of a slowed target now checks the requests it still gets in the second after the slowdown (at most 1 in 500 ms) and the state at 1.5 s, because the hold postpones the state but not the stop of new work.

--- a/measure/scenarios/flood.ts
+++ b/measure/scenarios/flood.ts
@@ -29,10 +29,13 @@
 const DIRECT_WORK_MS = 40;
 
 /** Longer, so that the flood doesn't exhaust the processors of the machine. */
-const ENTRY_WORK_MS = 120;
+const ENTRY_WORK_MS = 240;
 
 const ENTRIES = 2;
 
+/** Both entries own two, so that the balancer's rotation fits the slots. */
+const ENTRY_TARGETS = 4;
+
 /** Part of the time that is spent on the real entries. */
 const ENTRY_PART = 0.4;
 
@@ -46,8 +49,8 @@
   durationMs: number;
 }
 
-function capacityFor(workMs: number): number {
-  return ((TARGETS * SLOTS) / workMs) * 1000;
+function capacityFor(targets: number, workMs: number): number {
+  return ((targets * SLOTS) / workMs) * 1000;
 }
 
 function queuedLimit(urgency: Urgency): number {
@@ -101,7 +104,7 @@
   const {origins} = fleet;
   const router = new DirectRouter({clock, admission, routing, origins});
   const workMs = DIRECT_WORK_MS;
-  const capacity = capacityFor(workMs);
+  const capacity = capacityFor(TARGETS, workMs);
   const send = directSender(router, clock);
   const generator = new FloodGenerator({send, workMs, capacity});
   const figures = await measureFlood({...run, generator, capacity});
@@ -165,7 +168,7 @@
   });
   const fleet = await startEntryFleet({
     entries: ENTRIES,
-    targets: TARGETS,
+    targets: ENTRY_TARGETS,
     workMs,
     contracts,
   });
@@ -173,7 +176,7 @@
   const origins = entryOrigins(fleet);
   const watch = new WaitingWatch(origins);
   try {
-    const capacity = capacityFor(workMs);
+    const capacity = capacityFor(ENTRY_TARGETS, workMs);
     const send = entrySender(origins, agent);
     const generator = new FloodGenerator({send, workMs, capacity});
     const figures = await measureFlood({...run, generator, capacity});
--- a/src/entry/service_call.ts
+++ b/src/entry/service_call.ts
@@ -4,10 +4,9 @@
 import {RequestBody} from './request_body.js';
 
 /** Life cycle of a request; see service_call.json. */
-export type ServiceCallState =
-  'offered' | 'waiting' | 'reserving' | 'sent' | 'ended';
+export type ServiceCallState = 'offered' | 'waiting' | 'sent' | 'ended';
 
-type ServiceCallEvent = 'admitted' | 'reserve' | 'send' | 'wait' | 'end';
+type ServiceCallEvent = 'admitted' | 'send' | 'wait' | 'end';
 
 /** What the caller asked for. */
 export interface ServiceCallOptions {
--- a/src/entry/service_router.ts
+++ b/src/entry/service_router.ts
@@ -1,4 +1,5 @@
 import {AdmissionPolicy} from '../admission/admission_policy.js';
+import {WaitingRequest} from '../admission/waiting_request.js';
 import {Clock} from '../clock/clock.js';
 import {DecisionLog} from '../logging/decision_log.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
@@ -124,32 +125,28 @@
     for (;;) {
       const loads = this.options.fleet.loads(service);
       const isFree = loads.some((load) => load.isAvailable);
-      if (!isFree && !this.mayReserve(service)) return;
-      const call = this.next(service);
-      if (!call) return;
-      const choice = isFree ? this.choose(call, loads) : undefined;
+      const call = isFree ? this.next(service) : undefined;
+      const choice = call && this.choose(call, loads);
       const lease =
         choice && this.options.fleet.lease(choice.target, call.requestId);
-      if (lease) {
-        void this.run(call, {
-          name: choice.target,
-          reason: choice.reason,
-          isTarget: true,
-          send: (request, sink) => lease.send(request, sink),
-        });
-      } else if (this.mayReserve(service, call)) {
-        void this.reserve(call);
-      } else {
-        this.putBack(call);
+      if (!lease) {
+        if (call) this.putBack(call);
+        this.reserveSlots(service);
         return;
       }
+      void this.run(call, {
+        name: choice.target,
+        reason: choice.reason,
+        isTarget: true,
+        send: (request, sink) => lease.send(request, sink),
+      });
     }
   }
 
   /** Ends the calls that have not been sent; for a stop at once. */
   refuseWaiting(result: CallerResult): void {
     for (const {call} of [...this.calls.values()]) {
-      if (call.state === 'sent' || call.state === 'reserving') continue;
+      if (call.state === 'sent') continue;
       this.options.admission.cancel(call.requestId);
       this.end(call, result);
     }
@@ -172,11 +169,24 @@
     return routing.choose(loads, {urgency, attempted: new Set()});
   }
 
-  private mayReserve(service: string, call?: ServiceCall): boolean {
+  /**
+   * Asks peers for slots, no more than requests wait. A slot belongs to no
+   * request until it is granted: a request that waited for the answer would
+   * miss own slots that become free, and less urgent ones would get them.
+   */
+  private reserveSlots(service: string): void {
     const {peers, admission} = this.options;
-    if (!call && admission.waitingCount(service) === 0) return false;
-    if ((this.reserving.get(service) ?? 0) >= MOST_RESERVING) return false;
-    return peers.mayHaveSlot(service);
+    for (;;) {
+      const reserving = this.reserving.get(service) ?? 0;
+      const waiting = admission.waitingCount(service);
+      if (reserving >= Math.min(MOST_RESERVING, waiting)) return;
+      if (!peers.mayHaveSlot(service)) return;
+      const call = this.next(service);
+      if (!call) return;
+      this.putBack(call);
+      this.reserving.set(service, reserving + 1);
+      void this.reserve(call.options.waiting);
+    }
   }
 
   private next(service: string): ServiceCall | undefined {
@@ -213,37 +223,25 @@
     this.options.admission.putBack(call.options.waiting);
   }
 
-  private async reserve(call: ServiceCall): Promise<void> {
+  private async reserve(first: WaitingRequest): Promise<void> {
     const {peers, clock} = this.options;
-    const {service} = call;
-    call.apply('reserve');
-    this.reserving.set(service, (this.reserving.get(service) ?? 0) + 1);
-    const {customer, urgency, deadlineMs} = call.options.waiting;
-    const remainingMs = deadlineMs - clock.nowMs();
-    const grant = await peers.reserve({
-      service,
-      customer,
-      urgency,
-      remainingMs,
-    });
+    const {service, customer, urgency, deadlineMs} = first;
+    const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
+    const wish = {service, customer, urgency, remainingMs};
+    const grant = await peers.reserve(wish);
     this.reserving.set(service, (this.reserving.get(service) ?? 1) - 1);
-    if (call.hasEnded) {
+    const call = grant && this.next(service);
+    if (!call) {
       if (grant) peers.release(grant);
       this.pump(service);
       return;
     }
-    if (grant) {
-      await this.run(call, {
-        name: grant.member,
-        reason: 'own targets are full; reserved there',
-        isTarget: false,
-        send: (request, sink) => peers.send(grant, request, sink),
-      });
-      return;
-    }
-    call.apply('wait');
-    this.putBack(call);
-    this.pump(service);
+    await this.run(call, {
+      name: grant.member,
+      reason: 'own targets are full; reserved there',
+      isTarget: false,
+      send: (request, sink) => peers.send(grant, request, sink),
+    });
   }
 
   private async run(call: ServiceCall, carrier: Carrier): Promise<void> {
@@ -335,7 +333,7 @@
     const nowMs = clock.nowMs();
     const expired = admission.takeExpired().map(({requestId}) => requestId);
     for (const {call} of this.calls.values()) {
-      const isHeldHere = call.state === 'waiting' || call.state === 'reserving';
+      const isHeldHere = call.state === 'waiting';
       if (isHeldHere && call.options.waiting.deadlineMs <= nowMs) {
         expired.push(call.requestId);
       }
@@ -354,7 +352,7 @@
   }
 
   private abandon(call: ServiceCall): void {
-    if (call.state !== 'waiting' && call.state !== 'reserving') return;
+    if (call.state !== 'waiting') return;
     this.options.admission.cancel(call.requestId);
     const code = call.mayHaveRun
       ? ResultCodes.ANSWER_LOST
--- a/src/routing/latency_comparison.ts
+++ b/src/routing/latency_comparison.ts
@@ -1,4 +1,4 @@
-import {Urgency} from '../contracts/urgency.js';
+import {URGENCIES, Urgency} from '../contracts/urgency.js';
 import {RoutingResult} from './routing_policy.js';
 
 /** Weight of the newest result of a target; half of it fades in 7 results. */
@@ -10,7 +10,10 @@
 /** Results of a target that are needed before it is judged. */
 const MIN_SAMPLES = 5;
 
-/** Time in ms between two computations of the peers' median. */
+/** Age in ms from which a mean is ignored, because loads have changed since. */
+const MAX_AGE_MS = 5000;
+
+/** Time in ms between two computations of the peers' medians. */
 const MEDIAN_INTERVAL_MS = 50;
 
 /**
@@ -22,44 +25,65 @@
 /** Ratio of the standard error of the moving mean to that of one sample. */
 const MEAN_ERROR = Math.sqrt(TARGET_WEIGHT / (2 - TARGET_WEIGHT));
 
+interface ClassMean {
+  /** Moving mean of the logarithms of the latencies in ms. */
+  mean: number;
+  samples: number;
+  updatedAtMs: number;
+}
+
 interface TargetRecord {
-  deviation: number;
   failures: number;
-  samples: number;
+  classes: Map<Urgency, ClassMean>;
+}
+
+function logarithmOf(result: RoutingResult): number {
+  return Math.log(Math.max(0.1, result.latencyMs));
+}
+
+function urgencyOf(result: RoutingResult): Urgency {
+  return result.urgency ?? Urgency.STANDARD;
 }
 
 /**
- * Compares the latency of each target with that of its peers. It works with
- * logarithms, so that a few long requests don't hide or imitate a slow
- * target, and relative to the usual latency of the request's class.
+ * Compares the latency of each target with that of its peers, inside each
+ * class. It works with logarithms, so that a few long requests don't hide or
+ * imitate a slow target. Means are compared with those of the peers at the
+ * same time: against a reference that follows slowly, a target with fewer new
+ * results looked slow after each change of the load.
  */
 export class LatencyComparison {
   private readonly records = new Map<string, TargetRecord>();
-  private readonly usual = new Map<Urgency, number>();
+  private medians = new Map<Urgency, number>();
   private variance = 0;
-  private median = 0;
-  private medianAtMs = -Infinity;
+  private mediansAtMs = -Infinity;
 
-  /** Records a result. */
-  add(result: RoutingResult): void {
+  /** Records a result that arrived at `nowMs`. */
+  add(result: RoutingResult, nowMs: number): void {
     const record = this.recordOf(result.target);
     const failure = result.succeeded ? 0 : 1;
     record.failures += TARGET_WEIGHT * (failure - record.failures);
     if (!result.succeeded) return;
-    const deviation = this.deviationOf(result);
-    const residual = deviation - record.deviation;
-    record.samples += 1;
-    const weight = Math.max(TARGET_WEIGHT, 1 / (record.samples + 1));
-    record.deviation += weight * residual;
-    if (record.samples <= MIN_SAMPLES) return;
+    const value = logarithmOf(result);
+    const urgency = urgencyOf(result);
+    const known = record.classes.get(urgency);
+    if (!known || nowMs - known.updatedAtMs > MAX_AGE_MS) {
+      const fresh = {mean: value, samples: 1, updatedAtMs: nowMs};
+      record.classes.set(urgency, fresh);
+      return;
+    }
+    const residual = value - known.mean;
+    known.samples += 1;
+    known.updatedAtMs = nowMs;
+    known.mean += Math.max(TARGET_WEIGHT, 1 / known.samples) * residual;
+    if (known.samples <= MIN_SAMPLES) return;
     this.variance += COMMON_WEIGHT * (residual * residual - this.variance);
   }
 
   /** Latency of one result relative to the peers'; 1 is usual. */
-  resultRatio(result: RoutingResult): number {
-    const logarithm = Math.log(Math.max(0.1, result.latencyMs));
-    const usual = this.usual.get(result.urgency ?? Urgency.STANDARD);
-    return Math.exp(logarithm - (usual ?? logarithm) - this.median);
+  resultRatio(result: RoutingResult, nowMs: number): number {
+    const median = this.currentMedians(nowMs).get(urgencyOf(result));
+    return median === undefined ? 1 : Math.exp(logarithmOf(result) - median);
   }
 
   /**
@@ -68,8 +92,17 @@
    */
   ratio(target: string, nowMs: number): number {
     const record = this.records.get(target);
-    if (!record || record.samples < MIN_SAMPLES) return 1;
-    const deviation = record.deviation - this.currentMedian(nowMs);
+    if (!record) return 1;
+    const medians = this.currentMedians(nowMs);
+    let sum = 0;
+    let count = 0;
+    for (const [urgency, entry] of record.classes) {
+      const median = medians.get(urgency);
+      if (median === undefined || !isUsable(entry, nowMs)) continue;
+      sum += entry.samples * (entry.mean - median);
+      count += entry.samples;
+    }
+    const deviation = count === 0 ? 0 : sum / count;
     const error = Math.sqrt(this.variance) * MEAN_ERROR;
     return deviation < MIN_STANDARD_ERRORS * error ? 1 : Math.exp(deviation);
   }
@@ -87,29 +120,32 @@
   private recordOf(target: string): TargetRecord {
     let record = this.records.get(target);
     if (!record) {
-      record = {deviation: this.median, failures: 0, samples: 0};
+      record = {failures: 0, classes: new Map()};
       this.records.set(target, record);
     }
     return record;
   }
 
-  private deviationOf(result: RoutingResult): number {
-    const urgency = result.urgency ?? Urgency.STANDARD;
-    const logarithm = Math.log(Math.max(0.1, result.latencyMs));
-    const usual = this.usual.get(urgency) ?? logarithm;
-    this.usual.set(urgency, usual + COMMON_WEIGHT * (logarithm - usual));
-    return logarithm - usual;
+  private currentMedians(nowMs: number): ReadonlyMap<Urgency, number> {
+    if (nowMs - this.mediansAtMs < MEDIAN_INTERVAL_MS) return this.medians;
+    this.mediansAtMs = nowMs;
+    this.medians = new Map();
+    for (const urgency of URGENCIES) {
+      const means = [...this.records.values()]
+        .map((record) => record.classes.get(urgency))
+        .filter((entry) => entry !== undefined && isUsable(entry, nowMs))
+        .map((entry) => entry!.mean)
+        .sort((a, b) => a - b);
+      // With an even number, the faster half's slowest one is the reference.
+      const median = means[(means.length - 1) >> 1];
+      if (median !== undefined) this.medians.set(urgency, median);
+    }
+    return this.medians;
   }
+}
 
-  private currentMedian(nowMs: number): number {
-    if (nowMs - this.medianAtMs < MEDIAN_INTERVAL_MS) return this.median;
-    this.medianAtMs = nowMs;
-    const deviations = [...this.records.values()]
-      .filter((record) => record.samples >= MIN_SAMPLES)
-      .map((record) => record.deviation)
-      .sort((a, b) => a - b);
-    // With an even number, the faster half's slowest target is the reference.
-    this.median = deviations[(deviations.length - 1) >> 1] ?? 0;
-    return this.median;
-  }
+function isUsable(entry: ClassMean, nowMs: number): boolean {
+  return (
+    entry.samples >= MIN_SAMPLES && nowMs - entry.updatedAtMs <= MAX_AGE_MS
+  );
 }
--- a/src/routing/least_loaded_routing.ts
+++ b/src/routing/least_loaded_routing.ts
@@ -13,9 +13,9 @@
 export interface LeastLoadedRoutingOptions {
   clock: Clock;
   random: RandomSource;
-  /** Slowness against the peers from which a target gets less. @default 2 */
+  /** Slowness against the peers from which a target gets less. @default 1.5 */
   reduceRatio?: number;
-  /** Slowness from which it gets only probes. @default 2.5 */
+  /** Slowness from which it gets only probes. @default 2 */
   ejectRatio?: number;
   /** Part of failed requests from which it gets only probes. @default 0.3 */
   ejectFailures?: number;
@@ -28,6 +28,8 @@
 interface TargetState {
   wasAbsent: boolean;
   isEjected: boolean;
+  /** Until then a target that looks bad gets no work; then it is judged. */
+  heldUntilMs: number | undefined;
   goodProbes: number;
   nextProbeAtMs: number;
   returnedAtMs: number;
@@ -39,6 +41,13 @@
 /** Good answers in a row after which an ejected target returns. */
 const GOOD_PROBES = 3;
 
+/**
+ * Least time in ms for which a target that looks bad gets no work before it is
+ * ejected. When the run times of all targets change, those whose results come
+ * first look slow until the results of the others are there.
+ */
+const HOLD_MS = 250;
+
 /** Slowness below which a probe counts as good. */
 const GOOD_RATIO = 1.5;
 
@@ -63,8 +72,8 @@
 
   constructor(options: LeastLoadedRoutingOptions) {
     this.options = {
-      reduceRatio: 2,
-      ejectRatio: 2.5,
+      reduceRatio: 1.5,
+      ejectRatio: 2,
       ejectFailures: 0.3,
       probeIntervalMs: 1000,
       slowStartMs: 3000,
@@ -86,6 +95,7 @@
       const load = candidates[(offset + i) % candidates.length]!;
       const state = this.stateOf(load, nowMs);
       if (!load.isAvailable || request.attempted.has(load.target)) continue;
+      if (this.isHeld(load.target, state, nowMs)) continue;
       if (state.isEjected) {
         if (this.isProbeDue(load, state, request.urgency)) {
           return this.probe(load, state);
@@ -108,8 +118,14 @@
       this.probeEnded(result, state);
       return;
     }
-    this.comparison.add(result);
-    if (state && this.mustEject(result.target, nowMs)) this.eject(state);
+    this.comparison.add(result, nowMs);
+    if (!state) return;
+    if (state.heldUntilMs !== undefined || !this.mayEject()) return;
+    if (!this.isBad(result.target, {nowMs, ratio: this.options.ejectRatio})) {
+      return;
+    }
+    state.heldUntilMs = nowMs + HOLD_MS + result.latencyMs;
+    this.ejectedCount += 1;
   }
 
   /** Tells whether a target gets only probes at the moment. */
@@ -119,7 +135,9 @@
 
   /** Forgets a target that is gone. */
   forget(target: string): void {
-    if (this.isEjected(target)) this.ejectedCount -= 1;
+    const state = this.states.get(target);
+    const isCounted = state?.isEjected || state?.heldUntilMs !== undefined;
+    if (isCounted) this.ejectedCount -= 1;
     this.states.delete(target);
     this.comparison.forget(target);
   }
@@ -130,6 +148,7 @@
       state = {
         wasAbsent: false,
         isEjected: false,
+        heldUntilMs: undefined,
         goodProbes: 0,
         nextProbeAtMs: 0,
         returnedAtMs: -Infinity,
@@ -162,23 +181,38 @@
     return ((load.inUse + 1) / load.slots) * ratio;
   }
 
-  private mustEject(target: string, nowMs: number): boolean {
-    const {ejectRatio, ejectFailures} = this.options;
-    const size = this.states.size;
-    const maxEjected = Math.floor(size / TARGETS_PER_EJECTION);
-    if (size < MIN_PEERS || this.ejectedCount >= maxEjected) return false;
+  /** Tells whether one more target may go without regular work. */
+  private mayEject(): boolean {
+    const {size} = this.states;
+    const most = Math.floor(size / TARGETS_PER_EJECTION);
+    return size >= MIN_PEERS && this.ejectedCount < most;
+  }
+
+  private isBad(
+    target: string,
+    {nowMs, ratio}: {nowMs: number; ratio: number},
+  ): boolean {
+    const {ejectFailures} = this.options;
     return (
-      this.comparison.ratio(target, nowMs) >= ejectRatio ||
+      this.comparison.ratio(target, nowMs) >= ratio ||
       this.comparison.failureFraction(target) >= ejectFailures
     );
   }
 
-  private eject(state: TargetState): void {
+  /** Ejects or releases a held target once its time is over. */
+  private isHeld(target: string, state: TargetState, nowMs: number): boolean {
+    if (state.heldUntilMs === undefined) return false;
+    if (nowMs < state.heldUntilMs) return true;
+    state.heldUntilMs = undefined;
+    // A lower limit than before, or noise would end the hold too often.
+    if (!this.isBad(target, {nowMs, ratio: this.options.reduceRatio})) {
+      this.ejectedCount -= 1;
+      return false;
+    }
     state.isEjected = true;
     state.goodProbes = 0;
-    state.nextProbeAtMs =
-      this.options.clock.nowMs() + this.options.probeIntervalMs;
-    this.ejectedCount += 1;
+    state.nextProbeAtMs = nowMs + this.options.probeIntervalMs;
+    return false;
   }
 
   /** One probe at a time; urgent work is a probe only if nothing else is. */
@@ -201,10 +235,10 @@
   }
 
   private probeEnded(result: RoutingResult, state: TargetState): void {
-    const isGood =
-      result.succeeded && this.comparison.resultRatio(result) < GOOD_RATIO;
-    state.goodProbes = isGood ? state.goodProbes + 1 : 0;
     const nowMs = this.options.clock.nowMs();
+    const ratio = this.comparison.resultRatio(result, nowMs);
+    const isGood = result.succeeded && ratio < GOOD_RATIO;
+    state.goodProbes = isGood ? state.goodProbes + 1 : 0;
     if (!isGood) return;
     // After a good answer the next probe follows at once.
     state.nextProbeAtMs = nowMs;
--- a/src/routing/least_loaded_routing_test.ts
+++ b/src/routing/least_loaded_routing_test.ts
@@ -19,6 +19,7 @@
   readonly slowdown = new Map<string, number>();
   readonly sent = new Map<string, number>();
   isFailing = false;
+  usualMs = 40;
   private running: Array<{target: string; startMs: number; endMs: number}> = [];
 
   constructor(targets: number) {
@@ -46,7 +47,7 @@
   private start(target: string): void {
     const startMs = this.clock.nowMs();
     const variation = 0.5 + this.random.next();
-    const workMs = 40 * variation * (this.slowdown.get(target) ?? 1);
+    const workMs = this.usualMs * variation * (this.slowdown.get(target) ?? 1);
     this.running.push({target, startMs, endMs: startMs + workMs});
     this.loads.find((load) => load.target === target)!.inUse += 1;
     this.sent.set(target, (this.sent.get(target) ?? 0) + 1);
@@ -72,6 +73,8 @@
   simulation.run(2000);
   simulation.slowdown.set('t3', 5);
   simulation.run(1000);
+  const late = simulation.run(500).get('t3') ?? 0;
+  assert.ok(late <= 1, `${late} requests after the first second`);
   assert.equal(simulation.policy.isEjected('t3'), true);
   const probes = simulation.run(5000).get('t3') ?? 0;
   assert.ok(probes >= 3 && probes <= 6, `${probes} probes in 5 s`);
@@ -106,6 +109,22 @@
   assert.equal(ejected.length, 3);
 });
 
+// Guards against targets that look slow only because all of them changed.
+test('a change of the run time of all targets ejects none', () => {
+  const simulation = new Simulation(4);
+  simulation.usualMs = 2;
+  simulation.run(500);
+  simulation.usualMs = 60;
+  for (let i = 0; i < 50; i++) {
+    simulation.run(50);
+    assert.ok(
+      !simulation.loads.some((l) => simulation.policy.isEjected(l.target)),
+    );
+  }
+  const counts = [...simulation.run(1000).values()];
+  assert.ok(Math.min(...counts) > 0.7 * Math.max(...counts), counts.join(', '));
+});
+
 // Guards against a flood of work for a target that has just come back.
 test('a target that was unavailable starts slowly', () => {
   const simulation = new Simulation(3);
