Count only current targets as peers

Cause: an urgent flood through entries still missed its goals: an entry that had handed two of four targets over still counted four peers, and ejected first one and then the other of the two that it had. Change: peers are the targets of the current choice; with fewer than three none is reduced, held or ejected. A test guards against it.

--- a/src/routing/least_loaded_routing.ts
+++ b/src/routing/least_loaded_routing.ts
@@ -69,6 +69,8 @@
   private readonly states = new Map<string, TargetState>();
   private readonly options: Required<LeastLoadedRoutingOptions>;
   private ejectedCount = 0;
+  /** Targets of the last choice; others may belong to another owner now. */
+  private currentCount = 0;
 
   constructor(options: LeastLoadedRoutingOptions) {
     this.options = {
@@ -86,6 +88,8 @@
     request: {urgency: Urgency; attempted: ReadonlySet<string>},
   ): RoutingChoice | undefined {
     const nowMs = this.options.clock.nowMs();
+    this.currentCount = candidates.length;
+    const hasPeers = candidates.length >= MIN_PEERS;
     const count = Math.min(MAX_EXAMINED, candidates.length);
     const offset = this.options.random.nextInteger(candidates.length);
     let best: TargetLoad | undefined;
@@ -95,8 +99,8 @@
       const load = candidates[(offset + i) % candidates.length]!;
       const state = this.stateOf(load, nowMs);
       if (!load.isAvailable || request.attempted.has(load.target)) continue;
-      if (this.isHeld(load.target, state, nowMs)) continue;
-      if (state.isEjected) {
+      if (hasPeers && this.isHeld(load.target, state, nowMs)) continue;
+      if (hasPeers && state.isEjected) {
         if (this.isProbeDue(load, state, request.urgency)) {
           return this.probe(load, state);
         }
@@ -167,7 +171,10 @@
 
   /** Load after the request relative to the slots; infinite if full. */
   private score(load: TargetLoad, state: TargetState, nowMs: number): number {
-    const ratio = this.comparison.ratio(load.target, nowMs);
+    const ratio =
+      this.currentCount < MIN_PEERS
+        ? 1
+        : this.comparison.ratio(load.target, nowMs);
     let limit = load.slots;
     if (ratio >= this.options.reduceRatio) {
       limit = Math.max(1, Math.floor(load.slots / (ratio * ratio)));
@@ -183,9 +190,8 @@
 
   /** Tells whether one more target may go without regular work. */
   private mayEject(): boolean {
-    const {size} = this.states;
-    const most = Math.floor(size / TARGETS_PER_EJECTION);
-    return size >= MIN_PEERS && this.ejectedCount < most;
+    const most = Math.floor(this.currentCount / TARGETS_PER_EJECTION);
+    return this.currentCount >= MIN_PEERS && this.ejectedCount < most;
   }
 
   private isBad(
--- a/src/routing/least_loaded_routing_test.ts
+++ b/src/routing/least_loaded_routing_test.ts
@@ -58,7 +58,8 @@
     for (const {target, startMs} of this.running.filter(
       (request) => request.endMs <= nowMs,
     )) {
-      this.loads.find((load) => load.target === target)!.inUse -= 1;
+      const load = this.loads.find((other) => other.target === target);
+      if (load) load.inUse -= 1;
       const succeeded = !this.isFailing;
       const latencyMs = nowMs - startMs;
       this.policy.completed({target, latencyMs, succeeded});
@@ -125,6 +126,16 @@
   assert.ok(Math.min(...counts) > 0.7 * Math.max(...counts), counts.join(', '));
 });
 
+// Guards against ejections among two targets after others got another owner.
+test('targets that are no longer owned do not count as peers', () => {
+  const simulation = new Simulation(6);
+  simulation.run(500);
+  simulation.loads.splice(2);
+  simulation.slowdown.set('t1', 4);
+  simulation.run(2000);
+  assert.equal(simulation.policy.isEjected('t1'), false);
+});
+
 // Guards against a flood of work for a target that has just come back.
 test('a target that was unavailable starts slowly', () => {
   const simulation = new Simulation(3);
