--- a/src/routing/least_loaded_routing.ts
+++ b/src/routing/least_loaded_routing.ts
@@ -13,9 +13,9 @@
 export interface LeastLoadedRoutingOptions {
   clock: Clock;
   random: RandomSource;
-  /** Slowness against the peers from which a target gets less. @default 2 */
+  /** Slowness against the peers from which a target gets less. @default 1.5 */
   reduceRatio?: number;
-  /** Slowness from which it gets only probes. @default 2.5 */
+  /** Slowness from which it gets only probes. @default 2 */
   ejectRatio?: number;
   /** Part of failed requests from which it gets only probes. @default 0.3 */
   ejectFailures?: number;
@@ -28,6 +28,8 @@
 interface TargetState {
   wasAbsent: boolean;
   isEjected: boolean;
+  /** Until then a target that looks bad gets no work; then it is judged. */
+  heldUntilMs: number | undefined;
   goodProbes: number;
   nextProbeAtMs: number;
   returnedAtMs: number;
@@ -39,6 +41,13 @@
 /** Good answers in a row after which an ejected target returns. */
 const GOOD_PROBES = 3;
 
+/**
+ * Least time in ms for which a target that looks bad gets no work before it is
+ * ejected. When the run times of all targets change, those whose results come
+ * first look slow until the results of the others are there.
+ */
+const HOLD_MS = 250;
+
 /** Slowness below which a probe counts as good. */
 const GOOD_RATIO = 1.5;
 
@@ -60,11 +69,13 @@
   private readonly states = new Map<string, TargetState>();
   private readonly options: Required<LeastLoadedRoutingOptions>;
   private ejectedCount = 0;
+  /** Targets of the last choice; others may belong to another owner now. */
+  private currentCount = 0;
 
   constructor(options: LeastLoadedRoutingOptions) {
     this.options = {
-      reduceRatio: 2,
-      ejectRatio: 2.5,
+      reduceRatio: 1.5,
+      ejectRatio: 2,
       ejectFailures: 0.3,
       probeIntervalMs: 1000,
       slowStartMs: 3000,
@@ -77,6 +88,8 @@
     request: {urgency: Urgency; attempted: ReadonlySet<string>},
   ): RoutingChoice | undefined {
     const nowMs = this.options.clock.nowMs();
+    this.currentCount = candidates.length;
+    const hasPeers = candidates.length >= MIN_PEERS;
     const count = Math.min(MAX_EXAMINED, candidates.length);
     const offset = this.options.random.nextInteger(candidates.length);
     let best: TargetLoad | undefined;
@@ -86,7 +99,8 @@
       const load = candidates[(offset + i) % candidates.length]!;
       const state = this.stateOf(load, nowMs);
       if (!load.isAvailable || request.attempted.has(load.target)) continue;
-      if (state.isEjected) {
+      if (hasPeers && this.isHeld(load.target, state, nowMs)) continue;
+      if (hasPeers && state.isEjected) {
         if (this.isProbeDue(load, state, request.urgency)) {
           return this.probe(load, state);
         }
@@ -108,8 +122,14 @@
       this.probeEnded(result, state);
       return;
     }
-    this.comparison.add(result);
-    if (state && this.mustEject(result.target, nowMs)) this.eject(state);
+    this.comparison.add(result, nowMs);
+    if (!state) return;
+    if (state.heldUntilMs !== undefined || !this.mayEject()) return;
+    if (!this.isBad(result.target, {nowMs, ratio: this.options.ejectRatio})) {
+      return;
+    }
+    state.heldUntilMs = nowMs + HOLD_MS + result.latencyMs;
+    this.ejectedCount += 1;
   }
 
   /** Tells whether a target gets only probes at the moment. */
@@ -119,7 +139,9 @@
 
   /** Forgets a target that is gone. */
   forget(target: string): void {
-    if (this.isEjected(target)) this.ejectedCount -= 1;
+    const state = this.states.get(target);
+    const isCounted = state?.isEjected || state?.heldUntilMs !== undefined;
+    if (isCounted) this.ejectedCount -= 1;
     this.states.delete(target);
     this.comparison.forget(target);
   }
@@ -130,6 +152,7 @@
       state = {
         wasAbsent: false,
         isEjected: false,
+        heldUntilMs: undefined,
         goodProbes: 0,
         nextProbeAtMs: 0,
         returnedAtMs: -Infinity,
@@ -148,7 +171,10 @@
 
   /** Load after the request relative to the slots; infinite if full. */
   private score(load: TargetLoad, state: TargetState, nowMs: number): number {
-    const ratio = this.comparison.ratio(load.target, nowMs);
+    const ratio =
+      this.currentCount < MIN_PEERS
+        ? 1
+        : this.comparison.ratio(load.target, nowMs);
     let limit = load.slots;
     if (ratio >= this.options.reduceRatio) {
       limit = Math.max(1, Math.floor(load.slots / (ratio * ratio)));
@@ -162,23 +188,37 @@
     return ((load.inUse + 1) / load.slots) * ratio;
   }
 
-  private mustEject(target: string, nowMs: number): boolean {
-    const {ejectRatio, ejectFailures} = this.options;
-    const size = this.states.size;
-    const maxEjected = Math.floor(size / TARGETS_PER_EJECTION);
-    if (size < MIN_PEERS || this.ejectedCount >= maxEjected) return false;
+  /** Tells whether one more target may go without regular work. */
+  private mayEject(): boolean {
+    const most = Math.floor(this.currentCount / TARGETS_PER_EJECTION);
+    return this.currentCount >= MIN_PEERS && this.ejectedCount < most;
+  }
+
+  private isBad(
+    target: string,
+    {nowMs, ratio}: {nowMs: number; ratio: number},
+  ): boolean {
+    const {ejectFailures} = this.options;
     return (
-      this.comparison.ratio(target, nowMs) >= ejectRatio ||
+      this.comparison.ratio(target, nowMs) >= ratio ||
       this.comparison.failureFraction(target) >= ejectFailures
     );
   }
 
-  private eject(state: TargetState): void {
+  /** Ejects or releases a held target once its time is over. */
+  private isHeld(target: string, state: TargetState, nowMs: number): boolean {
+    if (state.heldUntilMs === undefined) return false;
+    if (nowMs < state.heldUntilMs) return true;
+    state.heldUntilMs = undefined;
+    // A lower limit than before, or noise would end the hold too often.
+    if (!this.isBad(target, {nowMs, ratio: this.options.reduceRatio})) {
+      this.ejectedCount -= 1;
+      return false;
+    }
     state.isEjected = true;
     state.goodProbes = 0;
-    state.nextProbeAtMs =
-      this.options.clock.nowMs() + this.options.probeIntervalMs;
-    this.ejectedCount += 1;
+    state.nextProbeAtMs = nowMs + this.options.probeIntervalMs;
+    return false;
   }
 
   /** One probe at a time; urgent work is a probe only if nothing else is. */
@@ -201,10 +241,10 @@
   }
 
   private probeEnded(result: RoutingResult, state: TargetState): void {
-    const isGood =
-      result.succeeded && this.comparison.resultRatio(result) < GOOD_RATIO;
-    state.goodProbes = isGood ? state.goodProbes + 1 : 0;
     const nowMs = this.options.clock.nowMs();
+    const ratio = this.comparison.resultRatio(result, nowMs);
+    const isGood = result.succeeded && ratio < GOOD_RATIO;
+    state.goodProbes = isGood ? state.goodProbes + 1 : 0;
     if (!isGood) return;
     // After a good answer the next probe follows at once.
     state.nextProbeAtMs = nowMs;
