Pass requests about a job to its data centre; use learned interference

The submission through levis was in doubt, the caller repeated its key through limoilou, whose entry found the claim, asked its own schedulers, which do not know the jobs of levis, and submitted the job again. Ruled out: takeover and leases, since both shards had epoch 1. Change: a job's id names its data centre, entries pass requests about it there, and a refusal after a repeat is "may have been accepted", since it says nothing about the first submission. Conclusion: one key makes one job over data centres.

--- a/src/entry/compose_entry.ts
+++ b/src/entry/compose_entry.ts
@@ -189,11 +189,20 @@
   const ownership = parts.resolve(OwnershipKeeper);
   const {limits} = settings.entry;
   const claims = parts.resolve(ClaimStore);
-  const client = new JobClient({network, schedulers: schedulersOf(settings)});
+  const {dataCentre} = settings;
+  const client = new JobClient({
+    network,
+    dataCentre,
+    schedulers: schedulersOf(settings),
+    entriesOf: (name) =>
+      settings.members
+        .filter((address) => address.dataCentre === name)
+        .map(({member}) => member),
+  });
   const jobs = new JobRoutes({
     configuration,
     client,
-    submission: new JobSubmission({client, claims, clock}),
+    submission: new JobSubmission({client, claims, clock, dataCentre}),
     clock,
     limits,
     refusal: () => entry.refusal(),
--- a/src/entry/job_submission.ts
+++ b/src/entry/job_submission.ts
@@ -1,4 +1,4 @@
-import {createHash, randomUUID} from 'node:crypto';
+import {createHash} from 'node:crypto';
 
 import {ClaimRecord} from '../claims/claim_record.js';
 import {ClaimStore} from '../claims/claim_store.js';
@@ -6,13 +6,15 @@
 import {Outcome} from '../result_codes/outcome.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {JobClient, submissionCode} from './job_client.js';
+import {createJobId, JobClient, submissionCode} from './job_client.js';
 
 /** Options of {@link JobSubmission}. */
 export interface JobSubmissionOptions {
   client: JobClient;
   claims: ClaimStore;
   clock: Clock;
+  /** Data centre of this entry. */
+  dataCentre: string;
 }
 
 /** A job that a caller submits. */
@@ -44,7 +46,7 @@
    * @throws ResultError with the outcome.
    */
   async submit(job: SubmittedJob): Promise<unknown> {
-    const jobId = `${job.customer}.${randomUUID()}`;
+    const jobId = createJobId(job.customer, this.options.dataCentre);
     if (job.key === undefined) return this.send(job, jobId);
     const fingerprint = fingerprintOf(job.fields);
     const result = await this.options.claims.claim({
@@ -103,7 +105,10 @@
         `Cannot submit: the key stood for job "${jobId}", which is not known any more`,
       );
     }
-    return this.send(job, jobId);
+    // A refusal now says nothing about the earlier submission.
+    return this.send(job, jobId).catch((error: unknown) => {
+      throw inDoubt(error as Error);
+    });
   }
 
   private async send(job: SubmittedJob, id: string): Promise<unknown> {
@@ -112,7 +117,6 @@
       return await this.options.client.request('submit', {
         job: {...fields, id, customer, caller},
         remainingMs: this.remainingMs(job),
-        hops: 0,
       });
     } catch (error) {
       if (!(error instanceof ResultError)) throw error;
--- a/src/scheduler/compose_scheduler.ts
+++ b/src/scheduler/compose_scheduler.ts
@@ -11,6 +11,7 @@
 import {ConfigurationPropagation} from '../contracts/configuration_propagation.js';
 import {ConfigurationStore} from '../contracts/configuration_store.js';
 import {createPropagation} from '../contracts/create_propagation.js';
+import {SlowdownModel} from '../interference/slowdown_model.js';
 import {PeerAddress, PeerNetwork} from '../links/peer_network.js';
 import {createLogger} from '../logging/create_logger.js';
 import {Membership} from '../membership/membership.js';
@@ -156,6 +157,7 @@
   const agent = new Agent({connections: 1, pipelining: 1});
   const clients = new Map<string, HttpWorkerClient>();
   const timeoutMs = settings.scheduler.workerTimeoutMs;
+  const slowdowns = new SlowdownModel(clock);
   const scheduler = new SchedulerProcess({
     settings,
     clock,
@@ -166,7 +168,12 @@
     inventory: parts.resolve(Inventory),
     ownership: parts.resolve(OwnershipKeeper),
     configuration: parts.resolve(ConfigurationStore),
-    createPlacement: () => new HeadroomFit(),
+    createPlacement: () =>
+      new HeadroomFit({
+        clock,
+        slowdown: (kind, neighbour) => slowdowns.slowdown(kind, neighbour),
+      }),
+    slowdowns,
     clientOf: ({host, port}) => {
       const name = host.includes(':') ? `[${host}]` : host;
       const origin = `http://${name}:${port}`;
--- a/src/scheduler/scheduler_process.ts
+++ b/src/scheduler/scheduler_process.ts
@@ -4,6 +4,7 @@
 import {sleep} from '../clock/sleep.js';
 import {ConfigurationView} from '../contracts/configuration_view.js';
 import {WriteBudget} from '../jobs/write_budget.js';
+import {SlowdownModel} from '../interference/slowdown_model.js';
 import {PeerNetwork} from '../links/peer_network.js';
 import {DecisionLog} from '../logging/decision_log.js';
 import {OwnedShard, OwnershipView} from '../ownership/ownership_view.js';
@@ -47,6 +48,8 @@
   configuration: ConfigurationView;
   /** Creates the placement policy of one shard. */
   createPlacement: () => PlacementPolicy;
+  /** Learns how tasks slow each other down. */
+  slowdowns: SlowdownModel;
   clientOf: (vm: VmEntry) => WorkerClient;
 }
 
--- a/src/scheduler/shard_driver.ts
+++ b/src/scheduler/shard_driver.ts
@@ -1,6 +1,7 @@
 import {Logger} from 'pino';
 
 import {Clock} from '../clock/clock.js';
+import {SlowdownModel} from '../interference/slowdown_model.js';
 import {Job} from '../jobs/job.js';
 import {PageCommand} from '../jobs/page_command.js';
 import {DecisionLog} from '../logging/decision_log.js';
@@ -14,7 +15,11 @@
 import {Outcome} from '../result_codes/outcome.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {WorkerClient, WorkerReport} from '../workers/worker_client.js';
+import {
+  WorkerClient,
+  WorkerReport,
+  WorkerTaskState,
+} from '../workers/worker_client.js';
 import {describeJob, JobAnswer} from './job_answer.js';
 import {JobWaiters} from './job_waiters.js';
 import {PlatformGate} from './platform_gate.js';
@@ -35,6 +40,8 @@
   clock: Clock;
   logger: Logger;
   decisions: DecisionLog;
+  /** Learns how tasks slow each other down; shared by all shards. */
+  slowdowns: SlowdownModel;
   /** Time in ms between ticks. */
   tickMs: number;
   /** A later owner has the shard. */
@@ -236,6 +243,7 @@
         );
       }
       const report = await execute(this.options.clientOf(vm), command);
+      if (command.operation.name === 'renew') this.learn(worker, report);
       this.handle({type: 'workerAnswered', commandId, report});
     } catch (error) {
       const wasSent = mayHaveRun(error);
@@ -243,6 +251,15 @@
     }
   }
 
+  /** Learns from the speeds that a worker reports. */
+  private learn(worker: string, report: WorkerReport): void {
+    if (report.refusal) return;
+    const running = report.tasks.filter(
+      ({state}) => state === WorkerTaskState.RUNNING,
+    );
+    this.options.slowdowns.observeWorker(worker, running);
+  }
+
   private async confirm(requestId: number): Promise<void> {
     const {ownership, gate, owned} = this.options;
     let isOwner: boolean | undefined;
