--- a/measure/scenarios/slopes.ts
+++ b/measure/scenarios/slopes.ts
@@ -3,12 +3,14 @@
 import {CONFIGURATION_SLOPES} from '../slopes/configuration_slopes.js';
 import {DECISION_SLOPES} from '../slopes/decision_slopes.js';
 import {MEMBERSHIP_SLOPES} from '../slopes/membership_slopes.js';
+import {WORKER_SLOPES} from '../slopes/worker_slopes.js';
 import {SlopeCase} from '../slopes/slope_case.js';
 
 const CASES: readonly SlopeCase[] = [
   ...MEMBERSHIP_SLOPES,
   ...CONFIGURATION_SLOPES,
   ...DECISION_SLOPES,
+  ...WORKER_SLOPES,
 ];
 
 function measureCase(slopeCase: SlopeCase): Record<string, unknown> {
