Leave pauses of the process out of the measured service rate

Cause: the test of a platform outage failed in 3 of 8 suite runs under load, 37 to 54 of 400 requests were refused with DEADLINE_UNREACHABLE. All refusals came from the entry that the test before had stopped for 3 s: its admission took the pause for service time, in the pace of departures and in the run times of requests that were in flight, and predicted waits of 3 to 5 s. Ruled out: the outage itself and ownership, which only coincided. Change: the periodic call of the router shows pauses of more than 500 ms, and both measures leave them out. Measured: the new unit test fails with the detector switched off and passes with it; the suite runs follow. Conclusion: a resumed entry serves at once.

--- a/src/admission/drain_pace.ts
+++ b/src/admission/drain_pace.ts
@@ -22,6 +22,11 @@
     this.taken = 0;
   }
 
+  /** Leaves out a time in which the process was paused and served nothing. */
+  skip(pauseMs: number): void {
+    this.sinceMs += pauseMs;
+  }
+
   /** Records that a request left the queue to be served. */
   record(): void {
     this.taken += 1;
--- a/src/admission/fair_queueing_policy.ts
+++ b/src/admission/fair_queueing_policy.ts
@@ -3,6 +3,7 @@
 import {AdmissionPolicy, AdmissionResult} from './admission_policy.js';
 import {ContractSource} from './contract_source.js';
 import {DeadlineWheel} from './deadline_wheel.js';
+import {PauseDetector} from './pause_detector.js';
 import {QueuedRequest, ServiceQueue} from './service_queue.js';
 import {WaitingLimits} from './waiting_limits.js';
 import {WaitingRequest} from './waiting_request.js';
@@ -37,6 +38,8 @@
   private readonly running = new Map<string, QueuedRequest>();
   private readonly deadlines: DeadlineWheel<QueuedRequest>;
   private readonly limits: WaitingLimits;
+  private readonly pauses = new PauseDetector();
+  private lastPause = {lengthMs: 0, endMs: -Infinity};
   private expired: WaitingRequest[] = [];
 
   constructor(private readonly options: FairQueueingPolicyOptions) {
@@ -45,6 +48,8 @@
   }
 
   offer(request: WaitingRequest): AdmissionResult {
+    const nowMs = this.options.clock.nowMs();
+    this.leaveOutPause(this.pauses.called(nowMs));
     const {requestId, customer} = request;
     if (this.waiting.has(requestId) || this.running.has(requestId)) {
       throw new RangeError(
@@ -99,7 +104,9 @@
   }
 
   takeExpired(): WaitingRequest[] {
-    for (const queued of this.deadlines.due(this.options.clock.nowMs())) {
+    const nowMs = this.options.clock.nowMs();
+    this.leaveOutPause(this.pauses.timerCalled(nowMs));
+    for (const queued of this.deadlines.due(nowMs)) {
       this.services.get(queued.request.service)?.remove(queued);
       this.expire(queued);
     }
@@ -108,6 +115,22 @@
     return found;
   }
 
+  /** A pause says nothing about how fast requests are served. */
+  private leaveOutPause(pauseMs: number): void {
+    if (pauseMs === 0) return;
+    this.lastPause = {lengthMs: pauseMs, endMs: this.options.clock.nowMs()};
+    for (const service of this.services.values()) service.skip(pauseMs);
+  }
+
+  /** Run time of a request that ends now, without a pause in its course. */
+  private withoutPause(runTimeMs: number): number {
+    const nowMs = this.options.clock.nowMs();
+    this.leaveOutPause(this.pauses.called(nowMs));
+    const {lengthMs, endMs} = this.lastPause;
+    const isAffected = nowMs - runTimeMs < endMs;
+    return isAffected ? Math.max(0, runTimeMs - lengthMs) : runTimeMs;
+  }
+
   cancel(requestId: string): boolean {
     const queued = this.waiting.get(requestId);
     if (!queued) return false;
@@ -120,7 +143,8 @@
     const queued = this.running.get(request.requestId);
     if (!queued) return;
     this.running.delete(request.requestId);
-    this.services.get(request.service)?.ended(queued, runTimeMs);
+    const ownMs = runTimeMs && this.withoutPause(runTimeMs);
+    this.services.get(request.service)?.ended(queued, ownMs);
   }
 
   waitingCount(service?: string): number {
--- a/src/admission/fair_queueing_policy_test.ts
+++ b/src/admission/fair_queueing_policy_test.ts
@@ -272,3 +272,40 @@
     {seed: 4, numRuns: 300},
   );
 });
+
+test('a pause of the process is not taken for slow service', () => {
+  // Guards against refusals after SIGSTOP and SIGCONT: the pause once counted
+  // as service time and predicted waits of 5 s for a queue that was empty.
+  const clock = new ManualClock();
+  const contract = contractSchema.parse({
+    customer: 'association',
+    callers: [{name: 'counter', keyHash: '0'.repeat(64)}],
+  });
+  const policy = new FairQueueingPolicy({
+    clock,
+    contracts: {contract: () => contract},
+  });
+  let count = 0;
+  const offer = (): boolean =>
+    policy.offer({
+      requestId: `request-${count++}`,
+      customer: 'association',
+      caller: 'counter',
+      service: 'portal',
+      urgency: 'standard',
+      arrivedMs: clock.nowMs(),
+      deadlineMs: clock.nowMs() + 5000,
+    }).admitted;
+  for (let index = 0; index < 40; index++) offer();
+  const running = Array.from({length: 8}, () => policy.take('portal')!);
+  for (let tick = 0; tick < 8; tick++) {
+    clock.advance(25);
+    policy.takeExpired();
+  }
+  clock.advance(3000);
+  for (const request of running) {
+    policy.completed(request, 3200);
+    policy.take('portal');
+  }
+  assert.ok(Array.from({length: 20}, offer).every((isAdmitted) => isAdmitted));
+});
--- a/src/admission/service_queue.ts
+++ b/src/admission/service_queue.ts
@@ -95,6 +95,11 @@
     return this.classes.get(urgency)!.runTime.meanMs ?? this.runTime.typicalMs;
   }
 
+  /** Leaves out a time in which the process was paused. */
+  skip(pauseMs: number): void {
+    for (const {pace} of this.classes.values()) pace.skip(pauseMs);
+  }
+
   /** Adds a request at the back of its caller's queue, or at the front. */
   add(
     request: WaitingRequest,
--- a/testing/requests_under_failure_test.ts
+++ b/testing/requests_under_failure_test.ts
@@ -127,7 +127,7 @@
     await sleep(100);
   }
   await fleet.setPlatformFaults({});
-  const ran = results.filter(({outcome}) => outcome === 'ran').length;
-  assert.equal(ran, results.length);
+  const failed = results.filter(({outcome}) => outcome !== 'ran');
+  assert.deepEqual(failed, []);
   await assertNoViolation();
 });
