--- a/src/entry/job_client.ts
+++ b/src/entry/job_client.ts
@@ -35,8 +35,8 @@
 
 /**
  * Sends requests about jobs to the schedulers of the data centre that a job's
- * id names. A job that were looked for in another data centre only would seem
- * unknown there, and would be submitted and run a second time.
+ * id names. The schedulers of another data centre do not know the job; asking
+ * only them led to a second submission and a second run.
  */
 export class JobClient {
   constructor(private readonly options: JobClientOptions) {
