Keep deleted keys out of a mirror while a listing is under way

Cause: at a takeover the listing of the jobs runs beside the watch. A key that was removed after the listing was read and before its answer came was put back, and an answer of a watch older than the listing put back a key that the listing had shown as gone. Both lasted until the key's next change. Ruled out: the revision guard of the watch, which only covers known keys. Change: deletions that are seen while a listing is under way are kept until it is applied; changes of a watch at or below the listed revision are left out.

--- a/src/store/prefix_mirror.ts
+++ b/src/store/prefix_mirror.ts
@@ -1,7 +1,7 @@
 import {Clock} from '../clock/clock.js';
 import {sleep} from '../clock/sleep.js';
 import {NodeLog} from '../logging/node_log.js';
-import {MetadataStore, StoreChange} from './metadata_store.js';
+import {MetadataStore, StoreChange, StoreItem} from './metadata_store.js';
 
 /** Options of {@link PrefixMirror}. */
 export interface PrefixMirrorOptions {
@@ -29,6 +29,9 @@
   /** Time of the last answer of the store in ms; -Infinity before. */
   lastAnswerMs = -Infinity;
   private readonly revisions = new Map<string, number>();
+  /** Revisions of deletions that were seen while a listing is under way. */
+  private readonly deletions = new Map<string, number>();
+  private listings = 0;
   private readonly stopSignal = new AbortController();
   private isConnected = true;
   private wake = new AbortController();
@@ -62,17 +65,33 @@
    * @throws ResultError PLATFORM_UNAVAILABLE.
    */
   async reload(): Promise<void> {
-    const {store, prefix, clock} = this.options;
-    const {items, revision} = await store.list(prefix);
+    this.listings += 1;
+    try {
+      const {store, prefix} = this.options;
+      this.applyListing(await store.list(prefix));
+    } finally {
+      this.listings -= 1;
+      if (this.listings === 0) this.deletions.clear();
+    }
+  }
+
+  private applyListing(listing: {
+    items: readonly StoreItem[];
+    revision: number;
+  }): void {
     if (this.stopSignal.signal.aborted) return;
+    const {items, revision} = listing;
     const listed = new Set(items.map(({key}) => key));
     for (const [key, known] of [...this.revisions]) {
       // A key changed after the listing's revision is left to the watch.
       if (listed.has(key) || known > revision) continue;
       this.apply({key, value: undefined, revision: known});
     }
-    for (const item of items) this.apply(item);
-    this.lastAnswerMs = clock.nowMs();
+    for (const item of items) {
+      const deleted = this.deletions.get(item.key) ?? 0;
+      if (item.revision > deleted) this.apply(item);
+    }
+    this.lastAnswerMs = this.options.clock.nowMs();
     this.revision = Math.max(this.revision, revision);
     this.options.onBatch?.();
   }
@@ -104,7 +123,10 @@
       return;
     }
     this.lastAnswerMs = clock.nowMs();
-    for (const change of result.changes) this.apply(change);
+    for (const change of result.changes) {
+      // A listing that was read meanwhile covers changes up to its revision.
+      if (change.revision > this.revision) this.apply(change);
+    }
     this.revision = Math.max(this.revision, result.revision);
     if (result.changes.length > 0) this.options.onBatch?.();
   }
@@ -112,6 +134,7 @@
   private apply(change: StoreChange): void {
     const known = this.revisions.get(change.key) ?? 0;
     if (change.value === undefined) {
+      if (this.listings > 0) this.deletions.set(change.key, change.revision);
       if (known > change.revision || known === 0) return;
       this.revisions.delete(change.key);
     } else {
--- a/src/store/prefix_mirror_test.ts
+++ b/src/store/prefix_mirror_test.ts
@@ -7,15 +7,40 @@
 import {SystemClock} from '../clock/system_clock.js';
 import {PrefixMirror} from './prefix_mirror.js';
 
-interface Bench {
-  store: MemoryStore;
+interface Bench<Store> {
+  store: Store;
   mirror: PrefixMirror;
   values: Map<string, string>;
   until: (isMet: () => boolean) => Promise<void>;
 }
 
-function createBench(): Bench {
-  const store = new MemoryStore();
+/** Store whose answers to listings or watches can be held back. */
+class DelayedStore extends MemoryStore {
+  /** Answers of these calls are held back until it resolves. */
+  hold: {call: 'list' | 'watch'; until: Promise<void>} | undefined;
+
+  override async list(prefix: string): ReturnType<MemoryStore['list']> {
+    const {hold} = this;
+    const answer = await super.list(prefix);
+    if (hold?.call === 'list') await hold.until;
+    return answer;
+  }
+
+  override async watch(
+    ...call: Parameters<MemoryStore['watch']>
+  ): ReturnType<MemoryStore['watch']> {
+    const answer = await super.watch(...call);
+    const {hold} = this;
+    if (hold?.call === 'watch') await hold.until;
+    return answer;
+  }
+}
+
+function createBench(): Bench<MemoryStore> {
+  return createBenchOn(new MemoryStore());
+}
+
+function createBenchOn<Store extends MemoryStore>(store: Store): Bench<Store> {
   const values = new Map<string, string>();
   const mirror = new PrefixMirror({
     store,
@@ -65,3 +90,48 @@
   mirror.stop();
   assert.ok(!values.has('a/1'));
 });
+
+function createGate(): {open: () => void; opened: Promise<void>} {
+  let open = (): void => undefined;
+  const opened = new Promise<void>((resolve) => (open = resolve));
+  return {open, opened};
+}
+
+test('a listing does not bring back a key deleted while it was under way', async () => {
+  // Guards against an owner key or a worker that stays in the mirror after a
+  // takeover, because the listing was read just before the key was removed.
+  const {store, mirror, values, until} = createBenchOn(new DelayedStore());
+  store.put('a/1', Buffer.from('x'));
+  mirror.start();
+  await until(() => values.has('a/1'));
+  const gate = createGate();
+  store.hold = {call: 'list', until: gate.opened};
+  const reloaded = mirror.reload();
+  await sleep(5);
+  store.remove('a/1');
+  await until(() => !values.has('a/1'));
+  gate.open();
+  await reloaded;
+  mirror.stop();
+  assert.deepEqual([...values], []);
+});
+
+test('a watch that was overtaken by a listing does not bring back a key', async () => {
+  // Guards against a late answer of a watch whose changes the listing covers.
+  const {store, mirror, values, until} = createBenchOn(new DelayedStore());
+  store.put('a/1', Buffer.from('x'));
+  mirror.start();
+  await until(() => values.has('a/1'));
+  const gate = createGate();
+  store.hold = {call: 'watch', until: gate.opened};
+  store.put('a/2', Buffer.from('y'));
+  await sleep(30);
+  store.remove('a/2');
+  await mirror.reload();
+  store.hold = undefined;
+  gate.open();
+  store.put('a/3', Buffer.from('z'));
+  await until(() => values.has('a/3'));
+  mirror.stop();
+  assert.ok(!values.has('a/2'));
+});
