Replace an owner that the store refuses before its lease ends

A takeover whose answer was lost left the owner key with a node that did not know it. Ruled out: an owner that commits through another node, since it would rely on a lease that it cannot renew. Change: renewals that fail are repeated after 200 ms; after 300 ms the owner asks linked nodes to replace it. A node that the store answers does so in one transaction on the owner's revision; the head fences the earlier owner. After a takeover in doubt the owner key is read; if it is not this node's, the lease is ended so that a late commit fails.

--- a/src/leadership/owner_election.ts
+++ b/src/leadership/owner_election.ts
@@ -2,9 +2,9 @@
 import {sleep} from '../clock/sleep.js';
 import {NodeLog} from '../logging/node_log.js';
 import {RandomSource} from '../random/random_source.js';
-import {MetadataStore} from '../store/metadata_store.js';
+import {MetadataStore, StoreTransaction} from '../store/metadata_store.js';
 import {encodeHead} from './commit_log.js';
-import {encodeOwner, OwnerRecord} from './owner_record.js';
+import {decodeOwner, encodeOwner, OwnerRecord} from './owner_record.js';
 import {OwnerTerm} from './owner_term.js';
 import {PartitionKeys} from './partition_keys.js';
 
@@ -68,9 +68,27 @@
       await sleep(random.next() * JITTER_MS);
       if (isVacant() && !this.stopped) await this.attempt(0);
     } catch (error) {
-      this.options.log.decide('take-ownership-failed', {
-        reason: (error as Error).message,
-      });
+      this.noteFailure(error);
+    } finally {
+      this.isAttempting = false;
+    }
+  }
+
+  /**
+   * Replaces an owner that asks for it because the store refuses it.
+   *
+   * @param token - Revision of its owner key; nothing is done if it changed.
+   */
+  async takeFrom(token: number): Promise<void> {
+    if (this.isAttempting || this.stopped || this.term?.isOver === false) {
+      return;
+    }
+    this.isAttempting = true;
+    try {
+      await sleep(this.options.random.next() * JITTER_MS);
+      if (!this.stopped) await this.attempt(token);
+    } catch (error) {
+      this.noteFailure(error);
     } finally {
       this.isAttempting = false;
     }
@@ -94,14 +112,17 @@
       this.options.log.decide('replace-owner', {isSilent});
       if (isSilent && !this.stopped) await this.attempt(now.owner);
     } catch (error) {
-      this.options.log.decide('take-ownership-failed', {
-        reason: (error as Error).message,
-      });
+      this.noteFailure(error);
     } finally {
       this.isAttempting = false;
     }
   }
 
+  private noteFailure(error: unknown): void {
+    const reason = (error as Error).message;
+    this.options.log.decide('take-ownership-failed', {reason});
+  }
+
   /** Revisions of the owner and head keys; 0 if absent. */
   private async readKeys(): Promise<{owner: number; head: number}> {
     const {store, keys} = this.options;
@@ -126,7 +147,7 @@
     const {lease} = await store.grantLease(termLeaseMs);
     const head = await store.read(keys.head);
     const owner = this.options.createRecord();
-    const result = await store.commit({
+    const revision = await this.commitOwner(owner, {
       expect: [
         {key: keys.owner, revision: ownerRevision},
         {key: keys.head, revision: head?.revision ?? 0},
@@ -136,12 +157,12 @@
         {key: keys.head, value: encodeHead({token: 0, sequence: 0})},
       ],
     });
-    if (result.kind !== 'committed') {
-      log.decide('take-ownership-lost', {outcome: result.kind});
+    if (revision === undefined) {
+      // A commit that is carried out late needs the lease and then fails.
       await store.endLease(lease);
       return;
     }
-    log.decide('take-ownership', {term: result.revision, lease});
+    log.decide('take-ownership', {term: revision, lease});
     this.term = new OwnerTerm({
       store,
       clock,
@@ -149,8 +170,32 @@
       lease,
       leaseMs: termLeaseMs,
       grantedAt,
-      token: result.revision,
+      token: revision,
     });
     this.options.onTerm(this.term, owner);
   }
+
+  /** Returns the revision of the owner key; undefined if it was not taken. */
+  private async commitOwner(
+    owner: OwnerRecord,
+    transaction: StoreTransaction,
+  ): Promise<number | undefined> {
+    const {store, keys, log} = this.options;
+    try {
+      const result = await store.commit(transaction);
+      if (result.kind === 'committed') return result.revision;
+      log.decide('take-ownership-lost', {outcome: result.kind});
+      return undefined;
+    } catch (error) {
+      // The answer may be lost although the key was written.
+      const item = await store.read(keys.owner);
+      const isOwn =
+        item && decodeOwner(item.value).linkToken === owner.linkToken;
+      log.decide('take-ownership-in-doubt', {
+        isOwn: isOwn === true,
+        reason: (error as Error).message,
+      });
+      return isOwn ? item.revision : undefined;
+    }
+  }
 }
--- a/src/leadership/owner_election_test.ts
+++ b/src/leadership/owner_election_test.ts
@@ -18,7 +18,11 @@
   terms: OwnerTerm[];
 }
 
-function createCandidate(store: MemoryStore, node: string): Candidate {
+function createCandidate(
+  store: MemoryStore,
+  node: string,
+  {termLeaseMs = 60_000} = {},
+): Candidate {
   const terms: OwnerTerm[] = [];
   const election = new OwnerElection({
     store,
@@ -27,7 +31,7 @@
     random: new SeededRandom(node.length),
     keys,
     createRecord: () => ({node, host: '127.0.0.1', port: 1, linkToken: node}),
-    termLeaseMs: 60_000,
+    termLeaseMs,
     isVacant: () => true,
     onTerm: (term) => terms.push(term),
   });
@@ -77,3 +81,45 @@
   assert.equal(await ownerOf(store), 'first');
   await first.election.stop();
 });
+
+test('an owner that asks for it is replaced at once, and only that owner', async () => {
+  // Guards against a late request that would replace the next owner.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first');
+  const second = createCandidate(store, 'second');
+  const third = createCandidate(store, 'third');
+  await first.election.check();
+  const {token} = first.terms[0]!;
+  await second.election.takeFrom(token);
+  assert.equal(await ownerOf(store), 'second');
+  await third.election.takeFrom(token);
+  assert.equal(await ownerOf(store), 'second');
+  first.terms[0]!.end('test');
+  await second.election.stop();
+});
+
+test('a node whose takeover was stored without an answer owns the partition', async () => {
+  // Guards against a partition that waits for the lease of an owner that does
+  // not know that it is one.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first');
+  store.commitFaults.push('answer-lost');
+  await first.election.check();
+  assert.equal(await ownerOf(store), 'first');
+  assert.equal(first.terms.length, 1);
+  await first.election.stop();
+});
+
+test('an owner notices within half a second that renewals fail', async () => {
+  // Guards against an owner that waits for the end of its lease.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first', {termLeaseMs: 400});
+  await first.election.check();
+  const term = first.terms[0]!;
+  const stalled = new Promise<void>((resolve) => term.onStalled(resolve));
+  store.isDown = true;
+  await stalled;
+  assert.equal(term.isOver, false);
+  store.isDown = false;
+  await first.election.stop();
+});
--- a/src/leadership/owner_term.ts
+++ b/src/leadership/owner_term.ts
@@ -26,6 +26,12 @@
 /** Renewals in one lease period. */
 const RENEWALS_PER_LEASE = 4;
 
+/** Pause in ms before a renewal that failed is tried again. */
+const RENEW_RETRY_MS = 200;
+
+/** Time in ms of failed renewals after which another node should take over. */
+const STALLED_AFTER_MS = 300;
+
 /** Part of the lease in ms in which the owner no longer relies on it. */
 const LEASE_MARGIN_MS = 150;
 
@@ -37,6 +43,8 @@
   readonly leaseMs: number;
   private renewedAt: Moment;
   private readonly listeners: Array<() => void> = [];
+  private readonly stallListeners: Array<() => void> = [];
+  private failingSinceMs: number | undefined;
 
   constructor(private readonly options: OwnerTermOptions) {
     this.token = options.token;
@@ -50,6 +58,11 @@
     this.listeners.push(listener);
   }
 
+  /** Calls `listener` each time a renewal fails while the store is away. */
+  onStalled(listener: () => void): void {
+    this.stallListeners.push(listener);
+  }
+
   /**
    * Tells whether nobody else can own the partition now, unless the store has
    * removed the owner key before the lease ended.
@@ -89,16 +102,28 @@
 
   private async renew(): Promise<void> {
     const {store, clock, lease, leaseMs, log} = this.options;
+    let pauseMs = leaseMs / RENEWALS_PER_LEASE;
     while (!this.isOver) {
-      await sleep(leaseMs / RENEWALS_PER_LEASE);
+      await sleep(pauseMs);
       if (this.isOver) return;
       const moment = {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
       try {
         if (await store.renewLease(lease)) this.renewedAt = moment;
         else this.end('the lease has ended');
+        this.failingSinceMs = undefined;
+        pauseMs = leaseMs / RENEWALS_PER_LEASE;
       } catch (error) {
         log.decide('renew-failed', {reason: (error as Error).message});
+        pauseMs = RENEW_RETRY_MS;
+        this.noteFailedRenewal(moment.nowMs);
       }
     }
   }
+
+  private noteFailedRenewal(sentMs: number): void {
+    this.failingSinceMs ??= sentMs;
+    const failingMs = this.options.clock.nowMs() - this.failingSinceMs;
+    if (this.isOver || failingMs < STALLED_AFTER_MS) return;
+    for (const listener of this.stallListeners) listener();
+  }
 }
--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -109,6 +109,11 @@
     return clock.nowMs() - lastMs < STORE_SILENCE_MS;
   }
 
+  /** Tells whether the store answered the latest call of this node. */
+  get isStoreAnswering(): boolean {
+    return this.operators.isAnswered && this.jobs.isAnswered;
+  }
+
   private applyOperator(change: StoreChange): void {
     const {platform, log, onConfiguration} = this.options;
     if (change.key !== platform.configurationKey || !change.value) return;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -75,6 +75,10 @@
       // The removal of the owner's key is then noticed without delay.
       onLost: () => this.mirrors.jobs.hurry(),
       onGone: () => void this.election.replaceGoneOwner(),
+      onHandOver: (token) => {
+        if (this.isStopping || !this.mirrors.isStoreAnswering) return;
+        void this.election.takeFrom(token);
+      },
     });
     this.mirrors = this.createMirrors(keys, table);
     this.gateway = new JobGateway({
@@ -272,6 +276,7 @@
       this.options.log.fail('links-failed', error);
     });
     term.onEnd(() => void hub.stop());
+    term.onStalled(() => hub.handOver(term.token));
     return hub;
   }
 
--- a/src/node/owner_hub.ts
+++ b/src/node/owner_hub.ts
@@ -12,6 +12,7 @@
 import {JobGateway} from './job_gateway.js';
 import {
   broadcast,
+  HandOverMessage,
   JobMessage,
   OWNER_LINK_OPTIONS,
   OwnerMessage,
@@ -62,6 +63,14 @@
     if (phases.length > 0) broadcast(this.links, OwnerMessage.PHASES, phases);
   }
 
+  /** Asks all nodes to replace this owner, which cannot use the store. */
+  handOver(token: number): void {
+    const {log} = this.options;
+    log.decide('hand-over', {term: token, nodes: this.links.size});
+    const message: HandOverMessage = {token};
+    broadcast(this.links, OwnerMessage.HAND_OVER, message);
+  }
+
   onOpen(link: Link): void {
     this.links.add(link);
     this.options.log.decide('node-linked', {node: link.peer?.member});
--- a/src/node/owner_link.ts
+++ b/src/node/owner_link.ts
@@ -11,6 +11,7 @@
 import {GatewayAnswer} from './job_gateway.js';
 import {
   fromRelayedAnswer,
+  HandOverMessage,
   JobMessage,
   OWNER_LINK_OPTIONS,
   OwnerMessage,
@@ -29,6 +30,8 @@
   table: JobTable;
   /** Called when an open link to the owner has closed. */
   onLost: () => void;
+  /** Called when the owner asks to be replaced. */
+  onHandOver: (token: number) => void;
   /** Called once for an owner whose process no longer listens. */
   onGone: () => void;
 }
@@ -52,7 +55,7 @@
     this.owner = owner;
     const {identity} = this.options;
     if (!owner || owner.node === identity.member) return;
-    const {clock, random, log, table} = this.options;
+    const {clock, random, log} = this.options;
     this.client = new LinkClient({
       ...OWNER_LINK_OPTIONS,
       host: owner.host,
@@ -62,18 +65,24 @@
       random,
       handler: {
         onOpen: () => log.decide('owner-linked', {owner: owner.node}),
-        onMessage: (name, body) => {
-          if (name !== OwnerMessage.PHASES) return;
-          for (const [jobId, phase] of body as PhasesMessage) {
-            table.notePhase(jobId, phase);
-          }
-        },
+        onMessage: (name, body) => this.receive(name, body),
         onRequest: (name) => Promise.reject(unknownRequest(name)),
         onClose: (link, reason) => this.noteClosed(link, reason),
       },
     });
   }
 
+  private receive(name: string, body: unknown): void {
+    const {table, onHandOver} = this.options;
+    if (name === OwnerMessage.PHASES) {
+      for (const [jobId, phase] of body as PhasesMessage) {
+        table.notePhase(jobId, phase);
+      }
+    } else if (name === OwnerMessage.HAND_OVER) {
+      onHandOver((body as HandOverMessage).token);
+    }
+  }
+
   private noteClosed(link: Link, reason: string): void {
     if (link.peer !== undefined) {
       const owner = this.owner?.node;
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -29,7 +29,7 @@
   table: JobTable;
   gateway: JobGateway;
   link: OwnerLink;
-  state: {isStoreReachable: boolean};
+  state: {isStoreReachable: boolean; handedOver: number[]};
 }
 
 function createNode(name: string, store: MemoryStore): Node {
@@ -37,6 +37,7 @@
   const log = silentLog();
   const keys = new PartitionKeys('main');
   const table = new JobTable(keys);
+  const state = {isStoreReachable: true, handedOver: [] as number[]};
   const link = new OwnerLink({
     clock,
     log,
@@ -45,8 +46,8 @@
     table,
     onLost: () => undefined,
     onGone: () => undefined,
+    onHandOver: (token) => state.handedOver.push(token),
   });
-  const state = {isStoreReachable: true};
   const gateway = new JobGateway({
     store,
     clock,
@@ -155,3 +156,14 @@
   node.table.notePhase(ID, JobPhase.RUNNING);
   assert.equal(node.table.phaseOf(ID), JobPhase.SUCCEEDED);
 });
+
+test('an owner that the store refuses asks linked nodes to replace it', async () => {
+  // Guards against seconds without an owner while only the owner is refused.
+  const {owner, hub} = await createOwner(new MemoryStore());
+  const node = createNode('other', new MemoryStore());
+  node.link.follow(owner);
+  await until(() => node.link.isOpen);
+  hub.handOver(17);
+  await until(() => node.state.handedOver.length > 0);
+  assert.deepEqual(node.state.handedOver, [17]);
+});
--- a/src/node/owner_messages.ts
+++ b/src/node/owner_messages.ts
@@ -11,6 +11,8 @@
   CANCELLED: 'cancelled',
   /** Owner to nodes: phases were stored; {@link PhasesMessage}. */
   PHASES: 'phases',
+  /** Owner to nodes: the store refuses the owner; {@link HandOverMessage}. */
+  HAND_OVER: 'hand-over',
   /** Request to the owner: submit for a node; {@link RelayedSubmission}. */
   SUBMIT: 'submit',
   /** Request to the owner: cancel for a node; {@link JobMessage}. */
@@ -41,6 +43,12 @@
 /** Phases that the owner has stored. */
 export type PhasesMessage = ReadonlyArray<[jobId: string, phase: JobPhase]>;
 
+/** Asks nodes that reach the store to take the partition over. */
+export interface HandOverMessage {
+  /** Revision of the owner key, which is the token of the owner's term. */
+  token: number;
+}
+
 /** Answer to a relayed request. */
 export interface RelayedAnswer {
   codeNumber: number;
--- a/src/store/prefix_mirror.ts
+++ b/src/store/prefix_mirror.ts
@@ -43,6 +43,11 @@
     return this.revision > 0;
   }
 
+  /** Tells whether the latest call to the store was answered. */
+  get isAnswered(): boolean {
+    return this.isLoaded && this.isConnected;
+  }
+
   /** Starts to follow the prefix. */
   start(): void {
     void this.follow();
