Shorten the owner's lease to 2 s; say more of load and objectives in the log

All followers answered a hand-over at once; five of six calls were conflicts. Lines on the load were left out in the seconds in which most was decided.

--- a/src/logging/node_log.ts
+++ b/src/logging/node_log.ts
@@ -43,6 +43,14 @@
     this.options.logger.info(facts, decision);
   }
 
+  /**
+   * Writes a line at a fixed interval; never left out, since it is what remains
+   * readable when decisions are over the budget.
+   */
+  summarize(summary: string, facts: Record<string, unknown>): void {
+    this.options.logger.info(facts, summary);
+  }
+
   /** Writes an error; never left out. */
   fail(decision: string, error: Error, facts: object = {}): void {
     this.options.logger.error({...facts, reason: error.message}, decision);
--- /dev/null
+++ b/src/logging/node_log_test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {pino} from 'pino';
+
+import {ManualClock} from '../clock/manual_clock.js';
+import {NodeLog} from './node_log.js';
+
+interface Line {
+  msg: string;
+  omitted?: number;
+}
+
+function createLog(linesPerSecond: number): {
+  log: NodeLog;
+  clock: ManualClock;
+  lines: Line[];
+} {
+  const lines: Line[] = [];
+  const write = (text: string): void => {
+    lines.push(JSON.parse(text) as Line);
+  };
+  const clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  const log = new NodeLog({logger: pino({}, {write}), clock, linesPerSecond});
+  return {log, clock, lines};
+}
+
+test('decisions over the budget are counted, and the count is written', () => {
+  // Guards against a log that grows with the load, or hides what is missing.
+  const {log, clock, lines} = createLog(3);
+  for (let number = 0; number < 10; number++) log.decide('place');
+  assert.equal(lines.length, 3);
+  clock.advance(1000);
+  log.decide('place');
+  assert.equal(lines.find(({msg}) => msg === 'lines-omitted')?.omitted, 7);
+});
+
+test('a summary is written although the budget is used up', () => {
+  // Guards against seconds of overload of which the log tells nothing.
+  const {log, lines} = createLog(1);
+  log.decide('place');
+  log.decide('place');
+  log.summarize('load', {waitingTasks: 7});
+  assert.deepEqual(
+    lines.map(({msg}) => msg),
+    ['place', 'load'],
+  );
+});
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -36,7 +36,7 @@
   owner: z
     .strictObject({
       /** Time in ms after which a silent owner is replaced. */
-      termLeaseMs: milliseconds.default(3000),
+      termLeaseMs: milliseconds.default(2000),
     })
     .prefault({}),
   logging: z
--- a/src/node/owner_hub.ts
+++ b/src/node/owner_hub.ts
@@ -32,6 +32,9 @@
   gateway: JobGateway;
 }
 
+/** Nodes that are asked at a time; more would only compete. */
+const HAND_OVER_NODES = 2;
+
 /** The owner's side of the links from all other nodes, for one term. */
 export class OwnerHub implements LinkHandler {
   private readonly server: LinkServer;
@@ -63,12 +66,22 @@
     if (phases.length > 0) broadcast(this.links, OwnerMessage.PHASES, phases);
   }
 
-  /** Asks all nodes to replace this owner, which cannot use the store. */
+  /**
+   * Asks some nodes to replace this owner, which cannot use the store; other
+   * nodes at the next call, since the store may refuse these as well.
+   */
   handOver(token: number): void {
-    const {log} = this.options;
-    log.decide('hand-over', {term: token, nodes: this.links.size});
+    const asked = [...this.links].slice(0, HAND_OVER_NODES);
     const message: HandOverMessage = {token};
-    broadcast(this.links, OwnerMessage.HAND_OVER, message);
+    broadcast(asked, OwnerMessage.HAND_OVER, message);
+    for (const link of asked) {
+      this.links.delete(link);
+      this.links.add(link);
+    }
+    this.options.log.decide('hand-over', {
+      term: token,
+      nodes: asked.map(({peer}) => peer?.member),
+    });
   }
 
   onOpen(link: Link): void {
--- a/src/orchestrator/job_order.ts
+++ b/src/orchestrator/job_order.ts
@@ -72,6 +72,11 @@
   }
 }
 
+/** Time in ms from its due time in which a job should end. */
+export function objectiveMs(job: JobState, queue: Queue): number {
+  return queue.stretch * totalChainMs(job) + queue.targetLatencyMs;
+}
+
 function rank(job: JobState, context: JobOrderContext): RankedJob {
   const queue = context.queueOf(job);
   const priority = priorityOf(job, context);
@@ -80,11 +85,11 @@
     const latestStartMs = job.acceptedWallMs;
     return {job, priority, prospect: Prospect.LASTING, latestStartMs};
   }
-  const objectiveMs = queue.stretch * totalChainMs(job) + queue.targetLatencyMs;
+  const limitMs = objectiveMs(job, queue);
   const remainingMs = remainingChainMs(job);
   const sinceMs = job.dueWallMs;
-  const latestStartMs = sinceMs + objectiveMs - remainingMs;
-  const usefulUntilMs = sinceMs + objectiveMs * USEFUL_UNTIL - remainingMs;
+  const latestStartMs = sinceMs + limitMs - remainingMs;
+  const usefulUntilMs = sinceMs + limitMs * USEFUL_UNTIL - remainingMs;
   let prospect: number = Prospect.OVERDUE;
   if (context.wallMs <= latestStartMs) prospect = Prospect.IN_TIME;
   else if (context.wallMs <= usefulUntilMs) prospect = Prospect.LATE;
--- a/src/orchestrator/load_summary.ts
+++ b/src/orchestrator/load_summary.ts
@@ -8,6 +8,8 @@
   waitingTasks: number;
   /** Of those, tasks that run on leftover processors. */
   waitingFills: number;
+  /** Of those, tasks that run until their job is cancelled. */
+  waitingLasting: number;
   runningTasks: number;
   runningFills: number;
   workers: number;
@@ -30,6 +32,7 @@
     jobs: 0,
     waitingTasks: 0,
     waitingFills: 0,
+    waitingLasting: 0,
     runningTasks: 0,
     runningFills: 0,
     workers: 0,
@@ -52,6 +55,7 @@
         if (state !== 'waiting') continue;
         summary.waitingTasks += 1;
         if (step.usesLeftoverCpu) summary.waitingFills += 1;
+        if (step.isLongRunning) summary.waitingLasting += 1;
       }
     });
   }
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -6,7 +6,7 @@
 import {JobPhase} from '../work/job_definition.js';
 import {encodeProgress} from '../work/job_records.js';
 import {WorkerEntry} from '../work/worker_entry.js';
-import {JobOrder, ProspectOrder} from './job_order.js';
+import {JobOrder, objectiveMs, ProspectOrder} from './job_order.js';
 import {FillControl} from './fill_control.js';
 import {progressOf} from './job_progress.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
@@ -303,16 +303,23 @@
     return this.queuesByName.get(job.definition.queue);
   }
 
+  /** Time in ms in which a job should end by its estimates. */
+  private objectiveOf(job: JobState): number | undefined {
+    const queue = this.queueOf(job);
+    if (!queue) return undefined;
+    return Math.round(objectiveMs(job, queue));
+  }
+
   private summarize(nowMs: number): void {
     this.summarizedMs = nowMs;
     const summary = summarizeLoad(this.jobs.values(), this.workers.values());
-    this.options.log.decide('load', {...summary});
+    this.options.log.summarize('load', {...summary});
     if (nowMs - this.interferenceLoggedMs < INTERFERENCE_LOG_INTERVAL_MS) {
       return;
     }
     this.interferenceLoggedMs = nowMs;
     const pairs = this.fills.interference.pairs();
-    if (pairs.length > 0) this.options.log.decide('interference', {pairs});
+    if (pairs.length > 0) this.options.log.summarize('interference', {pairs});
   }
 
   private tellPhases(
@@ -489,7 +496,9 @@
     this.options.log.decide('job-ended', {
       job: job.definition.id,
       phase,
+      queue: job.definition.queue,
       ageMs: Math.round(this.options.clock.wallMs() - job.acceptedWallMs),
+      objectiveMs: this.objectiveOf(job),
     });
     for (const task of job.tasks()) {
       if (task.state === 'running') this.requestStop(task, 'job-ended');
