Add a randomized fault soak of the node programs

Cause: promises about jobs were only tested with single faults of real processes, or in one process on a manual clock. Change: npm run soak draws a schedule from a seed and injects overlapping faults from outside: processes killed, paused and stopped, links to the store and the workers cut, silenced one way, delayed or forgotten, the store down, its history dropped, answers lost or carried out late, the owner key removed, workers restarted, configurations changed. Callers submit, ask and cancel all the while; after the faults each accepted job has to end, once.

--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -5,6 +5,7 @@
 import {request} from 'undici';
 
 import {ManagedProcess} from './child_process.js';
+import {FaultyLink} from './faulty_link.js';
 import {freePorts} from './free_ports.js';
 import {simpleWorker} from './simulated_partition.js';
 import {StoreStandIn} from './store_stand_in.js';
@@ -18,6 +19,14 @@
   workers?: number;
   /** Time in ms that a task takes. @default 300 */
   taskMs?: number;
+  /**
+   * Puts faulty links between each node and the store, and before each worker.
+   *
+   * @default false
+   */
+  withFaultyLinks?: boolean;
+  /** Seed of the links' faults. @default 1 */
+  seed?: number;
 }
 
 /** A node program and the addresses it serves. */
@@ -27,29 +36,43 @@
   readinessPort: number;
   metricsPort: number;
   logFile: string;
+  /** Link to the store; undefined without faulty links. */
+  storeLink?: FaultyLink;
+}
+
+/** A worker and the link through which nodes reach it. */
+export interface FleetWorker {
+  standIn: TaskWorkerStandIn;
+  link?: FaultyLink;
 }
 
 const HOST = 'jobs.example';
 const PREFIX = '/jobs/';
 
-const CONFIGURATION = {
-  version: 1,
-  routes: [
-    {
-      name: 'r',
-      host: HOST,
-      prefix: PREFIX,
-      service: 'service',
-      priority: 0,
-      maxAttempts: 3,
-      stretch: 2,
-      targetLatencyMs: 1000,
-      timeoutMs: 3000,
-    },
-  ],
-  services: [{name: 'service', admissionCheck: true}],
-  limits: {maxBodyBytes: 262_144},
-};
+function routeOf(name: string, prefix: string): object {
+  return {
+    name,
+    host: HOST,
+    prefix,
+    service: 'service',
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 2,
+    targetLatencyMs: 1000,
+    timeoutMs: 3000,
+  };
+}
+
+/** Prefix of the route that only one version of the configuration has. */
+export function versionPrefix(version: number): string {
+  return `/version-${version}/`;
+}
+
+function configurationOf(version: number): object {
+  const routes = [routeOf('r', PREFIX), routeOf('v', versionPrefix(version))];
+  const services = [{name: 'service', admissionCheck: true}];
+  return {version, routes, services, limits: {maxBodyBytes: 262_144}};
+}
 
 /** Node programs as processes, with a store and workers in this process. */
 export class NodeFleet {
@@ -57,8 +80,13 @@
   readonly nodes: FleetNode[] = [];
   /** Promises about tasks that were not kept. */
   readonly breaches: string[] = [];
-  private readonly workers: TaskWorkerStandIn[] = [];
+  readonly workers: FleetWorker[] = [];
+  /** Times in ms of the latest start of each task. */
+  readonly startedMs = new Map<string, number>();
   private readonly places = new Map<string, Set<string>>();
+  private readonly notedRuns = new Map<string, number>();
+  private readonly links: FaultyLink[] = [];
+  private version = 0;
   private readonly folder = mkdtempSync(join(tmpdir(), 'banyanmux-'));
 
   constructor(private readonly options: NodeFleetOptions = {}) {}
@@ -68,7 +96,7 @@
     const {nodes = 3, workers = 4} = this.options;
     const [storePort] = await freePorts(1);
     await this.store.listen(storePort!);
-    this.put('op/config', CONFIGURATION);
+    this.configure();
     for (const port of await freePorts(workers)) await this.addWorker(port);
     for (let number = 1; number <= nodes; number++) {
       await this.addNode(`node-${number}`, storePort!);
@@ -79,11 +107,19 @@
   /** Ends all processes and stand-ins. */
   async stop(): Promise<void> {
     await Promise.all(this.nodes.map(({process}) => process.kill()));
-    for (const worker of this.workers) worker.stop();
+    for (const {standIn} of this.workers) standIn.stop();
+    await Promise.all(this.links.map((link) => link.stop()));
     this.store.stop();
     rmSync(this.folder, {recursive: true});
   }
 
+  /** Puts the next version of the configuration in the store. */
+  configure(): number {
+    this.version += 1;
+    this.put('op/config', configurationOf(this.version));
+    return this.version;
+  }
+
   /** Waits until a node says that it is ready. */
   async waitUntilReady(node: FleetNode): Promise<void> {
     const url = `http://127.0.0.1:${node.readinessPort}/api/readiness`;
@@ -113,9 +149,10 @@
   async call(
     node: FleetNode,
     method: 'GET' | 'POST' | 'DELETE',
-    call: {id: string; body?: unknown},
+    call: {id: string; body?: unknown; prefix?: string},
   ): Promise<{status: number; state?: string}> {
-    const url = `http://127.0.0.1:${node.callersPort}${PREFIX}${call.id}`;
+    const {prefix = PREFIX} = call;
+    const url = `http://127.0.0.1:${node.callersPort}${prefix}${call.id}`;
     try {
       const answer = await request(url, {
         method,
@@ -137,6 +174,7 @@
 
   private async addWorker(port: number): Promise<void> {
     const id = `w-${port}`;
+    const link = await this.addLink(port);
     const entry = simpleWorker(id, {address: `127.0.0.1:${port}`});
     const worker = new TaskWorkerStandIn({
       entry,
@@ -144,12 +182,13 @@
       taskMs: this.options.taskMs ?? 300,
       onBegin: (task, run) => this.noteBegin(id, task, run),
       onGone: (task) => this.places.get(task)?.delete(id),
+      onNoted: (task, run) => this.notedRuns.set(task, run),
     });
     await worker.listen();
-    this.workers.push(worker);
+    this.workers.push({standIn: worker, link: link?.link});
     this.put(`servers/${id}`, {
       service: entry.service,
-      address: entry.address,
+      address: link ? `127.0.0.1:${link.port}` : entry.address,
       zone: entry.dataCentre,
       state: 'ready',
       capacity: {cpu: 8000, memoryRequestMb: 16_000, gpu: 0},
@@ -158,15 +197,32 @@
     });
   }
 
+  private async addLink(
+    targetPort: number,
+  ): Promise<{link: FaultyLink; port: number} | undefined> {
+    if (!this.options.withFaultyLinks) return undefined;
+    const seed = (this.options.seed ?? 1) + targetPort;
+    const link = new FaultyLink({targetPort, seed});
+    const [port] = await freePorts(1);
+    await link.listen(port);
+    this.links.push(link);
+    return {link, port: port!};
+  }
+
   private noteBegin(workerId: string, task: string, run: number): void {
     const places = this.places.get(task) ?? new Set();
     this.places.set(task, places);
     if (places.size > 0) this.breaches.push(`${task} run ${run} is doubled`);
+    if ((this.notedRuns.get(task) ?? Infinity) < run) {
+      this.breaches.push(`${task} run ${run} began after its end`);
+    }
     places.add(workerId);
+    this.startedMs.set(task, performance.now());
   }
 
   private async addNode(name: string, storePort: number): Promise<void> {
     const ports = await freePorts(4);
+    const storeLink = await this.addLink(storePort);
     const [callersPort, linksPort, readinessPort, metricsPort] = ports;
     const settingsFile = join(this.folder, `${name}.jsonc`);
     const logFile = join(this.folder, `${name}.log`);
@@ -178,7 +234,7 @@
       links: `127.0.0.1:${linksPort}`,
       readiness: `127.0.0.1:${readinessPort}`,
       metrics: `127.0.0.1:${metricsPort}`,
-      store: {address: `127.0.0.1:${storePort}`},
+      store: {address: `127.0.0.1:${storeLink?.port ?? storePort}`},
       workers: {longestLeaseMs: 6000},
       jobs: {keepFinishedSeconds: 120},
       stop: {gracePeriodSeconds: 3},
@@ -197,6 +253,7 @@
       readinessPort: readinessPort!,
       metricsPort: metricsPort!,
       logFile,
+      storeLink: storeLink?.link,
     });
   }
 }
--- /dev/null
+++ b/testing/soak.ts
@@ -0,0 +1,50 @@
+import {defineCommand, runMain} from 'citty';
+
+import {runSoak} from './soak_run.js';
+import {SoakFault} from './soak_faults.js';
+
+function kindsOf(text: string): SoakFault[] {
+  const known: readonly SoakFault[] = Object.values(SoakFault);
+  if (text === '') return [...known];
+  return text.split(',').map((name) => {
+    const kind = known.find((other) => other === name);
+    if (kind) return kind;
+    throw new Error(`Cannot inject "${name}": known are ${known.join(', ')}`);
+  });
+}
+
+const main = defineCommand({
+  meta: {
+    name: 'soak',
+    description: 'Runs the node programs under random faults.',
+  },
+  args: {
+    seed: {type: 'string', description: 'First seed', default: '1'},
+    runs: {
+      type: 'string',
+      description: 'Seeds one after another',
+      default: '1',
+    },
+    seconds: {type: 'string', description: 'Time with faults', default: '20'},
+    nodes: {type: 'string', description: 'Node programs', default: '4'},
+    faults: {type: 'string', description: 'Kinds, by commas', default: ''},
+  },
+  async run({args}) {
+    const first = Number(args.seed);
+    for (let seed = first; seed < first + Number(args.runs); seed++) {
+      const result = await runSoak({
+        seed,
+        seconds: Number(args.seconds),
+        nodes: Number(args.nodes),
+        kinds: kindsOf(args.faults),
+      });
+      const {schedule, ...figures} = result;
+      console.log(JSON.stringify({...figures, faults: schedule.length}));
+      if (result.breaches.length === 0) continue;
+      process.exitCode = 1;
+      for (const fault of schedule) console.log(JSON.stringify(fault));
+    }
+  },
+});
+
+void runMain(main);
--- /dev/null
+++ b/testing/soak_faults.ts
@@ -0,0 +1,159 @@
+import {sleep} from '../src/clock/sleep.js';
+import {PartitionKeys} from '../src/leadership/partition_keys.js';
+import {RandomSource} from '../src/random/random_source.js';
+import {LinkFaults} from './faulty_link.js';
+import {FleetNode, NodeFleet} from './node_fleet.js';
+
+/** Kinds of faults that a soak injects from outside the programs. */
+export const SoakFault = {
+  KILL_NODE: 'kill-node',
+  PAUSE_NODE: 'pause-node',
+  STOP_NODE: 'stop-node',
+  CUT_STORE: 'cut-store',
+  STORE_DOWN: 'store-down',
+  STORE_ANSWERS: 'store-answers',
+  STORE_HISTORY: 'store-history',
+  OWNER_KEY: 'owner-key',
+  CUT_WORKER: 'cut-worker',
+  RESTART_WORKER: 'restart-worker',
+  CONFIGURE: 'configure',
+} as const;
+
+/** One of the values of {@link SoakFault}. */
+export type SoakFault = (typeof SoakFault)[keyof typeof SoakFault];
+
+/** One fault of a schedule. */
+export interface ScheduledFault {
+  atMs: number;
+  kind: SoakFault;
+  /** Number that selects the node or worker. */
+  target: number;
+  durationMs: number;
+  /** How a link misbehaves. */
+  link: LinkFaults;
+}
+
+const SHORTEST_FAULT_MS = 300;
+const LONGEST_FAULT_MS = 5000;
+
+/** Longest time in ms between two faults; they overlap as a rule. */
+const LONGEST_GAP_MS = 1200;
+
+/** Longest time in ms for which a transaction is carried out late. */
+const LATE_MS = 3000;
+
+const LINK_FAULTS: readonly LinkFaults[] = [
+  {cut: true},
+  {forward: {silent: true}, backward: {silent: true}},
+  {forward: {silent: true}},
+  {backward: {silent: true}},
+  {forward: {delayMs: 80, jitterMs: 200, loss: 0.1}},
+  {forgetOpen: true},
+];
+
+/** Draws the faults of a run; equal seeds give equal schedules. */
+export function drawSchedule(
+  random: RandomSource,
+  options: {untilMs: number; kinds: readonly SoakFault[]},
+): ScheduledFault[] {
+  const faults: ScheduledFault[] = [];
+  const {untilMs, kinds} = options;
+  let atMs = 0;
+  for (;;) {
+    atMs += random.next() * LONGEST_GAP_MS;
+    if (atMs >= untilMs) return faults;
+    const range = LONGEST_FAULT_MS - SHORTEST_FAULT_MS;
+    faults.push({
+      atMs: Math.round(atMs),
+      kind: kinds[random.nextInteger(kinds.length)]!,
+      target: random.nextInteger(1000),
+      durationMs: Math.round(SHORTEST_FAULT_MS + random.next() * range),
+      link: LINK_FAULTS[random.nextInteger(LINK_FAULTS.length)]!,
+    });
+  }
+}
+
+/** Injects faults into a fleet; each ends after its duration. */
+export class FaultInjector {
+  /** Nodes that a process fault holds now. */
+  readonly held = new Set<FleetNode>();
+  private storeFaults = 0;
+
+  constructor(private readonly fleet: NodeFleet) {}
+
+  /** Tells whether the store serves all calls now. */
+  get isStoreCalm(): boolean {
+    return this.storeFaults === 0;
+  }
+
+  /** Injects a fault and resolves once it has ended. */
+  async inject(fault: ScheduledFault): Promise<void> {
+    const {nodes, workers, store} = this.fleet;
+    const node = nodes[fault.target % nodes.length]!;
+    const worker = workers[fault.target % workers.length]!;
+    const {kind} = fault;
+    if (kind === SoakFault.CUT_STORE) {
+      await this.disturbLink(node.storeLink!, fault);
+    } else if (kind === SoakFault.CUT_WORKER) {
+      await this.disturbLink(worker.link!, fault);
+    } else if (kind === SoakFault.RESTART_WORKER) {
+      worker.standIn.restart();
+    } else if (kind === SoakFault.CONFIGURE) {
+      this.fleet.configure();
+    } else if (kind === SoakFault.STORE_HISTORY) {
+      store.store.compact();
+    } else if (kind === SoakFault.OWNER_KEY) {
+      store.store.remove(new PartitionKeys('main').owner);
+    } else if (kind === SoakFault.STORE_DOWN) {
+      await this.takeStoreDown(fault);
+    } else if (kind === SoakFault.STORE_ANSWERS) {
+      await this.loseAnswers(fault);
+    } else {
+      await this.disturbProcess(node, fault);
+    }
+  }
+
+  private async disturbLink(
+    link: {setFaults: (faults: LinkFaults) => void},
+    {link: faults, durationMs}: ScheduledFault,
+  ): Promise<void> {
+    link.setFaults(faults);
+    await sleep(durationMs);
+    link.setFaults({});
+  }
+
+  private async takeStoreDown({durationMs}: ScheduledFault): Promise<void> {
+    const {store} = this.fleet.store;
+    this.storeFaults += 1;
+    store.isDown = true;
+    await sleep(durationMs);
+    this.storeFaults -= 1;
+    if (this.storeFaults === 0) store.isDown = false;
+  }
+
+  private async loseAnswers({target}: ScheduledFault): Promise<void> {
+    const {store} = this.fleet.store;
+    store.commitFaults.push('answer-lost', 'late', 'answer-lost');
+    await sleep((target / 1000) * LATE_MS);
+    store.applyLate();
+  }
+
+  private async disturbProcess(
+    node: FleetNode,
+    {kind, durationMs}: ScheduledFault,
+  ): Promise<void> {
+    if (this.held.has(node)) return;
+    this.held.add(node);
+    if (kind === SoakFault.PAUSE_NODE) {
+      node.process.signal('SIGSTOP');
+      await sleep(durationMs);
+      node.process.signal('SIGCONT');
+    } else {
+      if (kind === SoakFault.STOP_NODE) await node.process.terminate();
+      else await node.process.kill();
+      await sleep(durationMs / 4);
+      node.process.start();
+    }
+    this.held.delete(node);
+  }
+}
--- /dev/null
+++ b/testing/soak_run.ts
@@ -0,0 +1,259 @@
+import {sleep} from '../src/clock/sleep.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {FleetNode, NodeFleet, versionPrefix} from './node_fleet.js';
+import {
+  drawSchedule,
+  FaultInjector,
+  ScheduledFault,
+  SoakFault,
+} from './soak_faults.js';
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+  seed: number;
+  /** Time in seconds in which faults begin. @default 20 */
+  seconds?: number;
+  /** @default all */
+  kinds?: readonly SoakFault[];
+  /** @default 4 */
+  nodes?: number;
+  /** @default 5 */
+  workers?: number;
+}
+
+/** What a run has found. */
+export interface SoakResult {
+  seed: number;
+  schedule: readonly ScheduledFault[];
+  accepted: number;
+  refused: number;
+  cancelled: number;
+  /** Promises that were not kept. */
+  breaches: string[];
+}
+
+/** What callers know of a job. */
+interface SoakJob {
+  id: string;
+  /** Steps times tasks of the job. */
+  tasks: number;
+  isAccepted: boolean;
+  /** Some attempt had no answer or one that leaves it open. */
+  isInDoubt: boolean;
+  cancelledMs: number;
+}
+
+/** Time in ms between two submissions of one caller. */
+const SUBMIT_PAUSE_MS = 60;
+
+/** Callers that submit, ask and cancel at the same time. */
+const CALLERS = 4;
+
+const ATTEMPTS = 5;
+const CANCELLED_SHARE = 0.1;
+
+/** Time in ms after the last fault in which everything has to come right. */
+const RECOVERY_MS = 20_000;
+
+/** Time in ms in which a cancelled job's tasks have to be gone when calm. */
+const CANCEL_MS = 3200;
+
+const REFUSALS = new Set([429, 503]);
+
+const STEPS = [
+  {count: 3, cpu: 1000, memoryRequestMb: 500, estimatedMs: 300},
+  {count: 2, cpu: 500, memoryRequestMb: 500, estimatedMs: 300, after: [0]},
+];
+
+/** Runs the real programs under random faults and checks what callers see. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const run = new SoakRun(options);
+  try {
+    return await run.play();
+  } finally {
+    await run.stop();
+  }
+}
+
+class SoakRun {
+  private readonly fleet: NodeFleet;
+  private readonly injector: FaultInjector;
+  private readonly random: SeededRandom;
+  private readonly jobs: SoakJob[] = [];
+  private readonly breaches: string[] = [];
+  private isOver = false;
+  private refused = 0;
+
+  constructor(private readonly options: SoakOptions) {
+    const {seed, nodes = 4, workers = 5} = options;
+    this.random = new SeededRandom(seed);
+    this.fleet = new NodeFleet({nodes, workers, seed, withFaultyLinks: true});
+    this.injector = new FaultInjector(this.fleet);
+  }
+
+  async play(): Promise<SoakResult> {
+    const {seed, seconds = 20, kinds = Object.values(SoakFault)} = this.options;
+    const schedule = drawSchedule(this.random, {
+      untilMs: seconds * 1000,
+      kinds,
+    });
+    await this.fleet.start();
+    const callers = Array.from({length: CALLERS}, () => this.call());
+    const begunMs = performance.now();
+    await Promise.all(
+      schedule.map(async (fault) => {
+        await sleep(begunMs + fault.atMs - performance.now());
+        await this.injector.inject(fault);
+      }),
+    );
+    this.fleet.store.store.commitFaults.length = 0;
+    this.fleet.store.store.applyLate();
+    this.isOver = true;
+    await Promise.all(callers);
+    await this.checkRecovery();
+    const accepted = this.jobs.filter(({isAccepted}) => isAccepted);
+    return {
+      seed,
+      schedule,
+      accepted: accepted.length,
+      refused: this.refused,
+      cancelled: accepted.filter(({cancelledMs}) => cancelledMs < Infinity)
+        .length,
+      breaches: [...this.fleet.breaches, ...this.breaches],
+    };
+  }
+
+  async stop(): Promise<void> {
+    await this.fleet.stop();
+  }
+
+  /** One caller: submits, asks for an earlier job, sometimes cancels. */
+  private async call(): Promise<void> {
+    while (!this.isOver) {
+      const job: SoakJob = {
+        id: (this.jobs.length + 1).toString(16).padStart(16, '0'),
+        tasks: STEPS.reduce((sum, {count}) => sum + count, 0),
+        isAccepted: false,
+        isInDoubt: false,
+        cancelledMs: Infinity,
+      };
+      this.jobs.push(job);
+      await this.submit(job);
+      if (job.isAccepted && this.random.next() < CANCELLED_SHARE) {
+        await this.cancel(job);
+      }
+      await this.ask(this.jobs[this.random.nextInteger(this.jobs.length)]!);
+      await sleep(SUBMIT_PAUSE_MS);
+    }
+  }
+
+  private anyNode(): FleetNode {
+    const {nodes} = this.fleet;
+    return nodes[this.random.nextInteger(nodes.length)]!;
+  }
+
+  private async submit(job: SoakJob): Promise<void> {
+    const body = {specification: job.id, steps: STEPS};
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      const node = this.anyNode();
+      const {status} = await this.fleet.call(node, 'POST', {id: job.id, body});
+      if (status === 200) job.isAccepted = true;
+      else if (REFUSALS.has(status)) this.refused += 1;
+      else job.isInDoubt = true;
+      if (job.isAccepted) return;
+      if (status === 404) this.breaches.push(`${job.id}: 404 for its queue`);
+      await sleep(SUBMIT_PAUSE_MS);
+    }
+  }
+
+  private async cancel(job: SoakJob): Promise<void> {
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      const {status} = await this.fleet.call(this.anyNode(), 'DELETE', job);
+      if (status !== 200) continue;
+      job.cancelledMs = performance.now();
+      return;
+    }
+  }
+
+  private async ask(job: SoakJob): Promise<void> {
+    const {isAccepted} = job;
+    const answer = await this.fleet.call(this.anyNode(), 'GET', job);
+    if (!isAccepted) return;
+    if (answer.status === 410) this.breaches.push(`${job.id} is not known`);
+    if (answer.state === 'failed') this.breaches.push(`${job.id} has failed`);
+  }
+
+  /** Everything comes right once the faults are over. */
+  private async checkRecovery(): Promise<void> {
+    for (const node of this.fleet.nodes) await this.fleet.waitUntilReady(node);
+    const untilMs = performance.now() + RECOVERY_MS;
+    for (const job of this.jobs) await this.checkEnd(job, untilMs);
+    await this.checkCancelled();
+    await this.checkConfiguration();
+  }
+
+  private async checkEnd(job: SoakJob, untilMs: number): Promise<void> {
+    if (!job.isAccepted) {
+      if (!job.isInDoubt) this.checkNeverRan(job);
+      return;
+    }
+    const isCancelled = job.cancelledMs < Infinity;
+    let state: string | undefined;
+    do {
+      ({state} = await this.fleet.call(this.anyNode(), 'GET', job));
+      if (state === 'succeeded' || state === 'cancelled') break;
+      await sleep(SUBMIT_PAUSE_MS);
+    } while (performance.now() < untilMs);
+    if (state !== 'succeeded' && !(isCancelled && state === 'cancelled')) {
+      this.breaches.push(`${job.id} is ${state ?? 'not shown'} at the end`);
+    }
+    if (state === 'succeeded') this.checkAllRan(job);
+  }
+
+  private checkNeverRan({id}: SoakJob): void {
+    const ran = [...this.fleet.startedMs.keys()].some((task) =>
+      task.startsWith(id),
+    );
+    if (ran) this.breaches.push(`${id} was refused and has run`);
+  }
+
+  private checkAllRan({id, tasks}: SoakJob): void {
+    const ran = [...this.fleet.startedMs.keys()].filter((task) =>
+      task.startsWith(id),
+    );
+    if (ran.length === tasks) return;
+    this.breaches.push(`${id} is shown as succeeded after ${ran.length} tasks`);
+  }
+
+  /** Nothing of a cancelled job runs or starts once all is calm. */
+  private async checkCancelled(): Promise<void> {
+    await sleep(CANCEL_MS);
+    const running = this.fleet.workers.flatMap(({standIn}) => standIn.running);
+    for (const {id, cancelledMs} of this.jobs) {
+      if (cancelledMs === Infinity) continue;
+      const left = running.filter((task) => task.startsWith(id));
+      if (left.length > 0) this.breaches.push(`${left[0]} runs on`);
+    }
+  }
+
+  /** Each node serves the newest configuration and no other. */
+  private async checkConfiguration(): Promise<void> {
+    const version = this.fleet.configure();
+    await sleep(2000);
+    for (const node of this.fleet.nodes) {
+      const newest = versionPrefix(version);
+      const {status} = await this.fleet.call(node, 'GET', {
+        id: '',
+        prefix: newest,
+      });
+      const dropped = await this.fleet.call(node, 'GET', {
+        id: '',
+        prefix: versionPrefix(version - 1),
+      });
+      if (status === 200 && dropped.status === 404) continue;
+      this.breaches.push(
+        `${node.process.name} answers ${status} for a new route and ${dropped.status} for a dropped one`,
+      );
+    }
+  }
+}
--- a/testing/task_worker_stand_in.ts
+++ b/testing/task_worker_stand_in.ts
@@ -26,6 +26,8 @@
   taskMs: number;
   onBegin: (task: string, run: number) => void;
   onGone: (task: string) => void;
+  /** Called when an end with success is acknowledged. @default none */
+  onNoted?: (task: string, run: number) => void;
 }
 
 const TICK_MS = 20;
@@ -54,7 +56,7 @@
         this.begunMs.set(task, performance.now());
         options.onBegin(task, run);
       },
-      onNoted: () => undefined,
+      onNoted: (task, run) => options.onNoted?.(task, run),
     });
     this.server = createServer((request, response) => {
       this.answer(request, response).catch((error: Error) =>
@@ -72,6 +74,17 @@
     );
   }
 
+  /** Tasks that run here. */
+  get running(): readonly string[] {
+    return this.worker.running;
+  }
+
+  /** Begins a new life, as after a crash. */
+  restart(): void {
+    this.worker.restart(this.worker.bornMs + 1);
+    this.server.closeAllConnections();
+  }
+
   /** Closes all connections. */
   stop(): void {
     clearInterval(this.timer);
