Use the load of tasks that serve up to their limit

Cause: with a margin of 0.02 of load, workers whose steps swing out of phase hardly take light tasks, since one of their steps is near its peak at any time; rendu-catalogue jobs wait beside free processors.

--- a/src/orchestrator/fill_control.ts
+++ b/src/orchestrator/fill_control.ts
@@ -3,14 +3,11 @@
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
-/** Part of the load limit that is kept free for changes of a task's own load. */
-const LOAD_MARGIN = 0.02;
-
 /** Image of tasks that name none. */
 const NO_IMAGE = '';
 
 /** Distance of a seen load from its limit at which others are slowed down. */
-const SLOW_DOWN_MARGIN = 0.015;
+const SLOW_DOWN_MARGIN = 0.01;
 
 /** Share in percent below which a task stands still. */
 const LEAST_PERCENT = 10;
@@ -240,7 +237,7 @@
       interference.ownLoadOf(group, nowMs + LOOK_AHEAD_MS),
     );
     const limit = interference.loadAt(image, task.step.tailTargetMs);
-    let free = limit - LOAD_MARGIN - own;
+    let free = limit - own;
     for (const fill of fills) {
       free -= interference.pressureOf(image, fill.image) * fill.share;
     }
--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -1,4 +1,10 @@
-import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
@@ -27,6 +33,8 @@
   withFaultyLinks?: boolean;
   /** Seed of the links' faults. @default 1 */
   seed?: number;
+  /** Folder for settings and logs, kept afterwards. @default a temporary one */
+  folder?: string;
 }
 
 /** A node program and the addresses it serves. */
@@ -87,9 +95,13 @@
   private readonly notedRuns = new Map<string, number>();
   private readonly links: FaultyLink[] = [];
   private version = 0;
-  private readonly folder = mkdtempSync(join(tmpdir(), 'banyanmux-'));
+  private readonly folder: string;
 
-  constructor(private readonly options: NodeFleetOptions = {}) {}
+  constructor(private readonly options: NodeFleetOptions = {}) {
+    const {folder} = options;
+    if (folder !== undefined) mkdirSync(folder, {recursive: true});
+    this.folder = folder ?? mkdtempSync(join(tmpdir(), 'banyanmux-'));
+  }
 
   /** Starts everything and waits until all nodes are ready. */
   async start(): Promise<void> {
@@ -110,7 +122,9 @@
     for (const {standIn} of this.workers) standIn.stop();
     await Promise.all(this.links.map((link) => link.stop()));
     this.store.stop();
-    rmSync(this.folder, {recursive: true});
+    if (this.options.folder === undefined) {
+      rmSync(this.folder, {recursive: true});
+    }
   }
 
   /** Puts the next version of the configuration in the store. */
@@ -214,7 +228,10 @@
     this.places.set(task, places);
     if (places.size > 0) this.breaches.push(`${task} run ${run} is doubled`);
     if ((this.notedRuns.get(task) ?? Infinity) < run) {
-      this.breaches.push(`${task} run ${run} began after its end`);
+      const noted = this.notedRuns.get(task);
+      this.breaches.push(
+        `${task} run ${run} began on ${workerId} after the end of run ${noted}`,
+      );
     }
     places.add(workerId);
     this.startedMs.set(task, performance.now());
--- a/testing/soak.ts
+++ b/testing/soak.ts
@@ -1,3 +1,5 @@
+import {join} from 'node:path';
+
 import {defineCommand, runMain} from 'citty';
 
 import {runSoak} from './soak_run.js';
@@ -27,6 +29,7 @@
     },
     seconds: {type: 'string', description: 'Time with faults', default: '20'},
     nodes: {type: 'string', description: 'Node programs', default: '4'},
+    logs: {type: 'string', description: 'Folder for logs', default: ''},
     faults: {type: 'string', description: 'Kinds, by commas', default: ''},
   },
   async run({args}) {
@@ -36,6 +39,7 @@
         seed,
         seconds: Number(args.seconds),
         nodes: Number(args.nodes),
+        folder: args.logs === '' ? undefined : join(args.logs, String(seed)),
         kinds: kindsOf(args.faults),
       });
       const {schedule, ...figures} = result;
--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -19,6 +19,8 @@
   nodes?: number;
   /** @default 5 */
   workers?: number;
+  /** Folder for the logs of the programs. @default not kept */
+  folder?: string;
 }
 
 /** What a run has found. */
@@ -85,9 +87,15 @@
   private refused = 0;
 
   constructor(private readonly options: SoakOptions) {
-    const {seed, nodes = 4, workers = 5} = options;
+    const {seed, nodes = 4, workers = 5, folder} = options;
     this.random = new SeededRandom(seed);
-    this.fleet = new NodeFleet({nodes, workers, seed, withFaultyLinks: true});
+    this.fleet = new NodeFleet({
+      nodes,
+      workers,
+      seed,
+      folder,
+      withFaultyLinks: true,
+    });
     this.injector = new FaultInjector(this.fleet);
   }
 
--- a/testing/task_worker_stand_in.ts
+++ b/testing/task_worker_stand_in.ts
@@ -129,8 +129,14 @@
       leaseUntilMs: order.deadlineMs,
     };
     const untilMs = performance.now() + (order.waitMs ?? 0);
+    const {bornMs} = this.worker;
+    let outcome = this.worker.look(look);
     for (;;) {
-      const outcome = this.worker.look(look);
+      // A call that waits ends with the life of the worker that took it.
+      if (this.worker.bornMs !== bornMs) {
+        response.destroy();
+        return;
+      }
       if (outcome.kind !== 'report') {
         writeJson(response, 409, {reason: 'fence'});
         return;
@@ -151,6 +157,8 @@
         return;
       }
       await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+      // Ends are acknowledged once, when the call arrives.
+      outcome = this.worker.look({...look, acknowledgedEnd: 0});
     }
   }
 }
@@ -168,7 +176,8 @@
 
 function writeOutcome(response: ServerResponse, outcome: OrderOutcome): void {
   if (outcome.kind === 'done') {
-    writeJson(response, 200, {clockMs: outcome.clockMs ?? 0});
+    const {clockMs} = outcome;
+    writeJson(response, 200, clockMs === undefined ? {} : {clockMs});
   } else {
     const reason = REASON_WORDS[outcome.reason] ?? 'room';
     writeJson(response, 409, {clockMs: 0, reason});
