Ask the advice service which workers may run a step

Cause: jobs of a queue with advice never started: their starts lacked the ticket. Change: StepAdvice asks one question at a time about up to 30 workers with room, keeps tickets by life of the worker and until they end, does not ask again about workers that may not run the step, and forgets a ticket that a worker rejects. Placement takes only workers with a ticket; the start carries it. The passes over waiting jobs move from Orchestrator to TaskScheduler.

--- a/src/node/compose_node.ts
+++ b/src/node/compose_node.ts
@@ -29,7 +29,10 @@
           clock,
           log,
           random: new SeededRandom(process.pid ^ Date.now()),
-          platform: createPlatform(settings.store.address),
+          platform: createPlatform({
+            store: settings.store.address,
+            advice: settings.advice?.address,
+          }),
         }),
     ),
   });
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -242,6 +242,7 @@
       ...this.options,
       store: platform.store,
       port: platform.workers,
+      advice: platform.advice,
       keys,
       table,
       term,
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -19,6 +19,8 @@
   /** Host and port of the metrics in Prometheus text. */
   metrics: address,
   store: z.strictObject({address}),
+  /** Service that knows which workers may run a step. @default none */
+  advice: z.strictObject({address}).optional(),
   /** Partition of services whose jobs this node serves. */
   partition: z.string().min(1).default('main'),
   workers: z.strictObject({
--- a/src/node/platform_binding.ts
+++ b/src/node/platform_binding.ts
@@ -1,5 +1,6 @@
 import {RequestListener} from 'node:http';
 
+import {AdvicePort} from '../orchestrator/advice_port.js';
 import {WorkerPort} from '../orchestrator/worker_port.js';
 import {MetadataStore} from '../store/metadata_store.js';
 import {Configuration} from '../work/configuration.js';
@@ -10,6 +11,8 @@
 export interface PlatformBinding {
   store: MetadataStore;
   workers: WorkerPort;
+  /** Knows which workers may run the steps of some queues. */
+  advice: AdvicePort;
   /** Prefix under which the operators write. */
   operatorPrefix: string;
   /** Key of the newest configuration. */
--- a/src/orchestrator/misfits.ts
+++ b/src/orchestrator/misfits.ts
@@ -4,6 +4,8 @@
 export interface StepOwner {
   service: string;
   jobId: string;
+  /** Only some workers may run the step. @default false */
+  needsAdvice?: boolean;
 }
 
 /**
@@ -31,7 +33,8 @@
 /** Steps of one shape differ in the processors that they need. */
 function shapeOf(step: StepDefinition, owner: StepOwner): string {
   const {memoryMb, acceleratorCount, requiredLabel, image} = step;
-  const spread = step.mostPerWorker > 0 ? owner.jobId : '';
+  const isOwnCase = step.mostPerWorker > 0 || owner.needsAdvice === true;
+  const spread = isOwnCase ? owner.jobId : '';
   const common = [owner.service, requiredLabel, spread];
   // Processors decide where tasks on leftover processors fit, memory seldom.
   if (step.usesLeftoverCpu) return ['fill', image, ...common].join();
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -6,15 +6,17 @@
 import {JobPhase} from '../work/job_definition.js';
 import {encodeProgress} from '../work/job_records.js';
 import {WorkerEntry} from '../work/worker_entry.js';
+import {AdviceOutcome} from './advice_port.js';
 import {JobOrder, objectiveMs, ProspectOrder} from './job_order.js';
 import {FillControl} from './fill_control.js';
 import {progressOf} from './job_progress.js';
-import {JobState, OccurrenceState, StepState} from './job_state.js';
+import {JobState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {summarizeLoad} from './load_summary.js';
-import {Misfits} from './misfits.js';
 import {ReportReader} from './report_reader.js';
+import {StepAdvice} from './step_advice.js';
 import {InterferencePlacement, TaskPlacement} from './task_placement.js';
+import {stepOf, TaskScheduler} from './task_scheduler.js';
 import {TaskState} from './task_state.js';
 import {OrderOutcome, RefusalReason, WorkerReport} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
@@ -61,15 +63,6 @@
 /** Part of a task's estimate that may pass without visible progress. */
 const STUCK_ESTIMATE_PART = 0.1;
 
-/** Time in ms between two searches for tasks to move. */
-const MOVE_CHECK_MS = 150;
-
-/** Time in ms between two moves of one task. */
-const MOVE_INTERVAL_MS = 2000;
-
-/** Progress in percent that a move of a task without checkpoints may lose. */
-const MOST_LOST_PERCENT = 30;
-
 /** Slowest clock of a worker as a share of true time. */
 const SLOWEST_CLOCK = 0.98;
 
@@ -88,19 +81,26 @@
   private readonly unstored: TaskState[] = [];
   private readonly removals: LoggedChange[] = [];
   private readonly fills = new FillControl();
-  private readonly order: JobOrder;
-  private readonly placement: TaskPlacement;
+  private readonly advice = new StepAdvice();
+  private readonly scheduler: TaskScheduler;
   private readonly reader: ReportReader;
   private readonly beganMs: number;
   private configuration: Configuration | undefined;
   private summarizedMs = -Infinity;
   private interferenceLoggedMs = -Infinity;
-  private movedMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
 
   constructor(private readonly options: OrchestratorOptions) {
-    this.order = options.order ?? new ProspectOrder();
-    this.placement = options.placement ?? new InterferencePlacement(this.fills);
+    this.scheduler = new TaskScheduler({
+      workers: this.workers,
+      order: options.order ?? new ProspectOrder(),
+      placement: options.placement ?? new InterferencePlacement(this.fills),
+      advice: this.advice,
+      queueOf: (job) => this.queueOf(job),
+      onAssign: (task, worker, run) => this.assign(task, worker, run),
+      onWithdraw: (task) => this.withdraw(task),
+      onMove: (task) => this.requestStop(task, 'slowed-down'),
+    });
     this.beganMs = options.clock.nowMs();
     this.reader = new ReportReader({
       taskOf: (name) => this.tasksByName.get(name),
@@ -206,7 +206,7 @@
       this.sendStop(task);
       return;
     }
-    if (worker) this.noteRefusal(worker, outcome.reason);
+    if (worker) this.noteRefusal(task, worker, outcome.reason);
     this.endRun(task, 'refused');
     if (task.step.isGang) this.stopGang(task);
   }
@@ -246,25 +246,19 @@
   schedule(): void {
     if (!this.configuration) return;
     const nowMs = this.options.clock.nowMs();
-    const waiting: JobState[] = [];
-    for (const job of this.jobs.values()) {
-      if (!job.isFinal && job.hasWaiting) waiting.push(job);
-    }
-    const sorted = this.order.sort(waiting, {
-      wallMs: this.options.clock.wallMs(),
-      queueOf: (job) => this.queueOf(job),
+    const wallMs = this.options.clock.wallMs();
+    this.scheduler.schedule(this.jobs.values(), {nowMs, wallMs});
+    this.askAdvice(nowMs);
+  }
+
+  /** Takes the answer of the advice service to the latest question. */
+  noteAdvice(outcome: AdviceOutcome, sentMs: number): void {
+    const isAdvice = outcome.kind === 'advice';
+    this.options.log.decide('advice', {
+      allowed: isAdvice ? outcome.tickets.size : undefined,
+      reason: isAdvice ? undefined : outcome.reason,
     });
-    const misfits = new Misfits();
-    for (const job of sorted) {
-      for (const occurrence of job.occurrences.values()) {
-        if (!occurrence.isDone) {
-          this.scheduleSteps(job, occurrence, {nowMs, misfits});
-        }
-      }
-    }
-    if (nowMs - this.movedMs < MOVE_CHECK_MS) return;
-    this.movedMs = nowMs;
-    this.moveSlowed(nowMs);
+    this.advice.answer(outcome, sentMs, this.options.clock.nowMs());
   }
 
   /** Tells whether there is something to store. */
@@ -469,7 +463,7 @@
   }
 
   private finishGang(task: TaskState): void {
-    for (const member of this.stepOf(task).tasks) this.markDone(member);
+    for (const member of stepOf(task).tasks) this.markDone(member);
   }
 
   private completeJob(job: JobState): void {
@@ -526,7 +520,7 @@
   }
 
   private stopGang(task: TaskState): void {
-    for (const member of this.stepOf(task).tasks) {
+    for (const member of stepOf(task).tasks) {
       if (member.state === 'running') this.requestStop(member, 'gang-refused');
     }
   }
@@ -544,7 +538,14 @@
     this.options.effects.start(task, worker);
   }
 
-  private noteRefusal(worker: WorkerState, reason: RefusalReason): void {
+  private noteRefusal(
+    task: TaskState,
+    worker: WorkerState,
+    reason: RefusalReason,
+  ): void {
+    if (reason === RefusalReason.TICKET) {
+      this.advice.reject(stepOf(task), worker.entry.id);
+    }
     const nowMs = this.options.clock.nowMs();
     if (reason === RefusalReason.UNHEALTHY) {
       worker.health.block(nowMs, UNHEALTHY_BLOCK_MS);
@@ -608,6 +609,9 @@
     const {keys} = this.options;
     const {id} = job.definition;
     this.fills.forget(job.tasks());
+    for (const {steps} of job.occurrences.values()) {
+      for (const step of steps) this.advice.forget(step);
+    }
     this.jobs.delete(id);
     this.dirty.delete(job);
     for (const task of job.tasks()) this.tasksByName.delete(task.name);
@@ -620,101 +624,12 @@
     this.options.effects.commitSoon();
   }
 
-  /**
-   * Stops tasks that are slowed down for tasks that serve, if another worker
-   * can run them at full speed. A stop saves the progress of tasks that
-   * checkpoint; others are moved only while little of their work is done.
-   */
-  private moveSlowed(nowMs: number): void {
-    const targets = new Set<WorkerState>();
-    for (const worker of this.workers.values()) {
-      for (const task of worker.tasks) {
-        if (!isMovable(task, nowMs)) continue;
-        const target = this.placement.choose(task, {
-          nowMs,
-          service: this.serviceOf(task.job),
-          workers: this.workers.values(),
-          siblings: siblingsOf(this.stepOf(task)),
-        });
-        if (!target || target === worker || targets.has(target)) continue;
-        targets.add(target);
-        task.movedMs = nowMs;
-        this.requestStop(task, 'slowed-down');
-      }
-    }
-  }
-
-  private serviceOf(job: JobState): string {
-    return this.queueOf(job)?.service ?? job.definition.service;
-  }
-
-  private scheduleSteps(
-    job: JobState,
-    occurrence: OccurrenceState,
-    pass: {nowMs: number; misfits: Misfits},
-  ): void {
-    occurrence.steps.forEach((step, number) => {
-      if (step.doneCount === step.tasks.length) return;
-      const waiting = step.tasks.filter(
-        ({state, notBeforeMs}) =>
-          state === 'waiting' && notBeforeMs <= pass.nowMs,
-      );
-      if (waiting.length === 0 || !job.isStepReady(occurrence, number)) return;
-      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, pass.nowMs);
-      else this.assignTasks(job, step, waiting, pass);
-    });
-  }
-
-  private assignTasks(
-    job: JobState,
-    step: StepState,
-    waiting: readonly TaskState[],
-    pass: {nowMs: number; misfits: Misfits},
-  ): void {
-    const service = this.serviceOf(job);
-    const {step: definition} = step.tasks[0]!;
-    const owner = {service, jobId: job.definition.id};
-    if (pass.misfits.includes(definition, owner)) return;
-    const siblings = siblingsOf(step);
-    for (const task of waiting) {
-      const worker = this.placement.choose(task, {
-        nowMs: pass.nowMs,
-        service,
-        workers: this.workers.values(),
-        siblings,
-        preferredRack: this.rackOf(step),
-      });
-      if (!worker) {
-        pass.misfits.add(definition, owner);
-        return;
-      }
-      this.assign(task, worker, task.run + 1);
-      siblings.set(worker.entry.id, (siblings.get(worker.entry.id) ?? 0) + 1);
-    }
-  }
-
-  private assignGang(job: JobState, step: StepState, nowMs: number): void {
-    if (step.tasks.some(({state}) => state !== 'waiting')) return;
-    const service = this.serviceOf(job);
-    const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
-    const siblings = new Map<string, number>();
-    const placed: TaskState[] = [];
-    for (const task of step.tasks) {
-      const worker = this.placement.choose(task, {
-        nowMs,
-        service,
-        workers: this.workers.values(),
-        siblings,
-        preferredRack: this.rackOf(step),
-      });
-      if (!worker) {
-        for (const member of placed) this.withdraw(member);
-        return;
-      }
-      placed.push(task);
-      this.assign(task, worker, run);
-      siblings.set(worker.entry.id, (siblings.get(worker.entry.id) ?? 0) + 1);
-    }
+  private askAdvice(nowMs: number): void {
+    const question = this.advice.nextQuestion(
+      (id) => this.workers.get(id)?.life ?? 0,
+      nowMs,
+    );
+    if (question) this.options.effects.askAdvice(question);
   }
 
   private withdraw(task: TaskState): void {
@@ -729,6 +644,8 @@
     task.run = run;
     task.percent = 0;
     task.gauge = undefined;
+    const nowMs = this.options.clock.nowMs();
+    task.ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
     task.stopSentMs = -Infinity;
     task.settledAfterMs = Infinity;
     task.assignment = {
@@ -750,18 +667,6 @@
     this.markDirty(task.job);
   }
 
-  /** Rack of the first placed task of a step that is slower over racks. */
-  private rackOf(step: StepState): string | undefined {
-    if (!step.tasks[0]!.step.isRackSensitive) return undefined;
-    const placed = step.tasks.find(({isPlaced}) => isPlaced);
-    return placed && this.workerOf(placed)?.rack;
-  }
-
-  private stepOf(task: TaskState): StepState {
-    const {occurrence, step} = task.position;
-    return task.job.occurrence(occurrence).steps[step]!;
-  }
-
   private workerOf(task: TaskState): WorkerState | undefined {
     const id = task.assignment?.workerId;
     return id === undefined ? undefined : this.workers.get(id);
@@ -777,21 +682,3 @@
     this.options.effects.commitSoon();
   }
 }
-
-function isMovable(task: TaskState, nowMs: number): boolean {
-  const {step} = task;
-  if (task.state !== 'running' || task.pacePercent >= 100) return false;
-  if (!step.usesLeftoverCpu || step.isGang || step.isLongRunning) return false;
-  if (nowMs - task.movedMs < MOVE_INTERVAL_MS) return false;
-  return step.isCheckpointed || task.percent < MOST_LOST_PERCENT;
-}
-
-function siblingsOf(step: StepState): Map<string, number> {
-  const siblings = new Map<string, number>();
-  for (const {assignment} of step.tasks) {
-    if (!assignment) continue;
-    const {workerId} = assignment;
-    siblings.set(workerId, (siblings.get(workerId) ?? 0) + 1);
-  }
-  return siblings;
-}
--- a/src/orchestrator/orchestrator_effects.ts
+++ b/src/orchestrator/orchestrator_effects.ts
@@ -1,5 +1,6 @@
 import {LoggedChange} from '../leadership/commit_log.js';
 import {JobPhase} from '../work/job_definition.js';
+import {AdviceQuestion} from './advice_port.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -13,6 +14,8 @@
   stopStray(run: {task: string; run: number}, worker: WorkerState): void;
   /** Lets a task work at its `pacePercent`. */
   pace(task: TaskState, worker: WorkerState): void;
+  /** Asks the advice service; the answer comes back as a message. */
+  askAdvice(question: AdviceQuestion): void;
   /** Tells of phases that are stored. */
   phasesStored(phases: ReadonlyArray<[jobId: string, phase: JobPhase]>): void;
   /** Asks for a commit soon. */
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -8,6 +8,7 @@
 import {JobPhase} from '../work/job_definition.js';
 import {JobEntry, JobTable} from '../work/job_table.js';
 import {WorkerEntry} from '../work/worker_entry.js';
+import {AdvicePort, AdviceQuestion} from './advice_port.js';
 import {CommitLoop} from './commit_loop.js';
 import {restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
@@ -23,6 +24,7 @@
   log: NodeLog;
   store: MetadataStore;
   port: WorkerPort;
+  advice: AdvicePort;
   keys: PartitionKeys;
   table: JobTable;
   term: OwnerTerm;
@@ -113,12 +115,22 @@
         stop: (task, worker) => void this.orders.stop(task, worker),
         stopStray: (run, worker) => void this.orders.stopStray(run, worker),
         pace: (task, worker) => void this.orders.pace(task, worker),
+        askAdvice: (question) => void this.askAdvice(question),
         phasesStored: (phases) => this.options.onPhases(phases),
         commitSoon: () => this.commits.request(),
       },
     });
   }
 
+  private async askAdvice(question: AdviceQuestion): Promise<void> {
+    const {advice, clock, term} = this.options;
+    const sentMs = clock.nowMs();
+    const outcome = await advice.ask(question);
+    if (term.isOver) return;
+    this.orchestrator.noteAdvice(outcome, sentMs);
+    this.scheduleSoon();
+  }
+
   private createCommits(): CommitLoop {
     const {store, log, keys, term} = this.options;
     return new CommitLoop({
--- a/src/orchestrator/order_sender.ts
+++ b/src/orchestrator/order_sender.ts
@@ -26,7 +26,7 @@
   /** Starts the task's current run on its worker. */
   async start(task: TaskState, worker: WorkerState): Promise<void> {
     const {clock, term, port, longestLeaseMs, onStart} = this.options;
-    const {run, checkpoint} = task;
+    const {run, checkpoint, ticket} = task;
     const leaseUntilMs = worker.leaseLimit(clock.nowMs(), longestLeaseMs);
     worker.noteLease(leaseUntilMs);
     const outcome = await port.start({
@@ -37,6 +37,7 @@
       leaseUntilMs,
       fencingToken: term.token,
       checkpoint,
+      ticket,
     });
     if (!term.isOver) onStart(task, run, outcome);
   }
--- /dev/null
+++ b/src/orchestrator/step_advice_test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {simpleJob, simpleWorker} from '../../testing/simulated_partition.js';
+import {JobState, StepState} from './job_state.js';
+import {StepAdvice} from './step_advice.js';
+import {WorkerState} from './worker_state.js';
+
+function createStep(id: string): StepState {
+  return new JobState(simpleJob(id), 0).occurrence(0).steps[0]!;
+}
+
+const createWorker = (id: string): WorkerState =>
+  new WorkerState(simpleWorker(id));
+
+const lifeOf = (): number => 0;
+
+test('a worker gets a task of the step only with a ticket that lasts', () => {
+  // Guards against starts that a worker rejects for want of a ticket.
+  const advice = new StepAdvice();
+  const step = createStep('job');
+  const [allowed, denied] = [createWorker('w1'), createWorker('w2')];
+  advice.need(step, [allowed, denied]);
+  const question = advice.nextQuestion(lifeOf, 0);
+  assert.deepEqual(question, {step: 'job.0.0', workers: ['w1', 'w2']});
+  const tickets = new Map([['w1', 't1']]);
+  advice.answer({kind: 'advice', tickets, validForMs: 3000}, 0, 50);
+  assert.equal(advice.ticketFor(step, allowed, 60), 't1');
+  assert.equal(advice.ticketFor(step, denied, 60), undefined);
+  assert.equal(advice.ticketFor(step, allowed, 2900), undefined);
+  allowed.beginLife(2);
+  assert.equal(advice.ticketFor(step, allowed, 60), undefined);
+});
+
+test('workers that may not run a step are not asked about again', () => {
+  // Guards against questions that cost time and teach nothing.
+  const advice = new StepAdvice();
+  const step = createStep('job');
+  const [allowed, denied] = [createWorker('w1'), createWorker('w2')];
+  advice.need(step, [allowed, denied]);
+  advice.nextQuestion(lifeOf, 0);
+  const tickets = new Map([['w1', 't1']]);
+  advice.answer({kind: 'advice', tickets, validForMs: 100}, 0, 50);
+  advice.need(step, [allowed, denied]);
+  assert.deepEqual(advice.nextQuestion(lifeOf, 60)?.workers, ['w1']);
+});
+
+test('one question is under way at a time, and the next one waits its turn', () => {
+  // Guards against a service that is flooded, and a step that is never asked.
+  const advice = new StepAdvice();
+  const worker = createWorker('w1');
+  advice.need(createStep('first'), [worker]);
+  advice.need(createStep('second'), [worker]);
+  assert.equal(advice.nextQuestion(lifeOf, 0)?.step, 'first.0.0');
+  assert.equal(advice.nextQuestion(lifeOf, 0), undefined);
+  advice.answer({kind: 'unknown', reason: 'busy'}, 0, 100);
+  assert.equal(advice.nextQuestion(lifeOf, 200), undefined);
+  assert.equal(advice.nextQuestion(lifeOf, 600)?.step, 'second.0.0');
+});
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -12,6 +12,8 @@
   siblings: ReadonlyMap<string, number>;
   /** Rack that a rack-sensitive step already uses. @default none */
   preferredRack?: string;
+  /** Tells whether a worker may run the task at all. @default all may */
+  isAllowed?: (worker: WorkerState) => boolean;
 }
 
 /** Chooses the worker for a task. */
@@ -115,6 +117,7 @@
   if (!worker.isKnown || entry.isDraining) return false;
   if (context.nowMs - worker.lastReportMs > REPORT_AGE_LIMIT_MS) return false;
   if (health.isBlocked(context.nowMs)) return false;
+  if (context.isAllowed?.(worker) === false) return false;
   if (step.requiredLabel && !entry.labels.includes(step.requiredLabel)) {
     return false;
   }
--- /dev/null
+++ b/src/orchestrator/task_scheduler.ts
@@ -0,0 +1,228 @@
+import {Queue} from '../work/configuration.js';
+import {JobOrder} from './job_order.js';
+import {JobState, OccurrenceState, StepState} from './job_state.js';
+import {Misfits} from './misfits.js';
+import {StepAdvice} from './step_advice.js';
+import {PlacementContext, TaskPlacement} from './task_placement.js';
+import {TaskState} from './task_state.js';
+import {WorkerState} from './worker_state.js';
+
+/** Options of {@link TaskScheduler}. */
+export interface TaskSchedulerOptions {
+  workers: ReadonlyMap<string, WorkerState>;
+  order: JobOrder;
+  placement: TaskPlacement;
+  advice: StepAdvice;
+  /** Looks up the queue of a job; undefined if it was removed. */
+  queueOf: (job: JobState) => Queue | undefined;
+  /** Places a run of a task on a worker. */
+  onAssign: (task: TaskState, worker: WorkerState, run: number) => void;
+  /** Takes back an assignment of this pass. */
+  onWithdraw: (task: TaskState) => void;
+  /** Stops a task so that it runs on elsewhere. */
+  onMove: (task: TaskState) => void;
+}
+
+/** Moment of one pass over the waiting jobs. */
+export interface SchedulingMoment {
+  nowMs: number;
+  /** Unix time in ms. */
+  wallMs: number;
+}
+
+interface SchedulingPass {
+  nowMs: number;
+  misfits: Misfits;
+}
+
+/** Time in ms between two searches for tasks to move. */
+const MOVE_CHECK_MS = 150;
+
+/** Time in ms between two moves of one task. */
+const MOVE_INTERVAL_MS = 2000;
+
+/** Progress in percent that a move of a task without checkpoints may lose. */
+const MOST_LOST_PERCENT = 30;
+
+/** Assigns the tasks whose turn has come to workers. */
+export class TaskScheduler {
+  private movedMs = -Infinity;
+
+  constructor(private readonly options: TaskSchedulerOptions) {}
+
+  /** Assigns waiting tasks, and moves tasks that are slowed down. */
+  schedule(jobs: Iterable<JobState>, {nowMs, wallMs}: SchedulingMoment): void {
+    const {order, queueOf} = this.options;
+    const waiting = [...jobs].filter((job) => !job.isFinal && job.hasWaiting);
+    const misfits = new Misfits();
+    for (const job of order.sort(waiting, {wallMs, queueOf})) {
+      for (const occurrence of job.occurrences.values()) {
+        if (occurrence.isDone) continue;
+        this.scheduleSteps(job, occurrence, {nowMs, misfits});
+      }
+    }
+    if (nowMs - this.movedMs < MOVE_CHECK_MS) return;
+    this.movedMs = nowMs;
+    this.moveSlowed(nowMs);
+  }
+
+  private scheduleSteps(
+    job: JobState,
+    occurrence: OccurrenceState,
+    pass: SchedulingPass,
+  ): void {
+    occurrence.steps.forEach((step, number) => {
+      if (step.doneCount === step.tasks.length) return;
+      const waiting = step.tasks.filter(
+        ({state, notBeforeMs}) =>
+          state === 'waiting' && notBeforeMs <= pass.nowMs,
+      );
+      if (waiting.length === 0 || !job.isStepReady(occurrence, number)) return;
+      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, pass.nowMs);
+      else this.assignTasks(job, step, waiting, pass);
+    });
+  }
+
+  private assignTasks(
+    job: JobState,
+    step: StepState,
+    waiting: readonly TaskState[],
+    pass: SchedulingPass,
+  ): void {
+    const {placement, onAssign} = this.options;
+    const {step: definition} = step.tasks[0]!;
+    const needsAdvice = this.needsAdvice(job);
+    const service = this.serviceOf(job);
+    const owner = {service, jobId: job.definition.id, needsAdvice};
+    if (pass.misfits.includes(definition, owner)) return;
+    const context = this.contextOf(job, step, pass.nowMs);
+    for (const task of waiting) {
+      const preferredRack = this.rackOf(step);
+      const worker = placement.choose(task, {...context, preferredRack});
+      if (!worker) {
+        pass.misfits.add(definition, owner);
+        if (needsAdvice) this.askAdvice(task, context);
+        return;
+      }
+      onAssign(task, worker, task.run + 1);
+      countSibling(context.siblings, worker);
+    }
+  }
+
+  private assignGang(job: JobState, step: StepState, nowMs: number): void {
+    if (step.tasks.some(({state}) => state !== 'waiting')) return;
+    const {placement, onAssign, onWithdraw} = this.options;
+    const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
+    const context = this.contextOf(job, step, nowMs);
+    const placed: TaskState[] = [];
+    for (const task of step.tasks) {
+      const preferredRack = this.rackOf(step);
+      const worker = placement.choose(task, {...context, preferredRack});
+      if (!worker) {
+        for (const member of placed) onWithdraw(member);
+        if (this.needsAdvice(job)) this.askAdvice(task, context);
+        return;
+      }
+      placed.push(task);
+      onAssign(task, worker, run);
+      countSibling(context.siblings, worker);
+    }
+  }
+
+  /**
+   * Stops tasks that are slowed down for tasks that serve, if another worker
+   * can run them at full speed. A stop saves the progress of tasks that
+   * checkpoint; others are moved only while little of their work is done.
+   */
+  private moveSlowed(nowMs: number): void {
+    const {workers, placement, onMove} = this.options;
+    const targets = new Set<WorkerState>();
+    for (const worker of workers.values()) {
+      for (const task of worker.tasks) {
+        if (!isMovable(task, nowMs)) continue;
+        const context = this.contextOf(task.job, stepOf(task), nowMs);
+        const target = placement.choose(task, context);
+        if (!target || target === worker || targets.has(target)) continue;
+        targets.add(target);
+        task.movedMs = nowMs;
+        onMove(task);
+      }
+    }
+  }
+
+  private contextOf(
+    job: JobState,
+    step: StepState,
+    nowMs: number,
+  ): PlacementContext & {siblings: Map<string, number>} {
+    const {workers, advice} = this.options;
+    const context = {
+      nowMs,
+      service: this.serviceOf(job),
+      workers: {[Symbol.iterator]: () => workers.values()},
+      siblings: siblingsOf(step),
+    };
+    if (!this.needsAdvice(job)) return context;
+    const isAllowed = (worker: WorkerState): boolean =>
+      advice.ticketFor(step, worker, nowMs) !== undefined;
+    return {...context, isAllowed};
+  }
+
+  /** Asks which workers may run a step; those with room come first. */
+  private askAdvice(task: TaskState, context: PlacementContext): void {
+    const {advice, placement, workers} = this.options;
+    const anyWorker = {...context, isAllowed: undefined};
+    const suitable = [...workers.values()].filter(
+      (worker) =>
+        placement.choose(task, {...anyWorker, workers: [worker]}) === worker,
+    );
+    advice.need(stepOf(task), suitable);
+  }
+
+  private needsAdvice(job: JobState): boolean {
+    return this.options.queueOf(job)?.needsAdvice ?? false;
+  }
+
+  private serviceOf(job: JobState): string {
+    return this.options.queueOf(job)?.service ?? job.definition.service;
+  }
+
+  /** Rack of the first placed task of a step that is slower over racks. */
+  private rackOf(step: StepState): string | undefined {
+    if (!step.tasks[0]!.step.isRackSensitive) return undefined;
+    const placed = step.tasks.find(({isPlaced}) => isPlaced);
+    const id = placed?.assignment?.workerId;
+    return id === undefined ? undefined : this.options.workers.get(id)?.rack;
+  }
+}
+
+/** Step of the occurrence that a task belongs to. */
+export function stepOf(task: TaskState): StepState {
+  const {occurrence, step} = task.position;
+  return task.job.occurrence(occurrence).steps[step]!;
+}
+
+function countSibling(
+  siblings: Map<string, number>,
+  {entry}: WorkerState,
+): void {
+  siblings.set(entry.id, (siblings.get(entry.id) ?? 0) + 1);
+}
+
+function isMovable(task: TaskState, nowMs: number): boolean {
+  const {step} = task;
+  if (task.state !== 'running' || task.pacePercent >= 100) return false;
+  if (!step.usesLeftoverCpu || step.isGang || step.isLongRunning) return false;
+  if (nowMs - task.movedMs < MOVE_INTERVAL_MS) return false;
+  return step.isCheckpointed || task.percent < MOST_LOST_PERCENT;
+}
+
+function siblingsOf(step: StepState): Map<string, number> {
+  const siblings = new Map<string, number>();
+  for (const {assignment} of step.tasks) {
+    if (!assignment) continue;
+    const {workerId} = assignment;
+    siblings.set(workerId, (siblings.get(workerId) ?? 0) + 1);
+  }
+  return siblings;
+}
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -41,6 +41,8 @@
   notBeforeMs = -Infinity;
   /** Time in ms at which it was last stopped to run elsewhere. */
   movedMs = -Infinity;
+  /** Permission of the advice service for the current run. */
+  ticket: string | undefined;
   /** Worker on which the latest run failed. */
   lastFailedWorkerId: string | undefined;
 
--- a/src/orchestrator/worker_session_test.ts
+++ b/src/orchestrator/worker_session_test.ts
@@ -44,6 +44,7 @@
       stop: () => undefined,
       stopStray: () => undefined,
       pace: () => undefined,
+      askAdvice: () => undefined,
       phasesStored: () => undefined,
       commitSoon: () => undefined,
     },
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -297,6 +297,7 @@
           target?.stop({task, run, fencingToken: token});
         },
         pace: () => undefined,
+        askAdvice: () => undefined,
         phasesStored: () => undefined,
         commitSoon: () => undefined,
       },
