--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -16,6 +16,8 @@
   takeover: async () => (await import('./scenarios/takeover.js')).runTakeover,
   placement: async () =>
     (await import('./scenarios/placement.js')).runPlacement,
+  'owner-load': async () =>
+    (await import('./scenarios/owner_load.js')).runOwnerLoad,
   'platform-outage': async () =>
     (await import('./scenarios/platform_outage.js')).runPlatformOutage,
 };
--- /dev/null
+++ b/measure/scenarios/owner_load.ts
@@ -0,0 +1,235 @@
+import {performance} from 'node:perf_hooks';
+
+import {ManualClock} from '../../src/clock/manual_clock.js';
+import {PartitionKeys} from '../../src/leadership/partition_keys.js';
+import {JobState} from '../../src/orchestrator/job_state.js';
+import {Orchestrator} from '../../src/orchestrator/orchestrator.js';
+import {TaskState} from '../../src/orchestrator/task_state.js';
+import {EndKind, EndReport} from '../../src/orchestrator/worker_port.js';
+import {WorkerState} from '../../src/orchestrator/worker_state.js';
+import {RandomSource} from '../../src/random/random_source.js';
+import {SeededRandom} from '../../src/random/seeded_random.js';
+import {silentLog} from '../../testing/silent_log.js';
+import {
+  simpleConfiguration,
+  simpleJob,
+  simpleStep,
+  simpleWorker,
+} from '../../testing/simulated_partition.js';
+import {Scenario} from '../scenario.js';
+
+const SIZES = [45, 343, 1000] as const;
+
+/** Load in proportion to the workers, as on the users' grown deployment. */
+const JOBS_PER_WORKER_SECOND = 0.076;
+const SERVING_TASKS_PER_WORKER = 5;
+const SERVING_TASKS_PER_JOB = 14;
+const FILLS_PER_STEP = 20;
+const IMAGES = 9;
+
+const PASS_MS = 10;
+const REPORT_INTERVAL_MS = 700;
+const LEASE_MS = 6000;
+const SECONDS = 5;
+
+/** Processor time of one owner's decisions at several sizes, without I/O. */
+export const runOwnerLoad: Scenario = (options) => {
+  const sizes: Record<string, OwnerCost> = {};
+  for (const workers of SIZES) {
+    options.progress(`${workers} workers`);
+    sizes[workers] = new OwnerBench(workers, options.seed).run();
+  }
+  return Promise.resolve({violations: 0, sizes});
+};
+
+interface OwnerCost {
+  /** Processors used by all decisions. */
+  cores: number;
+  /** Of these, by passes over the waiting jobs. */
+  scheduleCores: number;
+  reportCores: number;
+  tickCores: number;
+  startsPerSecond: number;
+  /** Tasks that wait at the end. */
+  waiting: number;
+}
+
+class OwnerBench {
+  private readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  private readonly random: RandomSource;
+  private readonly orchestrator: Orchestrator;
+  private readonly ends = new Map<WorkerState, EndReport[]>();
+  private readonly doneMs = new Map<TaskState, number>();
+  private readonly spentMs = {schedule: 0, report: 0, tick: 0};
+  private starts = 0;
+  private jobs = 0;
+
+  constructor(
+    private readonly workerCount: number,
+    seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.orchestrator = new Orchestrator({
+      clock: this.clock,
+      log: silentLog(),
+      keys: new PartitionKeys('main'),
+      longestLeaseMs: 6000,
+      keepFinishedMs: 120_000,
+      earlierTermMs: 0,
+      effects: {
+        start: (task) => this.start(task),
+        stop: (task, worker) => this.end(task, worker, EndKind.STOPPED),
+        stopStray: () => undefined,
+        pace: () => undefined,
+        askAdvice: () => undefined,
+        phasesStored: () => undefined,
+        commitSoon: () => undefined,
+      },
+    });
+    this.orchestrator.configure(simpleConfiguration());
+    for (let number = 0; number < workerCount; number++) {
+      const capacity = {
+        cpuMillicores: 32_000,
+        memoryMb: 128_000,
+        acceleratorCount: 0,
+      };
+      const entry = simpleWorker(`w${number}`, {capacity});
+      this.orchestrator.seeWorker(entry);
+    }
+  }
+
+  run(): OwnerCost {
+    this.report();
+    this.submitServing();
+    for (let passed = 0; passed < SECONDS * 1000; passed += PASS_MS) {
+      this.clock.advance(PASS_MS);
+      this.submitFills();
+      this.timed('tick', () => this.orchestrator.tick());
+      this.timed('schedule', () => this.orchestrator.schedule());
+      this.orchestrator.takeUnstored().onStored();
+      this.finish();
+      this.report();
+    }
+    const {schedule, report, tick} = this.spentMs;
+    const cores = (spentMs: number): number => round(spentMs / SECONDS / 1000);
+    return {
+      cores: cores(schedule + report + tick),
+      scheduleCores: cores(schedule),
+      reportCores: cores(report),
+      tickCores: cores(tick),
+      startsPerSecond: Math.round(this.starts / SECONDS),
+      waiting: [...this.orchestrator.jobs.values()]
+        .flatMap((job) => [...job.tasks()])
+        .filter(({state}) => state === 'waiting').length,
+    };
+  }
+
+  private timed(part: keyof typeof this.spentMs, action: () => void): void {
+    const begunMs = performance.now();
+    action();
+    this.spentMs[part] += performance.now() - begunMs;
+  }
+
+  private submitServing(): void {
+    const tasks = this.workerCount * SERVING_TASKS_PER_WORKER;
+    for (let placed = 0; placed < tasks; placed += SERVING_TASKS_PER_JOB) {
+      this.submit(
+        simpleStep({
+          taskCount: SERVING_TASKS_PER_JOB,
+          cpuMillicores: 5600,
+          memoryMb: 8000,
+          isLongRunning: true,
+          image: `serving-${this.jobs % 5}`,
+          tailTargetMs: 50,
+        }),
+      );
+    }
+  }
+
+  private submitFills(): void {
+    const perPass =
+      (JOBS_PER_WORKER_SECOND * this.workerCount * PASS_MS) / 1000;
+    for (let due = perPass; due > this.random.next(); due -= 1) {
+      this.submit(
+        simpleStep({
+          taskCount: FILLS_PER_STEP,
+          cpuMillicores: 2500 + this.random.nextInteger(2000),
+          memoryMb: 6000,
+          estimatedMs: 1700,
+          image: `fill-${this.random.nextInteger(IMAGES)}`,
+          usesLeftoverCpu: true,
+          isCheckpointed: true,
+        }),
+      );
+    }
+  }
+
+  private submit(step: ReturnType<typeof simpleStep>): void {
+    const definition = simpleJob(`job${this.jobs++}`, {steps: [step]});
+    const job = new JobState(definition, this.clock.wallMs());
+    this.orchestrator.addJob(job);
+  }
+
+  private start(task: TaskState): void {
+    this.starts += 1;
+    this.orchestrator.noteStart(task, task.run, {kind: 'done'});
+    if (task.step.isLongRunning) return;
+    const durationMs = 1000 + this.random.next() * 1500;
+    this.doneMs.set(task, this.clock.nowMs() + durationMs);
+  }
+
+  private finish(): void {
+    for (const [task, doneMs] of this.doneMs) {
+      if (doneMs > this.clock.nowMs()) continue;
+      const worker = this.orchestrator.workers.get(
+        task.assignment?.workerId ?? '',
+      );
+      if (worker) this.end(task, worker, EndKind.DONE);
+    }
+  }
+
+  private end(task: TaskState, worker: WorkerState, kind: EndKind): void {
+    this.doneMs.delete(task);
+    const ends = this.ends.get(worker) ?? [];
+    this.ends.set(worker, ends);
+    ends.push({
+      sequence: worker.processedEnd + ends.length + 1,
+      task: task.name,
+      run: task.run,
+      kind,
+      checkpoint: '',
+    });
+  }
+
+  /** Workers report when a task has ended, and at an interval. */
+  private report(): void {
+    const nowMs = this.clock.nowMs();
+    for (const worker of this.orchestrator.workers.values()) {
+      const ended = this.ends.get(worker) ?? [];
+      const isDue = nowMs - worker.lastReportMs >= REPORT_INTERVAL_MS;
+      if (ended.length === 0 && !isDue) continue;
+      this.ends.delete(worker);
+      const over = new Set(ended.map(({task}) => task));
+      const running = [...worker.tasks]
+        .filter(({state, name}) => state === 'running' && !over.has(name))
+        .map((task) => ({
+          task: task.name,
+          run: task.run,
+          checkpoint: '',
+          percent: task.step.isLongRunning ? 100 : this.random.nextInteger(100),
+          gauge: task.step.isLongRunning
+            ? 12 + this.random.nextInteger(20)
+            : task.step.cpuMillicores,
+        }));
+      const report = {clockMs: nowMs, bornMs: 1, running, ended};
+      this.timed('report', () =>
+        this.orchestrator.readReport(worker, report, nowMs),
+      );
+      worker.noteLease(worker.leaseLimit(nowMs, LEASE_MS));
+    }
+  }
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
