Prefer large VMs as owners

Which VM took the partition was chance. Change: the settings tell the VM's processor; nodes with less than half a core wait 500 ms before they try to own the partition, and an owner that the store refuses asks linked nodes on large VMs first. Result: a test with a small and a large candidate, which fails without the pause.

--- a/src/leadership/owner_election.ts
+++ b/src/leadership/owner_election.ts
@@ -19,6 +19,13 @@
   createRecord: () => OwnerRecord;
   /** Time in ms after which an owner that does not renew is replaced. */
   termLeaseMs: number;
+  /**
+   * Time in ms by which this node lets others go first; for small VMs, on which
+   * an owner would be slow.
+   *
+   * @default 0
+   */
+  patienceMs?: number;
   /** Tells whether the owner key is absent as far as this node knows. */
   isVacant: () => boolean;
   /** Called with each term that this node wins. */
@@ -58,14 +65,14 @@
 
   /** Checks now; for a change of the owner key. */
   async check(): Promise<void> {
-    const {isVacant, random} = this.options;
+    const {isVacant} = this.options;
     if (this.isAttempting || this.stopped || this.term?.isOver === false) {
       return;
     }
     if (!isVacant()) return;
     this.isAttempting = true;
     try {
-      await sleep(random.next() * JITTER_MS);
+      await sleep(this.pauseMs());
       if (isVacant() && !this.stopped) await this.attempt(0);
     } catch (error) {
       this.noteFailure(error);
@@ -85,7 +92,7 @@
     }
     this.isAttempting = true;
     try {
-      await sleep(this.options.random.next() * JITTER_MS);
+      await sleep(this.pauseMs());
       if (!this.stopped) await this.attempt(token);
     } catch (error) {
       this.noteFailure(error);
@@ -105,7 +112,7 @@
     this.isAttempting = true;
     try {
       const before = await this.readKeys();
-      await sleep(SILENCE_MS + this.options.random.next() * JITTER_MS);
+      await sleep(SILENCE_MS + this.pauseMs());
       const now = await this.readKeys();
       const isSilent =
         now.head === before.head && now.owner === before.owner && now.owner > 0;
@@ -118,6 +125,12 @@
     }
   }
 
+  /** Pause before an attempt. */
+  private pauseMs(): number {
+    const {random, patienceMs = 0} = this.options;
+    return patienceMs + random.next() * JITTER_MS;
+  }
+
   private noteFailure(error: unknown): void {
     const reason = (error as Error).message;
     this.options.log.decide('take-ownership-failed', {reason});
--- a/src/leadership/owner_election_test.ts
+++ b/src/leadership/owner_election_test.ts
@@ -21,7 +21,7 @@
 function createCandidate(
   store: MemoryStore,
   node: string,
-  {termLeaseMs = 60_000} = {},
+  {termLeaseMs = 60_000, patienceMs = 0} = {},
 ): Candidate {
   const terms: OwnerTerm[] = [];
   const election = new OwnerElection({
@@ -32,6 +32,7 @@
     keys,
     createRecord: () => ({node, host: '127.0.0.1', port: 1, linkToken: node}),
     termLeaseMs,
+    patienceMs,
     isVacant: () => true,
     onTerm: (term) => terms.push(term),
   });
@@ -123,3 +124,17 @@
   store.isDown = false;
   await first.election.stop();
 });
+
+test('a node on a small VM owns the partition only if no other does', async () => {
+  // Guards against an owner whose processor cannot keep up with its workers.
+  const store = new MemoryStore();
+  const patienceMs = 400;
+  const small = createCandidate(store, 'small', {patienceMs});
+  const large = createCandidate(store, 'large');
+  await Promise.all([small.election.check(), large.election.check()]);
+  assert.equal(await ownerOf(store), 'large');
+  await large.election.stop();
+  await small.election.check();
+  assert.equal(await ownerOf(store), 'small');
+  await small.election.stop();
+});
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -213,6 +213,7 @@
       incarnation: hello.incarnation!,
       role: String(hello.role),
       dataCentre: String(hello.dataCentre),
+      processors: Number(hello.processors ?? 0),
     };
     this.handler.onOpen?.(this);
   }
--- a/src/links/link_message.ts
+++ b/src/links/link_message.ts
@@ -8,6 +8,8 @@
   role: string;
   /** Data centre of the process. */
   dataCentre: string;
+  /** Processors of its VM in cores of ordinary speed. @default unknown */
+  processors?: number;
 }
 
 /** First frame on a link, sent by both sides. */
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -67,6 +67,7 @@
       incarnation: randomUUID(),
       role: 'node',
       dataCentre: settings.dataCentre,
+      processors: processorsOf(settings),
     };
     this.ownerLink = new OwnerLink({
       ...options,
@@ -164,6 +165,7 @@
         linkToken: randomUUID(),
       }),
       termLeaseMs: settings.owner.termLeaseMs,
+      patienceMs: patienceOf(settings),
       isVacant: () => !this.isStopping && this.mirrors.isVacant,
       onTerm: (term, owner) => void this.takeOver({term, owner}, keys, table),
     });
@@ -307,3 +309,13 @@
     };
   }
 }
+
+function processorsOf({processor}: NodeSettings): number {
+  return processor.share * processor.speed;
+}
+
+/** Small VMs let larger ones own the partition. */
+function patienceOf(settings: NodeSettings): number {
+  const {leastProcessors, patienceMs} = settings.owner;
+  return processorsOf(settings) < leastProcessors ? patienceMs : 0;
+}
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -35,8 +35,21 @@
     /** Time in seconds from SIGTERM until the platform kills the process. */
     gracePeriodSeconds: z.number().positive().max(600),
   }),
+  /** Processor of the VM. */
+  processor: z
+    .strictObject({
+      /** Share of a core that the program may use. */
+      share: z.number().positive().max(1024).default(1),
+      /** Speed of that core as a multiple of an ordinary one. */
+      speed: z.number().positive().max(1024).default(1),
+    })
+    .prefault({}),
   owner: z
     .strictObject({
+      /** Processors in ordinary cores below which others go first. */
+      leastProcessors: z.number().min(0).max(1024).default(0.5),
+      /** Time in ms by which nodes with less let others go first. */
+      patienceMs: milliseconds.default(500),
       /** Time in ms after which a silent owner is replaced. */
       termLeaseMs: milliseconds.default(2000),
     })
--- a/src/node/owner_hub.ts
+++ b/src/node/owner_hub.ts
@@ -39,6 +39,8 @@
 export class OwnerHub implements LinkHandler {
   private readonly server: LinkServer;
   private readonly links = new Set<Link>();
+  /** Links that were asked to take over since all have been asked. */
+  private readonly asked = new Set<Link>();
 
   constructor(private readonly options: OwnerHubOptions) {
     const {identity, owner, clock} = options;
@@ -67,17 +69,21 @@
   }
 
   /**
-   * Asks some nodes to replace this owner, which cannot use the store; other
-   * nodes at the next call, since the store may refuse these as well.
+   * Asks some nodes to replace this owner, which cannot use the store, those on
+   * large VMs first; other nodes at the next call, since the store may refuse
+   * these as well.
    */
   handOver(token: number): void {
-    const asked = [...this.links].slice(0, HAND_OVER_NODES);
+    let open = [...this.links].filter((link) => !this.asked.has(link));
+    if (open.length === 0) {
+      this.asked.clear();
+      open = [...this.links];
+    }
+    open.sort((left, right) => processorsOf(right) - processorsOf(left));
+    const asked = open.slice(0, HAND_OVER_NODES);
+    for (const link of asked) this.asked.add(link);
     const message: HandOverMessage = {token};
     broadcast(asked, OwnerMessage.HAND_OVER, message);
-    for (const link of asked) {
-      this.links.delete(link);
-      this.links.add(link);
-    }
     this.options.log.decide('hand-over', {
       term: token,
       nodes: asked.map(({peer}) => peer?.member),
@@ -90,6 +96,7 @@
   }
 
   onClose(link: Link, reason: string): void {
+    this.asked.delete(link);
     if (!this.links.delete(link)) return;
     this.options.log.decide('node-unlinked', {node: link.peer?.member, reason});
   }
@@ -124,3 +131,7 @@
     );
   }
 }
+
+function processorsOf({peer}: Link): number {
+  return peer?.processors ?? 0;
+}
