--- a/testing/run_tests.ts
+++ b/testing/run_tests.ts
@@ -6,6 +6,9 @@
 /** Test files that run at once; more would make timings unreliable. */
 const CONCURRENCY = 3;
 
+/** Time in ms after which a test has failed, also one that hangs. */
+const TEST_TIMEOUT_MS = 180_000;
+
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
 function testFiles(folder: string): string[] {
@@ -41,7 +44,11 @@
   const seen = new Set<string>();
   let passedCount = 0;
   let failedKnownCount = 0;
-  const stream = run({files, concurrency: CONCURRENCY});
+  const stream = run({
+    files,
+    concurrency: CONCURRENCY,
+    timeout: TEST_TIMEOUT_MS,
+  });
   stream.on('test:pass', (event) => {
     seen.add(event.name);
     if (event.details.type !== 'suite') passedCount += 1;
--- a/testing/soak_test.ts
+++ b/testing/soak_test.ts
@@ -22,3 +22,10 @@
   assert.ok(accepted > 10, `accepted ${accepted}`);
   assert.deepEqual(breaches, []);
 });
+
+test('seeds that once failed keep the promises', async () => {
+  // 101: restarted workers; the stand-in acknowledged ends of the next life.
+  const kinds = [SoakFault.RESTART_WORKER];
+  const {breaches} = await runSoak({seed: 101, seconds: 5, kinds});
+  assert.deepEqual(breaches, []);
+});
