--- a/measure/scenarios/owner_load.ts
+++ b/measure/scenarios/owner_load.ts
@@ -15,7 +15,7 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {Scenario} from '../scenario.js';
 
 const SIZES = [45, 343, 1000] as const;
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -6,7 +6,7 @@
 import {
   simpleConfiguration,
   simpleJob,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {JobPhase} from '../work/job_definition.js';
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -7,7 +7,7 @@
 import {
   simpleConfiguration,
   simpleJob,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {sleep} from '../clock/sleep.js';
 import {SystemClock} from '../clock/system_clock.js';
 import {OwnerRecord} from '../leadership/owner_record.js';
--- a/src/orchestrator/advised_queue_test.ts
+++ b/src/orchestrator/advised_queue_test.ts
@@ -7,7 +7,7 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {AdviceQuestion} from './advice_port.js';
--- a/src/orchestrator/fill_control_test.ts
+++ b/src/orchestrator/fill_control_test.ts
@@ -5,7 +5,7 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {SeededRandom} from '../random/seeded_random.js';
 import {StepDefinition} from '../work/job_definition.js';
 import {FillControl} from './fill_control.js';
--- a/src/orchestrator/job_order_test.ts
+++ b/src/orchestrator/job_order_test.ts
@@ -5,7 +5,7 @@
   simpleConfiguration,
   simpleJob,
   simpleStep,
-} from '../../testing/simulated_partition.js';
+} from '../../testing/simple_definitions.js';
 import {ArrivalOrder, JobOrder, ProspectOrder} from './job_order.js';
 import {JobState} from './job_state.js';
 
--- a/src/orchestrator/misfits_test.ts
+++ b/src/orchestrator/misfits_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleStep} from '../../testing/simulated_partition.js';
+import {simpleStep} from '../../testing/simple_definitions.js';
 import {Misfits} from './misfits.js';
 
 const OWNER = {service: 'service', jobId: 'job'};
--- a/src/orchestrator/orchestrator_property_test.ts
+++ b/src/orchestrator/orchestrator_property_test.ts
@@ -1,11 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {
-  SimulatedPartition,
-  simpleJob,
-  simpleStep,
-} from '../../testing/simulated_partition.js';
+import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {SimulatedPartition} from '../../testing/simulated_partition.js';
 import {JobPhase} from '../work/job_definition.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 300);
--- a/src/orchestrator/step_advice_test.ts
+++ b/src/orchestrator/step_advice_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleWorker} from '../../testing/simulated_partition.js';
+import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {JobState, StepState} from './job_state.js';
 import {StepAdvice} from './step_advice.js';
 import {WorkerState} from './worker_state.js';
--- a/src/orchestrator/worker_session_test.ts
+++ b/src/orchestrator/worker_session_test.ts
@@ -3,7 +3,7 @@
 
 import {MemoryStore} from '../../testing/memory_store.js';
 import {silentLog} from '../../testing/silent_log.js';
-import {simpleWorker} from '../../testing/simulated_partition.js';
+import {simpleWorker} from '../../testing/simple_definitions.js';
 import {SystemClock} from '../clock/system_clock.js';
 import {OwnerTerm} from '../leadership/owner_term.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -13,7 +13,7 @@
 import {ManagedProcess} from './child_process.js';
 import {FaultyLink} from './faulty_link.js';
 import {freePorts} from './free_ports.js';
-import {simpleWorker} from './simulated_partition.js';
+import {simpleWorker} from './simple_definitions.js';
 import {StoreStandIn} from './store_stand_in.js';
 import {TaskWorkerStandIn} from './task_worker_stand_in.js';
 
