Keep the progress of jobs out of the mirrors of other nodes

Cause: every node watched all keys of the partition, and each commit of the owner rewrites the whole progress record of a job. At 960 starts and as many ends a second that is about 700 records of 2.5 KB a second, so 2.4 MB/s of base64 to each of 97 nodes, which each decoded and kept all of it; VMs with 14 Mbit/s cannot even receive it. Also, each node woke 100 times a second to sample its event loop delay, and the owner wrote the phases of each commit to each link.

Change: progress is kept under a prefix of its own, which only an owner reads, when its term begins. Other nodes ask the owner for phases and counts of waiting jobs, and read the store if it does not answer. A job counts as waiting until a task is confirmed to have started, not until one is assigned. Records that cannot be decoded no longer stop a mirror or a takeover. The event loop delay is sampled every 250 ms.

--- a/src/leadership/partition_keys.ts
+++ b/src/leadership/partition_keys.ts
@@ -1,7 +1,9 @@
 /** Store keys that hold the state of a partition. */
 export class PartitionKeys {
-  /** Prefix of all keys of the partition. */
+  /** Prefix of the keys that every node mirrors. */
   readonly prefix: string;
+  /** Prefix of the progress of jobs, which only an owner reads in full. */
+  readonly progressPrefix: string;
   /** Key of the owner record; attached to the lease of the owner. */
   readonly owner: string;
   /** Key that each transaction of the owner rewrites, for fencing. */
@@ -10,6 +12,7 @@
   /** @param partition - Name of the partition. */
   constructor(partition: string) {
     this.prefix = `banyanmux/${partition}/`;
+    this.progressPrefix = `banyanmux-progress/${partition}/`;
     this.owner = `${this.prefix}owner`;
     this.head = `${this.prefix}head`;
   }
@@ -26,11 +29,12 @@
 
   /** Key of the progress of a job, written by the owner. */
   progress(jobId: string): string {
-    return `${this.prefix}jobs/${jobId}/progress`;
+    return `${this.progressPrefix}${jobId}`;
   }
 
   /**
-   * Splits the key of a job into the ID and the suffix, such as 'progress'.
+   * Splits a mirrored key of a job into the ID and the suffix, such as
+   * 'submission'.
    *
    * @returns Undefined if the key is not that of a job.
    */
--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -16,6 +16,7 @@
 import {
   JobMessage,
   OwnerMessage,
+  QueueMessage,
   RelayedSubmission,
   SubmittedMessage,
 } from './owner_messages.js';
@@ -29,8 +30,16 @@
   table: JobTable;
   /** Whether the store has responded to this node recently. */
   isStoreReachable: () => boolean;
-  /** Relays requests to the owner while this node cannot reach the store. */
+  /** Sends requests to the owner of the partition. */
   owner: OwnerClient;
+  /** Returns the local state of jobs if this node owns the partition. */
+  ownedJobs: () => OwnedJobs | undefined;
+}
+
+/** Jobs of the partition as its owner knows them. */
+export interface OwnedJobs {
+  /** Returns the number of jobs in a queue of which no task has started. */
+  countPending(queue: string): number;
 }
 
 /** Connection to the owner of the partition, as a gateway uses it. */
@@ -42,7 +51,7 @@
   /** Sends a request to the owner; rejects if it does not respond in time. */
   request(
     name: string,
-    body: JobMessage | RelayedSubmission,
+    body: JobMessage | QueueMessage | RelayedSubmission,
     timeoutMs: number,
   ): Promise<GatewayResult>;
 }
@@ -67,9 +76,15 @@
 /** Time in ms before a client's deadline, reserved to send the response. */
 const RESPONSE_MARGIN_MS = 300;
 
-/** Timeout in ms of a phase or cancellation request that the owner relays. */
+/** Timeout in ms of a cancellation that the owner relays. */
 const RELAY_TIMEOUT_MS = 1500;
 
+/**
+ * Timeout in ms of a question to the owner; leaves time to read the store
+ * before the deadline of the client.
+ */
+const LOOK_UP_TIMEOUT_MS = 700;
+
 /**
  * Accepts, queries and cancels jobs for clients. Uses the store directly, or
  * the owner as a relay while this node cannot reach the store.
@@ -201,15 +216,25 @@
     }
   }
 
-  /** Returns the phase of a job. */
+  /**
+   * Returns the phase of a job. Only a final phase is answered from the local
+   * table, since the owner does not announce phases to other nodes.
+   */
   async getPhase(jobId: string): Promise<GatewayResult> {
-    const known = this.options.table.phaseOf(jobId);
-    if (known !== undefined) return {code: ResultCodes.OK, phase: known};
-    try {
-      return await this.lookUpJob(jobId);
-    } catch (error) {
-      return this.failureResult('state-unknown', jobId, error);
+    const {table, ownedJobs, log} = this.options;
+    const known = table.phaseOf(jobId);
+    const isCurrent = table.hasEnded(jobId) || ownedJobs() !== undefined;
+    if (known !== undefined && isCurrent) {
+      return {code: ResultCodes.OK, phase: known};
     }
+    const result = await this.lookUpJob(jobId);
+    if (known === undefined || isConclusive(result)) return result;
+    log.logDecision('state-stale', {
+      job: jobId,
+      phase: known,
+      code: result.code.number,
+    });
+    return {code: ResultCodes.OK, phase: known};
   }
 
   /** Cancels a job; resolves once the cancellation is stored. */
@@ -246,12 +271,34 @@
     });
   }
 
-  /** Returns the number of jobs in a queue of which no task has started. */
-  getPendingCount(queue: Queue): GatewayResult {
-    return {
-      code: ResultCodes.OK,
-      pending: this.options.table.countPending(queue.name),
-    };
+  /**
+   * Returns the number of jobs in a queue of which no task has started, from
+   * the owner if it answers. Otherwise the count covers all mirrored jobs that
+   * are not known to have started.
+   */
+  async getPendingCount(queue: Queue): Promise<GatewayResult> {
+    const {owner, ownedJobs, table, log} = this.options;
+    const {name} = queue;
+    const owned = ownedJobs();
+    if (owned) return pendingResult(owned.countPending(name));
+    try {
+      if (owner.isOpen) {
+        const timeoutMs = LOOK_UP_TIMEOUT_MS;
+        const body = {queue: name};
+        const result = await owner.request(
+          OwnerMessage.PENDING,
+          body,
+          timeoutMs,
+        );
+        if (result.pending !== undefined) return result;
+      }
+    } catch (error) {
+      log.logDecision('pending-unanswered', {
+        queue: name,
+        reason: (error as Error).message,
+      });
+    }
+    return pendingResult(table.countPending(name));
   }
 
   private recordAccepted(
@@ -277,29 +324,54 @@
     return {code: ResultCodes.ACCEPTED};
   }
 
-  /** Looks up a job that is not in the table, in the store or at the owner. */
+  /** Looks up a job at the owner or, if it does not answer, in the store. */
   private async lookUpJob(jobId: string): Promise<GatewayResult> {
-    const {owner, isStoreReachable, log} = this.options;
-    const isRelayed = !isStoreReachable() && owner.isOpen;
-    const result = isRelayed
-      ? await owner.request(OwnerMessage.PHASE, {jobId}, RELAY_TIMEOUT_MS)
-      : await this.readJob(jobId);
-    log.logDecision('look-up', {
-      job: jobId,
-      how: isRelayed ? 'owner' : 'store',
-      code: result.code.number,
-    });
-    return result;
+    const {owner, ownedJobs, isStoreReachable} = this.options;
+    if (owner.isOpen && ownedJobs() === undefined) {
+      const result = await this.askOwner(jobId);
+      if (isConclusive(result) || !isStoreReachable()) return result;
+    }
+    return this.readJob(jobId);
+  }
+
+  private async askOwner(jobId: string): Promise<GatewayResult> {
+    const {owner, table} = this.options;
+    const timeoutMs = LOOK_UP_TIMEOUT_MS;
+    try {
+      const body = {jobId};
+      const result = await owner.request(OwnerMessage.PHASE, body, timeoutMs);
+      if (result.phase !== undefined) table.recordPhase(jobId, result.phase);
+      return result;
+    } catch (error) {
+      return this.failureResult('owner-unanswered', jobId, error);
+    }
   }
 
   private async readJob(jobId: string): Promise<GatewayResult> {
+    try {
+      const result = await this.readJobRecords(jobId);
+      this.options.log.logDecision('look-up', {
+        job: jobId,
+        code: result.code.number,
+        phase: result.phase,
+      });
+      return result;
+    } catch (error) {
+      return this.failureResult('state-unknown', jobId, error);
+    }
+  }
+
+  private async readJobRecords(jobId: string): Promise<GatewayResult> {
     const {store, keys, table} = this.options;
-    const item = await store.read(keys.submission(jobId));
-    if (!item) return {code: ResultCodes.NOT_FOUND};
+    if (!table.entries.get(jobId)?.submission) {
+      const item = await store.read(keys.submission(jobId));
+      if (!item) return {code: ResultCodes.NOT_FOUND};
+      table.addSubmission(jobId, decodeSubmission(item.value));
+    }
     const progress = await store.read(keys.progress(jobId));
-    table.addSubmission(jobId, decodeSubmission(item.value));
-    const entry = table.entries.get(jobId);
-    if (entry && progress) entry.progress ??= decodeProgress(progress.value);
+    if (progress) {
+      table.recordPhase(jobId, decodeProgress(progress.value).phase);
+    }
     return {code: ResultCodes.OK, phase: table.phaseOf(jobId)};
   }
 
@@ -325,6 +397,15 @@
   }
 }
 
+/** Whether a look-up has found the job or that there is none. */
+function isConclusive({code}: GatewayResult): boolean {
+  return code === ResultCodes.OK || code === ResultCodes.NOT_FOUND;
+}
+
+function pendingResult(pending: number): GatewayResult {
+  return {code: ResultCodes.OK, pending};
+}
+
 function storeUnavailable(): GatewayResult {
   return {
     code: ResultCodes.PLATFORM_UNAVAILABLE,
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -31,7 +31,10 @@
   };
 }
 
-function createFixture(store = new MemoryStore()): Fixture {
+function createFixture(
+  store = new MemoryStore(),
+  owner = createOwnerClient(),
+): Fixture {
   const keys = new PartitionKeys('main');
   const table = new JobTable(keys);
   const state = {isStoreReachable: true};
@@ -42,12 +45,19 @@
     keys,
     table,
     isStoreReachable: () => state.isStoreReachable,
-    owner: createOwnerClient(),
+    owner,
+    ownedJobs: () => undefined,
   });
   gateway.configure(simpleConfiguration());
   return {store, table, gateway, state};
 }
 
+async function storePhase(store: MemoryStore, phase: JobPhase): Promise<void> {
+  const key = new PartitionKeys('main').progress(ID);
+  const value = encodeProgress({phase, occurrences: []});
+  await store.commit({expect: [], write: [{key, value}]});
+}
+
 test('a repeated submission through another node keeps the first job', async () => {
   // Guards against a repeated submission that overwrites the first one.
   const first = createFixture();
@@ -102,14 +112,46 @@
 
 test('a cancelled job reports CANCELLED unless it has already ended', async () => {
   // Guards against a cancellation that masks the success of the job.
-  const {gateway, table, store} = createFixture();
-  const keys = new PartitionKeys('main');
+  const {gateway, store} = createFixture();
   await gateway.submit(simpleJob(ID));
   await gateway.cancel(ID);
-  assert.equal(table.phaseOf(ID), JobPhase.CANCELLED);
-  const value = encodeProgress({phase: JobPhase.SUCCEEDED, occurrences: []});
-  table.apply({key: keys.progress(ID), value, revision: store.revision + 1});
-  assert.equal(table.phaseOf(ID), JobPhase.SUCCEEDED);
+  assert.equal((await gateway.getPhase(ID)).phase, JobPhase.CANCELLED);
+  await storePhase(store, JobPhase.SUCCEEDED);
+  assert.equal((await gateway.getPhase(ID)).phase, JobPhase.SUCCEEDED);
+});
+
+test('the phase comes from the store while no owner is linked', async () => {
+  // Guards against a job that is shown as queued for good by a node that the
+  // owner has not told about later phases.
+  const {gateway, store} = createFixture();
+  await gateway.submit(simpleJob(ID));
+  await storePhase(store, JobPhase.RUNNING);
+  assert.equal((await gateway.getPhase(ID)).phase, JobPhase.RUNNING);
+  await storePhase(store, JobPhase.SUCCEEDED);
+  store.isDown = true;
+  const stale = await gateway.getPhase(ID);
+  assert.equal(stale.phase, JobPhase.RUNNING);
+  store.isDown = false;
+  assert.equal((await gateway.getPhase(ID)).phase, JobPhase.SUCCEEDED);
+});
+
+test('the phase comes from the store if the owner does not answer', async () => {
+  // Guards against failed state requests while the owner is paused.
+  const owner = {...createOwnerClient(), isOpen: true};
+  const {gateway, store} = createFixture(new MemoryStore(), owner);
+  await gateway.submit(simpleJob(ID));
+  await storePhase(store, JobPhase.SUCCEEDED);
+  assert.equal((await gateway.getPhase(ID)).phase, JobPhase.SUCCEEDED);
+});
+
+test('a count without an answer of the owner includes all waiting jobs', async () => {
+  // Guards against a count below the number of waiting jobs, which makes
+  // callers believe that the queue is empty.
+  const {gateway} = createFixture();
+  await gateway.submit(simpleJob(ID));
+  await gateway.submit(simpleJob('5c0e7a21d94b36f9'));
+  const [queue] = simpleConfiguration().queues;
+  assert.equal((await gateway.getPendingCount(queue!)).pending, 2);
 });
 
 test('an older configuration does not replace a newer one', () => {
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -6,6 +6,13 @@
 export type GaugeReader = () => Record<string, number>;
 
 const QUANTILES = [0.5, 0.9, 0.99];
+
+/**
+ * Interval in ms at which the event loop delay is sampled. Each sample wakes
+ * the process, which the default of 10 ms does a hundred times a second.
+ */
+const LOOP_DELAY_RESOLUTION_MS = 250;
+
 const MICROSECONDS_PER_MS = 1000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 const NANOSECONDS_PER_SECOND = 1_000_000_000;
@@ -14,7 +21,9 @@
 export class NodeMetrics {
   private readonly counters = new Map<string, number>();
   private readonly latencies = new Map<string, Histogram>();
-  private readonly loopDelay = monitorEventLoopDelay();
+  private readonly loopDelay = monitorEventLoopDelay({
+    resolution: LOOP_DELAY_RESOLUTION_MS,
+  });
 
   constructor(private readonly readGauges: GaugeReader) {
     this.loopDelay.enable();
--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -18,7 +18,7 @@
   table: JobTable;
   /** Whether this node owns the partition. */
   isOwner: () => boolean;
-  /** Whether this node receives phase updates over a link to the owner. */
+  /** Whether this node has a link to the owner. */
   isLinked: () => boolean;
   /** Called with each configuration that can be decoded. */
   onConfiguration: (configuration: Configuration) => void;
@@ -31,8 +31,8 @@
 }
 
 /**
- * Delay in ms in which the owner batches job changes from the store; other
- * nodes report them earlier over their links.
+ * Delay in ms in which the owner batches changes from the store; other nodes
+ * report submissions and cancellations earlier over their links.
  */
 const OWNER_BATCH_DELAY_MS = 250;
 
@@ -144,15 +144,26 @@
   }
 
   private applyJob(change: StoreChange): void {
-    const {keys, table, onOwner} = this.options;
+    const {keys, onOwner} = this.options;
     if (change.key !== keys.owner) {
-      table.apply(change);
+      this.applyJobRecord(change);
       return;
     }
     this.hasOwner = change.value !== undefined;
     onOwner(change.value && decodeOwner(change.value));
   }
 
+  /** Applies a change of a job; a record that cannot be decoded is skipped. */
+  private applyJobRecord(change: StoreChange): void {
+    try {
+      this.options.table.apply(change);
+    } catch (error) {
+      this.options.log.logError('job-record-unreadable', error as Error, {
+        key: change.key,
+      });
+    }
+  }
+
   private applyWorker(change: StoreChange): void {
     const {platform, log, onWorker, onWorkerRemoved} = this.options;
     const id = change.key.slice(platform.workerPrefix.length);
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -75,7 +75,6 @@
     this.ownerLink = new OwnerLink({
       ...options,
       identity: this.identity,
-      table,
       // Fetches changes at once, to notice the removal of the owner's key.
       onDisconnect: () => this.mirrors.jobs.skipBatchDelay(),
       onOwnerExited: () => void this.election.replaceDeadOwner(),
@@ -92,6 +91,7 @@
       table,
       isStoreReachable: () => this.mirrors.isStoreReachable,
       owner: this.ownerLink,
+      ownedJobs: () => this.runtime,
     });
     this.election = this.createElection(keys, table);
     this.metrics = new NodeMetrics(() => this.readGauges(table));
@@ -247,9 +247,9 @@
     const {settings, platform} = this.options;
     const {term} = ownership;
     this.term = term;
-    const linkServer = this.startLinkServer(ownership, table);
-    await this.loadMirrors(term);
-    if (term.isOver) return;
+    this.startLinkServer(ownership, table);
+    const progress = await this.loadPartition(term, keys);
+    if (!progress) return;
     this.runtime = new OrchestratorRuntime({
       ...this.options,
       store: platform.store,
@@ -260,23 +260,20 @@
       term,
       longestLeaseMs: settings.workers.longestLeaseMs,
       keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
-      onPhasesStored: (phases) => {
-        for (const [jobId, phase] of phases) table.recordPhase(jobId, phase);
-        linkServer.publishPhases(phases);
-      },
     });
     term.onEnd(() => (this.runtime = undefined));
-    this.runtime.start(
-      this.gateway.configuration,
-      this.mirrors.workers.values(),
-    );
+    this.runtime.start({
+      configuration: this.gateway.configuration,
+      workers: this.mirrors.workers.values(),
+      progress,
+    });
   }
 
   /** Accepts links from other nodes until the term ends. */
   private startLinkServer(
     {term, owner}: {term: OwnerTerm; owner: OwnerRecord},
     table: JobTable,
-  ): OwnerLinkServer {
+  ): void {
     const {identity, gateway} = this;
     const linkServer = new OwnerLinkServer({
       ...this.options,
@@ -284,30 +281,47 @@
       owner,
       table,
       gateway,
+      ownedJobs: () => this.runtime,
     });
     linkServer.listen().catch((error: Error) => {
       this.options.log.logError('links-failed', error);
     });
     term.onEnd(() => void linkServer.stop());
     term.onRenewalStalled(() => linkServer.requestHandOver(term.token));
-    return linkServer;
   }
 
-  /** Reloads the mirrors, with retries until it succeeds or the term ends. */
-  private async loadMirrors(term: OwnerTerm): Promise<void> {
+  /**
+   * Reloads the mirrors and reads the progress of all jobs, with retries until
+   * it succeeds.
+   *
+   * @returns Stored progress by job id; undefined if the term ends before.
+   */
+  private async loadPartition(
+    term: OwnerTerm,
+    keys: PartitionKeys,
+  ): Promise<ReadonlyMap<string, Buffer> | undefined> {
+    const {platform, log} = this.options;
     while (!term.isOver) {
       try {
-        await Promise.all([
+        const [progress] = await Promise.all([
+          platform.store.list(keys.progressPrefix),
           this.mirrors.jobs.reload(),
           this.mirrors.loadRegistry(),
         ]);
-        return;
+        if (term.isOver) return undefined;
+        return new Map(
+          progress.items.map(({key, value}) => [
+            key.slice(keys.progressPrefix.length),
+            value,
+          ]),
+        );
       } catch (error) {
         const {message} = error as Error;
-        this.options.log.logDecision('takeover-retry', {reason: message});
+        log.logDecision('takeover-retry', {reason: message});
         await sleep(TAKEOVER_RETRY_MS);
       }
     }
+    return undefined;
   }
 
   private readGauges(table: JobTable): Record<string, number> {
--- a/src/node/owner_link.ts
+++ b/src/node/owner_link.ts
@@ -7,7 +7,6 @@
 import {RandomSource} from '../random/random_source.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {JobTable} from '../work/job_table.js';
 import {GatewayResult} from './job_gateway.js';
 import {
   fromRelayedResponse,
@@ -15,7 +14,7 @@
   JobMessage,
   OWNER_LINK_OPTIONS,
   OwnerMessage,
-  PhasesMessage,
+  QueueMessage,
   RelayedResponse,
   RelayedSubmission,
   SubmittedMessage,
@@ -27,7 +26,6 @@
   log: NodeLog;
   random: RandomSource;
   identity: LinkIdentity;
-  table: JobTable;
   /** Called when an established link to the owner closes. */
   onDisconnect: () => void;
   /**
@@ -81,14 +79,8 @@
   }
 
   private handleMessage(name: string, body: unknown): void {
-    const {table, onHandOver} = this.options;
-    if (name === OwnerMessage.PHASES) {
-      for (const [jobId, phase] of body as PhasesMessage) {
-        table.recordPhase(jobId, phase);
-      }
-    } else if (name === OwnerMessage.HAND_OVER) {
-      onHandOver((body as HandOverMessage).token);
-    }
+    if (name !== OwnerMessage.HAND_OVER) return;
+    this.options.onHandOver((body as HandOverMessage).token);
   }
 
   private handleClose(link: Link, reason: string): void {
@@ -131,7 +123,7 @@
    */
   async request(
     name: string,
-    body: JobMessage | RelayedSubmission,
+    body: JobMessage | QueueMessage | RelayedSubmission,
     timeoutMs: number,
   ): Promise<GatewayResult> {
     if (!this.client) throw noOwnerError();
--- a/src/node/owner_link_server.ts
+++ b/src/node/owner_link_server.ts
@@ -6,16 +6,16 @@
 import {NodeLog} from '../logging/node_log.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {JobPhase} from '../work/job_definition.js';
 import {decodeSubmission} from '../work/job_records.js';
 import {JobTable} from '../work/job_table.js';
-import {JobGateway} from './job_gateway.js';
+import {JobGateway, OwnedJobs} from './job_gateway.js';
 import {
   broadcast,
   HandOverMessage,
   JobMessage,
   OWNER_LINK_OPTIONS,
   OwnerMessage,
+  QueueMessage,
   RelayedResponse,
   RelayedSubmission,
   SubmittedMessage,
@@ -31,6 +31,8 @@
   owner: OwnerRecord;
   table: JobTable;
   gateway: JobGateway;
+  /** Returns the jobs of this owner; undefined until they are loaded. */
+  ownedJobs: () => OwnedJobs | undefined;
 }
 
 /** Nodes that get a hand-over request; more would compete for ownership. */
@@ -64,11 +66,6 @@
     await this.server.stop();
   }
 
-  /** Sends phases that have been stored to all linked nodes. */
-  publishPhases(phases: ReadonlyArray<[string, JobPhase]>): void {
-    if (phases.length > 0) broadcast(this.links, OwnerMessage.PHASES, phases);
-  }
-
   /**
    * Requests that another node replaces this owner, which cannot reach the
    * store; nodes with the most processors come first. Each call selects other
@@ -135,11 +132,26 @@
     if (name === OwnerMessage.PHASE) {
       return toRelayedResponse(await gateway.getPhase(jobId));
     }
+    if (name === OwnerMessage.PENDING) {
+      return this.countPending((body as QueueMessage).queue);
+    }
     throw new ResultError(
       ResultCodes.BAD_REQUEST,
       `Cannot handle request "${name}": unknown request name`,
     );
   }
+
+  private countPending(queue: string): RelayedResponse {
+    const owned = this.options.ownedJobs();
+    if (!owned) {
+      throw new ResultError(
+        ResultCodes.NO_OWNER,
+        'Cannot count waiting jobs: the jobs of the partition are not loaded',
+      );
+    }
+    const pending = owned.countPending(queue);
+    return toRelayedResponse({code: ResultCodes.OK, pending});
+  }
 }
 
 function getProcessors({peer}: Link): number {
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -15,7 +15,7 @@
 import {SeededRandom} from '../random/seeded_random.js';
 import {JobPhase} from '../work/job_definition.js';
 import {JobTable} from '../work/job_table.js';
-import {JobGateway} from './job_gateway.js';
+import {JobGateway, OwnedJobs} from './job_gateway.js';
 import {OwnerLinkServer} from './owner_link_server.js';
 import {OwnerLink} from './owner_link.js';
 
@@ -29,7 +29,11 @@
   table: JobTable;
   gateway: JobGateway;
   link: OwnerLink;
-  state: {isStoreReachable: boolean; handOverTokens: number[]};
+  state: {
+    isStoreReachable: boolean;
+    handOverTokens: number[];
+    ownedJobs?: OwnedJobs;
+  };
 }
 
 function createNode(name: string, store: MemoryStore): TestNode {
@@ -37,13 +41,15 @@
   const log = silentLog();
   const keys = new PartitionKeys('main');
   const table = new JobTable(keys);
-  const state = {isStoreReachable: true, handOverTokens: [] as number[]};
+  const state: TestNode['state'] = {
+    isStoreReachable: true,
+    handOverTokens: [],
+  };
   const link = new OwnerLink({
     clock,
     log,
     random: new SeededRandom(1),
     identity: createIdentity(name),
-    table,
     onDisconnect: () => undefined,
     onOwnerExited: () => undefined,
     onHandOver: (token) => state.handOverTokens.push(token),
@@ -56,6 +62,7 @@
     table,
     owner: link,
     isStoreReachable: () => state.isStoreReachable,
+    ownedJobs: () => state.ownedJobs,
   });
   gateway.configure(simpleConfiguration());
   cleanups.push(() => link.stop());
@@ -84,7 +91,9 @@
     owner,
     table: node.table,
     gateway: node.gateway,
+    ownedJobs: () => node.state.ownedJobs,
   });
+  node.state.ownedJobs = {countPending: () => 7};
   await server.listen();
   cleanups.push(() => server.stop());
   return {owner, server, node};
@@ -144,20 +153,24 @@
   assert.equal(result.code.name, 'MAY_HAVE_BEEN_ACCEPTED');
 });
 
-test('submissions and phases are exchanged over the link to the owner', async () => {
-  // Guards against clients that wait for the next store watch. Also checks that
-  // an outdated phase update does not replace a final phase.
+test('the owner answers for phases and waiting jobs over its links', async () => {
+  // Guards against outdated answers of nodes that mirror no progress, and
+  // checks that an earlier phase does not replace a final one.
   const store = new MemoryStore();
-  const {owner, server, node: ownerNode} = await createOwner(store);
+  const {owner, node: ownerNode} = await createOwner(store);
   const node = createNode('other', store);
   node.link.setOwner(owner);
   await waitFor(() => node.link.isOpen);
   await node.gateway.submit(simpleJob(ID));
   await waitFor(() => ownerNode.table.phaseOf(ID) === JobPhase.QUEUED);
-  server.publishPhases([[ID, JobPhase.SUCCEEDED]]);
-  await waitFor(() => node.table.phaseOf(ID) === JobPhase.SUCCEEDED);
+  ownerNode.table.recordPhase(ID, JobPhase.RUNNING);
+  assert.equal((await node.gateway.getPhase(ID)).phase, JobPhase.RUNNING);
+  ownerNode.table.recordPhase(ID, JobPhase.SUCCEEDED);
+  assert.equal((await node.gateway.getPhase(ID)).phase, JobPhase.SUCCEEDED);
   node.table.recordPhase(ID, JobPhase.RUNNING);
   assert.equal(node.table.phaseOf(ID), JobPhase.SUCCEEDED);
+  const [queue] = simpleConfiguration().queues;
+  assert.equal((await node.gateway.getPendingCount(queue!)).pending, 7);
 });
 
 test('an owner that cannot reach the store requests replacement by a linked node', async () => {
--- a/src/node/owner_messages.ts
+++ b/src/node/owner_messages.ts
@@ -9,8 +9,6 @@
   SUBMITTED: 'submitted',
   /** Node to owner: a cancellation was stored; {@link JobMessage}. */
   CANCELLED: 'cancelled',
-  /** Owner to nodes: phases were stored; {@link PhasesMessage}. */
-  PHASES: 'phases',
   /** Owner to nodes: owner cannot reach the store; {@link HandOverMessage}. */
   HAND_OVER: 'hand-over',
   /** Request to the owner: submit a job; {@link RelayedSubmission}. */
@@ -19,6 +17,8 @@
   CANCEL: 'cancel',
   /** Request to the owner: return the phase of a job; {@link JobMessage}. */
   PHASE: 'phase',
+  /** Request to the owner: count waiting jobs; {@link QueueMessage}. */
+  PENDING: 'pending',
 } as const;
 
 /** Message about one job. */
@@ -40,8 +40,10 @@
   remainingMs: number;
 }
 
-/** Phases of jobs that the owner has stored. */
-export type PhasesMessage = ReadonlyArray<[jobId: string, phase: JobPhase]>;
+/** Request about one queue. */
+export interface QueueMessage {
+  queue: string;
+}
 
 /** Requests that a node which can reach the store takes over the partition. */
 export interface HandOverMessage {
@@ -54,18 +56,19 @@
   codeNumber: number;
   retryAfterMs?: number;
   phase?: JobPhase;
+  pending?: number;
 }
 
 /** Converts a gateway result to its wire form. */
 export function toRelayedResponse(result: GatewayResult): RelayedResponse {
-  const {code, retryAfterMs, phase} = result;
-  return {codeNumber: code.number, retryAfterMs, phase};
+  const {code, retryAfterMs, phase, pending} = result;
+  return {codeNumber: code.number, retryAfterMs, phase, pending};
 }
 
 /** Converts a received response to a gateway result. */
 export function fromRelayedResponse(response: RelayedResponse): GatewayResult {
-  const {codeNumber, retryAfterMs, phase} = response;
-  return {code: findResultCode(codeNumber), retryAfterMs, phase};
+  const {codeNumber, retryAfterMs, phase, pending} = response;
+  return {code: findResultCode(codeNumber), retryAfterMs, phase, pending};
 }
 
 /** Options of links between nodes; a silent peer is detected within 2 s. */
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -21,6 +21,8 @@
   criticalPathMs: number | undefined;
   /** Latest phase whose storage is confirmed to this owner. */
   storedPhase: JobPhase = JobPhase.QUEUED;
+  /** Whether a task is known to have started. */
+  hasStarted = false;
   readonly occurrences = new Map<number, OccurrenceState>();
   /** Time in ms at which this owner added the job. */
   knownSinceMs = 0;
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -312,6 +312,16 @@
     };
   }
 
+  /** Returns the number of jobs in a queue of which no task has started. */
+  countPending(queue: string): number {
+    let pending = 0;
+    for (const job of this.jobs.values()) {
+      const isWaiting = !job.hasStarted && !job.isFinal;
+      if (isWaiting && job.definition.queue === queue) pending += 1;
+    }
+    return pending;
+  }
+
   /** Returns the queue that accepted a job; undefined if it was removed. */
   queueOf(job: JobState): Queue | undefined {
     return this.queuesByName.get(job.definition.queue);
@@ -445,6 +455,7 @@
   private confirm(task: TaskState): void {
     if (!task.apply('confirmed')) return;
     const nowMs = this.options.clock.nowMs();
+    task.job.hasStarted = true;
     task.lastProgressMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = 100;
@@ -473,6 +484,7 @@
       tookMs: Math.round(nowMs - task.startedMs),
       estimatedMs: task.step.estimatedMs,
     });
+    task.job.hasStarted = true;
     this.workerOf(task)?.health.recordSuccess(nowMs);
     if (task.step.isLongRunning) {
       this.endRun(task, 'done');
@@ -501,6 +513,7 @@
 
   private failRun(task: TaskState): void {
     task.failures += 1;
+    task.job.hasStarted = true;
     const nowMs = this.options.clock.nowMs();
     task.failedWorkerId = task.assignment?.workerId;
     this.workerOf(task)?.health.recordFailure(nowMs);
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -6,6 +6,7 @@
 import {MetadataStore} from '../store/metadata_store.js';
 import {Configuration} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
+import {decodeProgress, ProgressRecord} from '../work/job_records.js';
 import {JobEntry, JobTable} from '../work/job_table.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdvicePort, AdviceRequest} from './advice_port.js';
@@ -32,10 +33,14 @@
   longestLeaseMs: number;
   /** Retention time in ms of finished jobs. */
   keepFinishedMs: number;
-  /** Called with phases once they are stored. */
-  onPhasesStored: (
-    phases: ReadonlyArray<[jobId: string, phase: JobPhase]>,
-  ) => void;
+}
+
+/** State with which a term starts; must be current for the term. */
+export interface InitialState {
+  configuration: Configuration | undefined;
+  workers: Iterable<WorkerRegistration>;
+  /** Encoded progress by job id, as the store holds it. */
+  progress: ReadonlyMap<string, Buffer>;
 }
 
 /** Delay in ms to batch events before a scheduling pass. */
@@ -69,14 +74,13 @@
   }
 
   /** Starts with the jobs of the table, which must be current for this term. */
-  start(
-    configuration: Configuration | undefined,
-    workers: Iterable<WorkerRegistration>,
-  ): void {
+  start({configuration, workers, progress}: InitialState): void {
     const {table, log, term} = this.options;
     if (configuration) this.orchestrator.configure(configuration);
     for (const worker of workers) this.upsertWorker(worker);
-    for (const entry of table.entries.values()) this.addJob(entry);
+    for (const [jobId, entry] of table.entries) {
+      this.restoreJob(entry, progress.get(jobId));
+    }
     table.setListener({
       onSubmitted: (_jobId, entry) => this.addJob(entry),
       onCancelled: (jobId) => this.orchestrator.cancel(jobId),
@@ -89,6 +93,11 @@
     });
   }
 
+  /** Returns the number of jobs in a queue of which no task has started. */
+  countPending(queue: string): number {
+    return this.orchestrator.countPending(queue);
+  }
+
   /** Replaces the configuration. */
   configure(configuration: Configuration): void {
     this.orchestrator.configure(configuration);
@@ -120,7 +129,7 @@
         setSpeedLimit: (task, worker) =>
           void this.commands.setSpeedLimit(task, worker),
         requestAdvice: (question) => void this.requestAdvice(question),
-        publishPhases: (phases) => this.options.onPhasesStored(phases),
+        publishPhases: (phases) => this.recordPhases(phases),
         requestCommit: () => this.commitLoop.request(),
       },
     });
@@ -160,13 +169,42 @@
     this.sessions.clear();
   }
 
-  private addJob(entry: JobEntry): void {
-    const {submission, progress, isCancelled} = entry;
+  private recordPhases(
+    phases: ReadonlyArray<[jobId: string, phase: JobPhase]>,
+  ): void {
+    for (const [jobId, phase] of phases) {
+      this.options.table.recordPhase(jobId, phase);
+    }
+  }
+
+  /**
+   * Adds a job with its stored progress. A job whose progress cannot be decoded
+   * is left out: its tasks may be running, so none may be started.
+   */
+  private restoreJob(entry: JobEntry, progress: Buffer | undefined): void {
+    if (!entry.submission || !progress) {
+      this.addJob(entry);
+      return;
+    }
+    try {
+      this.addJob(entry, decodeProgress(progress));
+    } catch (error) {
+      const job = entry.submission.definition.id;
+      this.options.log.logError('progress-unreadable', error as Error, {job});
+    }
+  }
+
+  private addJob(entry: JobEntry, progress?: ProgressRecord): void {
+    const {submission, isCancelled} = entry;
     if (!submission) return;
-    const job = new JobState(submission.definition, submission.acceptedWallMs);
-    if (progress) restoreProgress(job, progress);
+    const {definition, acceptedWallMs} = submission;
+    const job = new JobState(definition, acceptedWallMs);
+    if (progress) {
+      restoreProgress(job, progress);
+      this.options.table.recordPhase(definition.id, progress.phase);
+    }
     this.orchestrator.addJob(job);
-    if (isCancelled) this.orchestrator.cancel(submission.definition.id);
+    if (isCancelled) this.orchestrator.cancel(definition.id);
     this.requestScheduling();
   }
 
--- a/src/work/job_table.ts
+++ b/src/work/job_table.ts
@@ -1,20 +1,14 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {StoreChange} from '../store/metadata_store.js';
 import {isFinalPhase, JobPhase} from './job_definition.js';
-import {
-  decodeProgress,
-  decodeSubmission,
-  ProgressRecord,
-  SubmissionRecord,
-} from './job_records.js';
+import {decodeSubmission, SubmissionRecord} from './job_records.js';
 
 /** Local view of a job in the store. */
 export interface JobEntry {
   submission: SubmissionRecord | undefined;
-  progress: ProgressRecord | undefined;
   isCancelled: boolean;
-  /** Latest phase that the owner reported; may be ahead of `progress`. */
-  toldPhase: JobPhase | undefined;
+  /** Latest stored phase that this node has learned. */
+  phase: JobPhase;
 }
 
 const PHASE_ORDER: readonly JobPhase[] = [JobPhase.QUEUED, JobPhase.RUNNING];
@@ -46,7 +40,7 @@
     if (key.suffix === 'submission') this.applySubmission(key.jobId, change);
     else if (key.suffix === 'cancellation') {
       this.applyCancellation(key.jobId, change);
-    } else this.applyProgress(key.jobId, change);
+    }
   }
 
   /** Adds a stored job without waiting for the mirror to report it. */
@@ -65,24 +59,29 @@
     this.listener?.onCancelled(jobId);
   }
 
-  /** Records a phase that the owner reported; never moves a job backwards. */
+  /** Records a stored phase; never moves a job backwards. */
   recordPhase(jobId: string, phase: JobPhase): void {
     const entry = this.entries.get(jobId);
-    if (!entry) return;
-    entry.toldPhase = laterPhase(entry.toldPhase ?? JobPhase.QUEUED, phase);
+    if (entry) entry.phase = laterPhase(entry.phase, phase);
   }
 
   /** Returns the phase to report to callers; undefined for unknown jobs. */
   phaseOf(jobId: string): JobPhase | undefined {
     const entry = this.entries.get(jobId);
     if (!entry?.submission) return undefined;
-    const stored = entry.progress?.phase ?? JobPhase.QUEUED;
-    const phase = laterPhase(stored, entry.toldPhase ?? JobPhase.QUEUED);
-    if (entry.isCancelled && !isFinalPhase(phase)) return JobPhase.CANCELLED;
-    return phase;
+    if (entry.isCancelled && !isFinalPhase(entry.phase)) {
+      return JobPhase.CANCELLED;
+    }
+    return entry.phase;
   }
 
-  /** Counts the jobs of a queue that are still in phase `queued`. */
+  /** Whether a final phase of a job is known to be stored. */
+  hasEnded(jobId: string): boolean {
+    const entry = this.entries.get(jobId);
+    return entry?.submission !== undefined && isFinalPhase(entry.phase);
+  }
+
+  /** Counts the jobs of a queue of which no later phase is known. */
   countPending(queue: string): number {
     let pending = 0;
     for (const [jobId, {submission}] of this.entries) {
@@ -97,9 +96,8 @@
     if (!entry) {
       entry = {
         submission: undefined,
-        progress: undefined,
         isCancelled: false,
-        toldPhase: undefined,
+        phase: JobPhase.QUEUED,
       };
       this.entries.set(jobId, entry);
     }
@@ -117,11 +115,6 @@
   private applyCancellation(jobId: string, change: StoreChange): void {
     if (change.value) this.addCancellation(jobId);
   }
-
-  private applyProgress(jobId: string, change: StoreChange): void {
-    if (!change.value) return;
-    this.getOrCreateEntry(jobId).progress = decodeProgress(change.value);
-  }
 }
 
 /** Returns the later phase; phases only advance to running and to final. */
