--- a/measure/scenarios/owner_load.ts
+++ b/measure/scenarios/owner_load.ts
@@ -20,6 +20,12 @@
 
 const SIZES = [45, 343, 1000] as const;
 
+/** Sizes at which a burst beyond the capacity of the workers is measured. */
+const OVERLOADED_SIZES = [343, 625] as const;
+
+/** Job rate of a burst as a multiple of the usual rate. */
+const BURST_FACTOR = 2.6;
+
 /** Load per worker, as in the users' enlarged deployment. */
 const JOBS_PER_WORKER_SECOND = 0.076;
 const SERVING_TASKS_PER_WORKER = 5;
@@ -41,7 +47,13 @@
     options.progress(`${workers} workers`);
     sizes[workers] = new OwnerBench(workers, options.seed).run();
   }
-  return Promise.resolve({violations: 0, sizes});
+  const overloaded: Record<string, OwnerCost> = {};
+  for (const workers of OVERLOADED_SIZES) {
+    options.progress(`${workers} workers, overloaded`);
+    const bench = new OwnerBench(workers, options.seed, BURST_FACTOR);
+    overloaded[workers] = bench.run();
+  }
+  return Promise.resolve({violations: 0, sizes, overloaded});
 };
 
 interface OwnerCost {
@@ -72,6 +84,7 @@
   constructor(
     private readonly workerCount: number,
     seed: number,
+    private readonly loadFactor = 1,
   ) {
     this.random = new SeededRandom(seed);
     this.orchestrator = new Orchestrator({
@@ -161,7 +174,11 @@
 
   private submitFillJobs(): void {
     const jobsPerStep =
-      (JOBS_PER_WORKER_SECOND * this.workerCount * TIME_STEP_MS) / 1000;
+      (JOBS_PER_WORKER_SECOND *
+        this.loadFactor *
+        this.workerCount *
+        TIME_STEP_MS) /
+      1000;
     for (
       let expected = jobsPerStep;
       expected > this.random.next();
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -151,6 +151,7 @@
       return;
     }
     existing.isRegistered = true;
+    existing.version += 1;
     if (registration.isDraining !== existing.registration.isDraining) {
       this.options.log.logDecision('worker-state', {
         worker: registration.id,
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -7,7 +7,6 @@
   nowMs: number;
   /** Service whose workers may run the task. */
   service: string;
-  workers: Iterable<WorkerState>;
   /** Number of placed tasks of the same step by worker id. */
   siblings: ReadonlyMap<string, number>;
   /** Rack that a rack-sensitive step already uses. @default none */
@@ -18,8 +17,15 @@
 
 /** Strategy for choosing the worker of a task. */
 export interface TaskPlacement {
-  /** Returns the worker, or undefined if none can accept the task now. */
-  choose(task: TaskState, context: PlacementContext): WorkerState | undefined;
+  /**
+   * Returns how well a worker suits a task; the highest score is the best.
+   * Undefined if the worker cannot accept the task now.
+   */
+  score(
+    task: TaskState,
+    worker: WorkerState,
+    context: PlacementContext,
+  ): number | undefined;
 }
 
 /** Maximum age in ms of the latest report of a worker that gets new tasks. */
@@ -61,19 +67,15 @@
 export class InterferenceAwarePlacement implements TaskPlacement {
   constructor(private readonly bestEffort: BestEffortController) {}
 
-  choose(task: TaskState, context: PlacementContext): WorkerState | undefined {
-    let best: WorkerState | undefined;
-    let bestScore = -Infinity;
-    for (const worker of context.workers) {
-      if (!canRun(task, worker, context)) continue;
-      const baseScore = this.headroomScore(task, worker, context);
-      if (baseScore === undefined) continue;
-      const score = baseScore + scoreOf(task, worker, context);
-      if (score <= bestScore) continue;
-      best = worker;
-      bestScore = score;
-    }
-    return best;
+  score(
+    task: TaskState,
+    worker: WorkerState,
+    context: PlacementContext,
+  ): number | undefined {
+    if (!canRun(task, worker, context)) return undefined;
+    const baseScore = this.headroomScore(task, worker, context);
+    if (baseScore === undefined) return undefined;
+    return baseScore + scoreOf(task, worker, context);
   }
 
   /**
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -1,10 +1,13 @@
 import {Queue} from '../work/configuration.js';
+import {StepDefinition} from '../work/job_definition.js';
+import {CandidateSet} from './candidate_set.js';
 import {JobOrder} from './job_order.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
-import {UnplaceableSteps} from './unplaceable_steps.js';
+import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
 import {StepAdvice} from './step_advice.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
 import {TaskState} from './task_state.js';
+import {WorkerChanges} from './worker_changes.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link TaskScheduler}. */
@@ -31,14 +34,15 @@
   wallMs: number;
 }
 
-interface SchedulingPass {
-  nowMs: number;
-  unplaceable: UnplaceableSteps;
-}
+/** Context of the placement of one step; the counts change as it proceeds. */
+type StepContext = PlacementContext & {siblings: Map<string, number>};
 
 /** Minimum time in ms between two searches for tasks to move. */
 const MOVE_CHECK_MS = 150;
 
+/** Minimum time in ms between two searches for a worker to move a task to. */
+const MOVE_RETRY_MS = 600;
+
 /** Minimum time in ms between two moves of one task. */
 const MOVE_INTERVAL_MS = 2000;
 
@@ -50,6 +54,8 @@
 
 /** Assigns the waiting tasks of ready steps to workers. */
 export class TaskScheduler {
+  private readonly changes = new WorkerChanges();
+  private readonly unplaceable = new UnplaceableSteps();
   private lastMoveCheckMs = -Infinity;
 
   constructor(private readonly options: TaskSchedulerOptions) {}
@@ -60,11 +66,12 @@
     const waiting = [...jobs].filter(
       (job) => !job.isFinal && job.hasReadyTasks,
     );
-    const unplaceable = new UnplaceableSteps();
+    this.changes.beginPass(this.options.workers.values());
+    this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
     for (const job of order.sort(waiting, {wallMs, queueOf})) {
       for (const occurrence of job.occurrences.values()) {
         if (occurrence.isDone) continue;
-        this.scheduleSteps(job, occurrence, {nowMs, unplaceable});
+        this.scheduleSteps(job, occurrence, nowMs);
       }
     }
     if (nowMs - this.lastMoveCheckMs < MOVE_CHECK_MS) return;
@@ -75,17 +82,16 @@
   private scheduleSteps(
     job: JobState,
     occurrence: OccurrenceState,
-    pass: SchedulingPass,
+    nowMs: number,
   ): void {
     occurrence.steps.forEach((step, number) => {
       if (step.doneCount === step.tasks.length) return;
       const waiting = step.tasks.filter(
-        ({state, notBeforeMs}) =>
-          state === 'waiting' && notBeforeMs <= pass.nowMs,
+        ({state, notBeforeMs}) => state === 'waiting' && notBeforeMs <= nowMs,
       );
       if (waiting.length === 0 || !job.isStepReady(occurrence, number)) return;
-      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, pass.nowMs);
-      else this.assignTasks(job, step, waiting, pass);
+      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, nowMs);
+      else this.assignTasks(job, step, waiting, nowMs);
     });
   }
 
@@ -93,45 +99,54 @@
     job: JobState,
     step: StepState,
     waiting: readonly TaskState[],
-    pass: SchedulingPass,
+    nowMs: number,
   ): void {
-    const {placement, onAssign} = this.options;
+    const {unplaceable} = this;
     const {step: definition} = step.tasks[0]!;
     const needsAdvice = this.needsAdvice(job);
     const service = this.serviceOf(job);
     const origin = {service, jobId: job.definition.id, needsAdvice};
-    if (pass.unplaceable.includes(definition, origin)) return;
-    const context = this.createContext(job, step, pass.nowMs);
+    if (unplaceable.includes(definition, origin)) return;
+    const context = this.createContext(job, step, nowMs);
+    const workers = this.workersWorthSearching(definition, origin);
+    const assigner = new StepAssigner(this.options, context, workers);
     for (const task of waiting) {
       const preferredRack = this.preferredRackOf(step);
-      const worker = placement.choose(task, {...context, preferredRack});
-      if (!worker) {
-        pass.unplaceable.add(definition, origin);
-        if (needsAdvice) this.requestAdvice(task, context);
-        return;
-      }
-      onAssign(task, worker, task.run + 1);
-      countSibling(context.siblings, worker);
+      if (assigner.assign(task, task.run + 1, preferredRack)) continue;
+      unplaceable.add(definition, origin);
+      if (needsAdvice) this.requestAdvice(task, context);
+      return;
     }
   }
 
+  /** Returns the workers that may have capacity for a step. */
+  private workersWorthSearching(
+    step: StepDefinition,
+    origin: StepOrigin,
+  ): readonly WorkerState[] {
+    const workers = this.options.workers.values();
+    const failedPass = this.unplaceable.failedPassOf(step, origin);
+    if (failedPass === undefined) return [...workers];
+    return [...this.changes.changedAfter(failedPass, workers)];
+  }
+
   private assignGang(job: JobState, step: StepState, nowMs: number): void {
     if (step.tasks.some(({state}) => state !== 'waiting')) return;
-    const {placement, onAssign, onWithdraw} = this.options;
+    const {workers, onWithdraw} = this.options;
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
     const context = this.createContext(job, step, nowMs);
+    const assigner = new StepAssigner(this.options, context, [
+      ...workers.values(),
+    ]);
     const placed: TaskState[] = [];
     for (const task of step.tasks) {
       const preferredRack = this.preferredRackOf(step);
-      const worker = placement.choose(task, {...context, preferredRack});
-      if (!worker) {
+      if (!assigner.assign(task, run, preferredRack)) {
         for (const member of placed) onWithdraw(member);
         if (this.needsAdvice(job)) this.requestAdvice(task, context);
         return;
       }
       placed.push(task);
-      onAssign(task, worker, run);
-      countSibling(context.siblings, worker);
     }
   }
 
@@ -141,13 +156,13 @@
    * moved only while they have little progress to lose.
    */
   private moveThrottled(nowMs: number): void {
-    const {workers, placement, onMove} = this.options;
+    const {workers, onMove} = this.options;
     const targets = new Set<WorkerState>();
     for (const worker of workers.values()) {
       for (const task of worker.tasks) {
         if (!isMovable(task, nowMs)) continue;
-        const context = this.createContext(task.job, stepOf(task), nowMs);
-        const target = placement.choose(task, context);
+        task.lastMoveCheckMs = nowMs;
+        const target = this.findBetterWorker(task, nowMs);
         if (!target || target === worker || targets.has(target)) continue;
         targets.add(target);
         task.lastMovedMs = nowMs;
@@ -156,16 +171,29 @@
     }
   }
 
+  private findBetterWorker(
+    task: TaskState,
+    nowMs: number,
+  ): WorkerState | undefined {
+    const {workers, placement} = this.options;
+    const context = this.createContext(task.job, stepOf(task), nowMs);
+    return new CandidateSet({
+      task,
+      workers: workers.values(),
+      placement,
+      context,
+    }).best();
+  }
+
   private createContext(
     job: JobState,
     step: StepState,
     nowMs: number,
-  ): PlacementContext & {siblings: Map<string, number>} {
-    const {workers, advice} = this.options;
+  ): StepContext {
+    const {advice} = this.options;
     const context = {
       nowMs,
       service: this.serviceOf(job),
-      workers: {[Symbol.iterator]: () => workers.values()},
       siblings: siblingsOf(step),
     };
     if (!this.needsAdvice(job)) return context;
@@ -179,8 +207,7 @@
     const {advice, placement, workers} = this.options;
     const anyWorker = {...context, isAllowed: undefined};
     const suitable = [...workers.values()].filter(
-      (worker) =>
-        placement.choose(task, {...anyWorker, workers: [worker]}) === worker,
+      (worker) => placement.score(task, worker, anyWorker) !== undefined,
     );
     advice.enqueue(stepOf(task), suitable);
   }
@@ -208,11 +235,52 @@
   return task.job.occurrence(occurrence).steps[step]!;
 }
 
-function countSibling(
-  siblings: Map<string, number>,
-  {registration}: WorkerState,
-): void {
-  siblings.set(registration.id, (siblings.get(registration.id) ?? 0) + 1);
+/** Assigns tasks of one step to the best workers, one task after another. */
+class StepAssigner {
+  private candidates: CandidateSet | undefined;
+  private preferredRack: string | undefined;
+  private failedWorkerId: string | undefined;
+
+  constructor(
+    private readonly options: TaskSchedulerOptions,
+    private readonly context: StepContext,
+    private readonly workers: readonly WorkerState[],
+  ) {}
+
+  /** Assigns a run of a task; returns false if no worker can accept it. */
+  assign(
+    task: TaskState,
+    run: number,
+    preferredRack: string | undefined,
+  ): boolean {
+    const candidates = this.candidatesFor(task, preferredRack);
+    const worker = candidates.best();
+    if (!worker) return false;
+    const {siblings} = this.context;
+    const {id} = worker.registration;
+    this.options.onAssign(task, worker, run);
+    siblings.set(id, (siblings.get(id) ?? 0) + 1);
+    candidates.update(worker);
+    return true;
+  }
+
+  /** Reuses the candidates of the previous task if its scores are the same. */
+  private candidatesFor(
+    task: TaskState,
+    preferredRack: string | undefined,
+  ): CandidateSet {
+    const isSame =
+      this.preferredRack === preferredRack &&
+      this.failedWorkerId === task.failedWorkerId;
+    if (this.candidates && isSame) return this.candidates;
+    this.preferredRack = preferredRack;
+    this.failedWorkerId = task.failedWorkerId;
+    const {placement} = this.options;
+    const context = {...this.context, preferredRack};
+    const {workers} = this;
+    this.candidates = new CandidateSet({task, workers, placement, context});
+    return this.candidates;
+  }
 }
 
 function isMovable(task: TaskState, nowMs: number): boolean {
@@ -220,6 +288,7 @@
   if (task.state !== 'running' || task.speedLimitPercent >= 100) return false;
   if (!step.usesLeftoverCpu || step.isGang || step.isLongRunning) return false;
   if (nowMs - task.lastMovedMs < MOVE_INTERVAL_MS) return false;
+  if (nowMs - task.lastMoveCheckMs < MOVE_RETRY_MS) return false;
   return step.isCheckpointed || task.percent < MAX_LOST_PERCENT;
 }
 
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -45,6 +45,8 @@
   notBeforeMs = -Infinity;
   /** Time in ms at which the task was last stopped to move it elsewhere. */
   lastMovedMs = -Infinity;
+  /** Time in ms of the last search for a worker to move the task to. */
+  lastMoveCheckMs = -Infinity;
   /** Ticket from the advice service for the current run. */
   ticket: string | undefined;
   /** Worker on which the latest run failed. */
--- a/src/orchestrator/unplaceable_steps_test.ts
+++ b/src/orchestrator/unplaceable_steps_test.ts
@@ -36,3 +36,45 @@
   assert.ok(unplaceable.includes(step, ORIGIN));
   assert.ok(!unplaceable.includes(step, {...ORIGIN, jobId: 'other'}));
 });
+
+test('a step that did not fit is searched among changed workers only', () => {
+  // Guards against repeated searches of all workers while a burst waits.
+  const unplaceable = new UnplaceableSteps();
+  const step = simpleStep({cpuMillicores: 2000});
+  unplaceable.beginPass({pass: 1, nowMs: 0});
+  unplaceable.add(step, ORIGIN);
+  unplaceable.beginPass({pass: 2, nowMs: 10});
+  assert.ok(!unplaceable.includes(step, ORIGIN));
+  assert.equal(unplaceable.failedPassOf(step, ORIGIN), 1);
+  const larger = simpleStep({cpuMillicores: 3000});
+  assert.equal(unplaceable.failedPassOf(larger, ORIGIN), 1);
+  const smaller = simpleStep({cpuMillicores: 1000});
+  assert.equal(unplaceable.failedPassOf(smaller, ORIGIN), undefined);
+});
+
+test('a failed search of changed workers does not delay the next full one', () => {
+  // Guards against a worker that is not evaluated for as long as jobs wait,
+  // although its block has ended meanwhile.
+  const unplaceable = new UnplaceableSteps();
+  const step = simpleStep({cpuMillicores: 2000});
+  for (let pass = 1; pass <= 30; pass++) {
+    unplaceable.beginPass({pass, nowMs: pass * 10});
+    unplaceable.add(step, ORIGIN);
+  }
+  unplaceable.beginPass({pass: 31, nowMs: 310});
+  assert.equal(unplaceable.failedPassOf(step, ORIGIN), undefined);
+});
+
+test('a smaller step that fits does not change what larger ones need', () => {
+  // A larger step that is searched among few workers says nothing about the
+  // others for a smaller one.
+  const unplaceable = new UnplaceableSteps();
+  const small = simpleStep({cpuMillicores: 2000});
+  const large = simpleStep({cpuMillicores: 3000});
+  unplaceable.beginPass({pass: 1, nowMs: 0});
+  unplaceable.add(small, ORIGIN);
+  unplaceable.beginPass({pass: 2, nowMs: 10});
+  unplaceable.add(large, ORIGIN);
+  unplaceable.beginPass({pass: 3, nowMs: 20});
+  assert.equal(unplaceable.failedPassOf(small, ORIGIN), 1);
+});
