Acknowledge ends only on the connection of the latest report

An acknowledgement that the owner sends before it has seen the restart makes the next incarnation forget ends that nobody has read; their tasks run again. PROTOCOL.md offers no way to name the incarnation in a poll.

Ruled out: ordering commands a worker, since the restart itself is what the owner does not know of; acknowledging with a delay, which only makes the case rarer.

Change: a connection cannot outlive the incarnation it was opened to. Polls have a connection of their own, and a poll that acknowledges fails unsent if that connection has been replaced; after a failed poll the next acknowledges nothing. The simulation of the property test models connections the same way.

--- a/src/orchestrator/orchestrator_property_test.ts
+++ b/src/orchestrator/orchestrator_property_test.ts
@@ -48,8 +48,7 @@
 
 test('an acknowledgement in flight does not discard ends after a restart', () => {
   // Guards against an end of a new incarnation of a worker that is discarded
-  // because an acknowledgement for the earlier one was in flight; see
-  // KNOWN-RED.txt.
+  // because an acknowledgement for the earlier one was in flight.
   assert.deepEqual(simulateSeed(10_665).violations, []);
 });
 
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -112,7 +112,11 @@
 export interface PollCommand {
   worker: WorkerAddress;
   fencingToken: number;
-  /** Sequence number up to which the worker may discard its ends. */
+  /**
+   * Sequence number up to which the worker may discard its ends; 0 for none.
+   * The poll fails unless it reaches the incarnation that sent the latest
+   * report.
+   */
   acknowledgedSequence: number;
   /** End of the lease in ms on the worker clock. @default unchanged */
   leaseUntilMs?: number;
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/worker_session.ts
@@ -61,7 +61,10 @@
   private async pollOnce(): Promise<void> {
     const {clock, port, worker, term, orchestrator} = this.options;
     const sentMs = clock.nowMs();
-    const acknowledgedSequence = worker.sequenceToAcknowledge;
+    // After a failed poll, the worker may have restarted under its id.
+    const acknowledgedSequence = this.isReachable
+      ? worker.sequenceToAcknowledge
+      : 0;
     const outcome = await port.poll({
       worker: worker.registration,
       fencingToken: term.token,
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -41,6 +41,8 @@
   termLeaseUntilMs: number;
   /** Commit that has been started and takes effect in the next step. */
   pending: PendingCommit | undefined;
+  /** Connection of the latest report, by the incarnation of its worker. */
+  reportConnections: Map<WorkerState, number | undefined>;
 }
 
 /** A command or response in transit. */
@@ -112,6 +114,7 @@
       orchestrator: this.createOrchestrator(token),
       termLeaseUntilMs: Infinity,
       pending: undefined,
+      reportConnections: new Map(),
     };
     for (const earlier of this.terms) {
       earlier.termLeaseUntilMs = Math.min(
@@ -359,7 +362,13 @@
         ? worker.leaseLimit(sentMs, MAX_LEASE_MS)
         : undefined;
     if (leaseUntilMs !== undefined) worker.recordLease(leaseUntilMs);
-    const sequenceToAcknowledge = worker.sequenceToAcknowledge;
+    const connection = simulatedWorker?.bornMs;
+    // A connection ends with the incarnation of its worker, and ends are
+    // acknowledged only on the connection of the latest report.
+    const sequenceToAcknowledge =
+      term.reportConnections.get(worker) === connection
+        ? worker.sequenceToAcknowledge
+        : 0;
     const outcome = simulatedWorker?.poll({
       fencingToken: term.token,
       acknowledgedSequence: sequenceToAcknowledge,
@@ -368,6 +377,7 @@
     if (outcome?.kind !== 'report' || this.random.next() < 0.05) return;
     this.scheduleMessage(STEP_MS, () => {
       if (this.terms.includes(term)) {
+        term.reportConnections.set(worker, connection);
         worker.recordAcknowledged(sequenceToAcknowledge);
         term.orchestrator.processReport(worker, outcome.report, sentMs);
       }
