Fix three faults of silence, pauses and unexpected errors of an owner

Time between reports over 1.6 s does not count any more. - A start whose commit was answered while the process was paused went out after the lease of the term had ended, with a worker lease of up to 6 s more. A successor waits only for leases granted before its term, so the task could run twice. A start is now sent only while the lease of the term is valid. - An unexpected error while a report was processed ended the session of that worker for the rest of the term. The session now logs it and goes on.

Ruled out for the second: relying on the fencing token, which a worker that the successor cannot reach has not seen.

--- a/measure/scenarios/owner_load.ts
+++ b/measure/scenarios/owner_load.ts
@@ -9,6 +9,7 @@
 import {WorkerState} from '../../src/orchestrator/worker_state.js';
 import {RandomSource} from '../../src/random/random_source.js';
 import {SeededRandom} from '../../src/random/seeded_random.js';
+import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
   simpleConfiguration,
@@ -94,15 +95,10 @@
       longestLeaseMs: 6000,
       keepFinishedMs: 120_000,
       previousTermLeaseMs: 0,
-      effects: {
+      effects: idleEffects({
         start: (task) => this.startTask(task),
         stop: (task, worker) => this.endTask(task, worker, EndKind.STOPPED),
-        stopOrphanRun: () => undefined,
-        setSpeedLimit: () => undefined,
-        requestAdvice: () => undefined,
-        publishPhases: () => undefined,
-        requestCommit: () => undefined,
-      },
+      }),
     });
     this.orchestrator.configure(simpleConfiguration());
     for (let number = 0; number < workerCount; number++) {
--- a/src/orchestrator/command_sender.ts
+++ b/src/orchestrator/command_sender.ts
@@ -2,7 +2,12 @@
 import {OwnerTerm} from '../leadership/owner_term.js';
 import {NodeLog} from '../logging/node_log.js';
 import {TaskState} from './task_state.js';
-import {CommandOutcome, RunCommand, WorkerPort} from './worker_port.js';
+import {
+  CommandOutcome,
+  RefusalReason,
+  RunCommand,
+  WorkerPort,
+} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link CommandSender}. */
@@ -23,10 +28,19 @@
 export class CommandSender {
   constructor(private readonly options: CommandSenderOptions) {}
 
-  /** Starts the current run of a task on its worker. */
+  /**
+   * Starts the current run of a task on its worker. Sends nothing if the lease
+   * of the term may have ended, as after a pause of the process: a successor
+   * does not wait for leases that are granted later.
+   */
   async start(task: TaskState, worker: WorkerState): Promise<void> {
     const {clock, term, port, longestLeaseMs, onStart} = this.options;
     const {run, checkpoint, ticket} = task;
+    if (!term.isLeaseValid) {
+      const reason = RefusalReason.TERM_UNCERTAIN;
+      if (!term.isOver) onStart(task, run, {kind: 'refused', reason});
+      return;
+    }
     const leaseUntilMs = worker.leaseLimit(clock.nowMs(), longestLeaseMs);
     worker.recordLease(leaseUntilMs);
     const outcome = await port.start({
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -63,6 +63,12 @@
 /** Additional time without progress, as a fraction of the task estimate. */
 const STUCK_ESTIMATE_FRACTION = 0.1;
 
+/**
+ * Time in ms between two reports of a worker above which it was silent. Polls
+ * wait up to 1300 ms for an event.
+ */
+const SILENCE_MS = 1600;
+
 /** Minimum rate of the clock of a worker relative to true time. */
 const MIN_CLOCK_RATE = 0.98;
 
@@ -186,6 +192,7 @@
     const nowMs = this.options.clock.nowMs();
     this.detectNewIncarnation(worker, report, nowMs);
     worker.recordClock(report.clockMs, nowMs);
+    excludeSilence(worker, nowMs);
     worker.lastReportMs = nowMs;
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
@@ -732,3 +739,13 @@
     this.options.effects.requestCommit();
   }
 }
+
+/**
+ * Does not count the time in which a worker was silent as time without
+ * progress: a suspended worker goes on where it was.
+ */
+function excludeSilence(worker: WorkerState, nowMs: number): void {
+  const silentMs = nowMs - worker.lastReportMs;
+  if (silentMs < SILENCE_MS) return;
+  for (const task of worker.tasks) task.lastProgressMs = nowMs;
+}
--- a/src/orchestrator/orchestrator_advice_test.ts
+++ b/src/orchestrator/orchestrator_advice_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
   simpleConfiguration,
@@ -35,7 +36,7 @@
       longestLeaseMs: 6000,
       keepFinishedMs: 1000,
       previousTermLeaseMs: 0,
-      effects: {
+      effects: idleEffects({
         start: (task, worker) => {
           const {name, ticket} = task;
           this.starts.push({
@@ -44,13 +45,8 @@
             ticket,
           });
         },
-        stop: () => undefined,
-        stopOrphanRun: () => undefined,
-        setSpeedLimit: () => undefined,
         requestAdvice: (question) => this.requests.push(question),
-        publishPhases: () => undefined,
-        requestCommit: () => undefined,
-      },
+      }),
     });
     const configuration = simpleConfiguration();
     const queues = configuration.queues.map((queue) => ({
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -59,6 +59,8 @@
   TICKET: 'ticket',
   /** Another incarnation of the worker responded. */
   OTHER_INCARNATION: 'other-incarnation',
+  /** Not sent: the lease of the owner's term may have ended. */
+  TERM_UNCERTAIN: 'term-uncertain',
   /** The worker is unhealthy and ignored the command. */
   UNHEALTHY: 'unhealthy',
   /** The command is malformed or unknown. */
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/worker_session.ts
@@ -44,12 +44,21 @@
 
   constructor(private readonly options: WorkerSessionOptions) {}
 
-  /** Polls until the term ends or {@link stop} is called. */
+  /**
+   * Polls until the term ends or {@link stop} is called. An unexpected error in
+   * a report is logged and does not end the session.
+   */
   async run(): Promise<void> {
-    const {term, worker} = this.options;
+    const {term, worker, log} = this.options;
     while (!this.stopped && !term.isOver) {
-      if (worker.registration.address === '') await sleep(RETRY_MS);
-      else await this.pollOnce();
+      try {
+        if (worker.registration.address === '') await sleep(RETRY_MS);
+        else await this.pollOnce();
+      } catch (error) {
+        const {id} = worker.registration;
+        log.logError('report-failed', error as Error, {worker: id});
+        await sleep(RETRY_MS);
+      }
     }
   }
 
--- a/src/orchestrator/worker_session_test.ts
+++ b/src/orchestrator/worker_session_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {idleEffects} from '../../testing/idle_effects.js';
 import {MemoryStore} from '../../testing/memory_store.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {simpleWorker} from '../../testing/simple_definitions.js';
@@ -16,9 +17,17 @@
   report: {clockMs: 5000, bornMs: 1, running: [], ended: []},
 };
 
-test('the lease of an unresponsive worker is not extended', async () => {
-  // Guards against tasks of a dead worker that are never placed again because
-  // its lease is extended forever.
+interface Fixture {
+  session: WorkerSession;
+  orchestrator: Orchestrator;
+  term: OwnerTerm;
+  polls: PollCommand[];
+}
+
+/** Creates a session that stops after it has received all outcomes. */
+async function createSession(
+  outcomes: ReadonlyArray<PollOutcome | undefined>,
+): Promise<Fixture> {
   const clock = new SystemClock();
   const log = silentLog();
   const store = new MemoryStore();
@@ -40,21 +49,12 @@
     longestLeaseMs: 6000,
     keepFinishedMs: 1000,
     previousTermLeaseMs: 0,
-    effects: {
-      start: () => undefined,
-      stop: () => undefined,
-      stopOrphanRun: () => undefined,
-      setSpeedLimit: () => undefined,
-      requestAdvice: () => undefined,
-      publishPhases: () => undefined,
-      requestCommit: () => undefined,
-    },
+    effects: idleEffects(),
   });
   orchestrator.upsertWorker(simpleWorker('w'));
   const worker = orchestrator.workers.get('w')!;
   const polls: PollCommand[] = [];
-  const outcomes = [report, report, undefined, undefined, undefined];
-  const session = new WorkerSession({
+  const session: WorkerSession = new WorkerSession({
     clock,
     log,
     term,
@@ -72,8 +72,32 @@
       },
     } as unknown as WorkerPort,
   });
-  await session.run();
-  term.end('test');
+  return {session, orchestrator, term, polls};
+}
+
+test('the lease of an unresponsive worker is not extended', async () => {
+  // Guards against tasks of a dead worker that are never placed again because
+  // its lease is extended forever.
+  const outcomes = [report, report, undefined, undefined, undefined];
+  const {session, term, polls} = await createSession(outcomes);
+  await session.run().finally(() => term.end('test'));
   const extended = polls.map(({leaseUntilMs}) => leaseUntilMs !== undefined);
   assert.deepEqual(extended, [false, true, true, false, false]);
 });
+
+test('a worker is still polled after an error in a report', async () => {
+  // Guards against a worker whose lease ends, and whose tasks run again, because
+  // one unexpected error ended its session.
+  const fixture = await createSession([report, report, report, report]);
+  const {session, orchestrator, term, polls} = fixture;
+  let reports = 0;
+  const processReport = orchestrator.processReport.bind(orchestrator);
+  orchestrator.processReport = (...parameters) => {
+    reports += 1;
+    if (reports === 2) throw new Error('unexpected');
+    processReport(...parameters);
+  };
+  await session.run().finally(() => term.end('test'));
+  assert.equal(polls.length, 4);
+  assert.equal(reports, 3);
+});
