--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -107,6 +107,11 @@
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
       onMove: (task) => this.requestStop(task, 'slowed-down'),
+      onJobError: (job, {message}) =>
+        options.log.logDecision('job-not-scheduled', {
+          job: job.definition.id,
+          reason: message,
+        }),
     });
     this.termStartMs = options.clock.nowMs();
     this.reportProcessor = new ReportProcessor({
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -212,16 +212,29 @@
     if (this.options.term.isOver) return;
     this.scheduleTimer ??= setTimeout(() => {
       this.scheduleTimer = undefined;
-      this.orchestrator.schedule();
+      this.runLogged('schedule', () => this.orchestrator.schedule());
     }, SCHEDULE_DELAY_MS);
   }
 
   private tick(): void {
-    this.orchestrator.tick();
+    this.runLogged('tick', () => this.orchestrator.tick());
     this.syncSessions();
     this.requestScheduling();
   }
 
+  /**
+   * Logs an unexpected error instead of ending the process: its successor would
+   * meet the same error.
+   */
+  private runLogged(operation: string, action: () => void): void {
+    try {
+      action();
+    } catch (error) {
+      const failure = error as Error;
+      this.options.log.logError('orchestrator-failed', failure, {operation});
+    }
+  }
+
   /** Opens and closes sessions to match the workers of the orchestrator. */
   private syncSessions(): void {
     const {workers} = this.orchestrator;
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -24,6 +24,8 @@
   onWithdraw: (task: TaskState) => void;
   /** Called to stop a task so that it continues on another worker. */
   onMove: (task: TaskState) => void;
+  /** Called when the tasks of a job cannot be scheduled in a pass. */
+  onJobError: (job: JobState, error: Error) => void;
 }
 
 /** Time of one scheduling pass. */
@@ -69,9 +71,11 @@
     this.changes.beginPass(this.options.workers.values());
     this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
     for (const job of order.sort(waiting, {wallMs, queueOf})) {
-      for (const occurrence of job.occurrences.values()) {
-        if (occurrence.isDone) continue;
-        this.scheduleSteps(job, occurrence, nowMs);
+      try {
+        this.scheduleJob(job, nowMs);
+      } catch (error) {
+        // One job must not keep all others from being scheduled.
+        this.options.onJobError(job, error as Error);
       }
     }
     if (nowMs - this.lastMoveCheckMs < MOVE_CHECK_MS) return;
@@ -79,6 +83,12 @@
     this.moveThrottled(nowMs);
   }
 
+  private scheduleJob(job: JobState, nowMs: number): void {
+    for (const occurrence of job.occurrences.values()) {
+      if (!occurrence.isDone) this.scheduleSteps(job, occurrence, nowMs);
+    }
+  }
+
   private scheduleSteps(
     job: JobState,
     occurrence: OccurrenceState,
--- a/src/orchestrator/task_scheduler_test.ts
+++ b/src/orchestrator/task_scheduler_test.ts
@@ -22,8 +22,13 @@
 /** Places a task wherever CPU is free, and counts the evaluations. */
 class CountingPlacement implements TaskPlacement {
   evaluations = 0;
+  /** Job for which each evaluation fails. */
+  failingJob: string | undefined;
 
   score(task: TaskState, worker: WorkerState): number | undefined {
+    if (task.job.definition.id === this.failingJob) {
+      throw new Error('unexpected');
+    }
     this.evaluations += 1;
     const isFree = worker.freeCpu >= task.step.cpuMillicores;
     return isFree ? worker.freeCpu : undefined;
@@ -34,6 +39,8 @@
   placement: CountingPlacement;
   workers: WorkerState[];
   assigned: TaskState[];
+  /** Jobs that could not be scheduled, once a pass. */
+  failedJobs: string[];
   /** Runs passes for a duration in ms. */
   run: (durationMs: number) => void;
 }
@@ -44,6 +51,7 @@
   const placement = new CountingPlacement();
   const workers = new Map<string, WorkerState>();
   const assigned: TaskState[] = [];
+  const failedJobs: string[] = [];
   for (let number = 0; number < WORKERS; number++) {
     const worker = new WorkerState(simpleWorker(`w${number}`));
     worker.bornMs = 1;
@@ -69,12 +77,14 @@
     },
     onWithdraw: () => undefined,
     onMove: () => undefined,
+    onJobError: (job) => failedJobs.push(job.definition.id),
   });
   let nowMs = 0;
   return {
     placement,
     workers: [...workers.values()],
     assigned,
+    failedJobs,
     run: (durationMs) => {
       const endMs = nowMs + durationMs;
       for (; nowMs < endMs; nowMs += PASS_INTERVAL_MS) {
@@ -129,3 +139,14 @@
   run(400);
   assert.ok(placement.evaluations >= before + WORKERS * WAITING_JOBS);
 });
+
+test('a job that cannot be scheduled does not keep others from starting', () => {
+  // Guards against an unexpected error that ends the process of the owner, and
+  // that of each successor, because of one job.
+  const {placement, workers, assigned, failedJobs, run} = createOverload();
+  placement.failingJob = 'waiting0';
+  for (const task of [...workers[17]!.tasks]) workers[17]!.removeTask(task);
+  run(PASS_INTERVAL_MS);
+  assert.equal(assigned.length, 8);
+  assert.deepEqual(failedJobs, ['waiting0']);
+});
