Split the registry of workers from the orchestrator

Cause: orchestrator.ts had 773 lines and several jobs. A walk over all tasks at each new worker is gone: a task that a previous owner assigned always adds its worker, so that a worker which is new has none. Change: WorkerRegistry holds workers, incarnations, clocks and leases; nothing else changes. orchestrator.ts has 644 lines.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -24,6 +24,7 @@
   RefusalReason,
   WorkerReport,
 } from './worker_port.js';
+import {WorkerRegistry} from './worker_registry.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link Orchestrator}. */
@@ -75,25 +76,13 @@
 /** Additional time without progress, as a fraction of the task estimate. */
 const STUCK_ESTIMATE_FRACTION = 0.1;
 
-/**
- * Time in ms between two reports of a worker above which it was silent. Polls
- * wait up to 1300 ms for an event.
- */
-const SILENCE_MS = 1600;
-
-/** Minimum rate of the clock of a worker relative to true time. */
-const MIN_CLOCK_RATE = 0.98;
-
-/** Allowance in ms for the transfer of a command that extends a lease. */
-const LEASE_TRANSFER_MS = 300;
-
 /**
  * Decides which tasks run on which workers. Performs no I/O: events are passed
  * to its methods and commands go through {@link OrchestratorEffects}.
  */
 export class Orchestrator {
   readonly jobs = new Map<string, JobState>();
-  readonly workers = new Map<string, WorkerState>();
+  private readonly registry: WorkerRegistry;
   private readonly tasksByName = new Map<string, TaskState>();
   private readonly dirtyJobs = new Set<JobState>();
   private readonly pendingStarts: TaskState[] = [];
@@ -102,13 +91,13 @@
   private readonly advice = new StepAdvice();
   private readonly scheduler: TaskScheduler;
   private readonly reportProcessor: ReportProcessor;
-  private readonly termStartMs: number;
   private configuration: Configuration | undefined;
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
 
   constructor(private readonly options: OrchestratorOptions) {
+    this.registry = new WorkerRegistry(options);
     this.scheduler = new TaskScheduler({
       workers: this.workers,
       order: options.order ?? new DeadlineOrder(),
@@ -125,7 +114,6 @@
           reason: message,
         }),
     });
-    this.termStartMs = options.clock.nowMs();
     this.reportProcessor = new ReportProcessor({
       taskOf: (name) => this.tasksByName.get(name),
       onConfirmed: (task) => this.confirm(task),
@@ -137,6 +125,11 @@
     });
   }
 
+  /** Workers that are registered or may still run a task, by id. */
+  get workers(): Map<string, WorkerState> {
+    return this.registry.workers;
+  }
+
   /** Replaces the configuration. */
   configure(configuration: Configuration): void {
     this.configuration = configuration;
@@ -168,34 +161,14 @@
 
   /** Adds a worker or updates its registration. */
   upsertWorker(registration: WorkerRegistration): void {
-    const existing = this.workers.get(registration.id);
-    if (!existing) {
-      this.attachInheritedRuns(this.addWorker(registration));
-      return;
-    }
-    existing.isRegistered = true;
-    existing.version += 1;
-    if (registration.isDraining !== existing.registration.isDraining) {
-      this.options.log.logDecision('worker-state', {
-        worker: registration.id,
-        isDraining: registration.isDraining,
-        remainingMs: registration.remainingMs,
-      });
-    }
-    existing.registration = registration;
-    if (registration.isDraining) this.drain(existing);
-    else existing.drainingSinceMs = Infinity;
+    const worker = this.registry.upsert(registration);
+    if (registration.isDraining) this.drain(worker);
+    else worker.drainingSinceMs = Infinity;
   }
 
   /** Handles the removal of a registration; the lease may still be valid. */
   unregisterWorker(id: string): void {
-    const worker = this.workers.get(id);
-    if (!worker) return;
-    worker.isRegistered = false;
-    this.options.log.logDecision('worker-unregistered', {
-      worker: id,
-      tasks: worker.tasks.size,
-    });
+    this.registry.unregister(id);
   }
 
   /**
@@ -207,10 +180,7 @@
     sentMs: number,
   ): void {
     const nowMs = this.options.clock.nowMs();
-    this.detectNewIncarnation(worker, report, nowMs);
-    worker.recordClock(report.clockMs, nowMs);
-    excludeSilence(worker, nowMs);
-    worker.lastReportMs = nowMs;
+    this.registry.recordReport(worker, report, nowMs);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
     this.stopStuck(worker, nowMs);
@@ -226,7 +196,7 @@
     if (task.run !== run || task.state !== 'starting') return;
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
-      if (worker) this.detectClockReset(worker, outcome.clockMs);
+      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       task.absentAfterMs = this.options.clock.nowMs();
       this.confirm(task);
       return;
@@ -385,96 +355,7 @@
   private registerTask(task: TaskState): void {
     this.tasksByName.set(task.name, task);
     if (task.state !== 'inherited' || !task.assignment) return;
-    const {workerId, workerBornMs} = task.assignment;
-    const worker = this.workers.get(workerId);
-    if (worker) this.attachRun(worker, task);
-    else this.addUnregisteredWorker(workerId, workerBornMs, task);
-  }
-
-  private addWorker(registration: WorkerRegistration): WorkerState {
-    const worker = new WorkerState(registration);
-    // A previous owner may have extended the lease of the worker until now.
-    const {previousTermLeaseMs, longestLeaseMs} = this.options;
-    worker.leaseEndsMs =
-      this.termStartMs +
-      previousTermLeaseMs +
-      LEASE_TRANSFER_MS +
-      longestLeaseMs / MIN_CLOCK_RATE;
-    this.workers.set(registration.id, worker);
-    return worker;
-  }
-
-  /** Tracks a worker that is not registered but may still run a task. */
-  private addUnregisteredWorker(
-    id: string,
-    bornMs: number,
-    task: TaskState,
-  ): void {
-    const worker = this.addWorker({
-      id,
-      service: '',
-      address: '',
-      dataCentre: '',
-      isDraining: false,
-      remainingMs: undefined,
-      capacity: {cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0},
-      labels: [],
-      bornMs,
-    });
-    worker.isRegistered = false;
-    this.attachRun(worker, task);
-  }
-
-  private attachInheritedRuns(worker: WorkerState): void {
-    for (const task of this.tasksByName.values()) {
-      if (task.assignment?.workerId === worker.registration.id) {
-        this.attachRun(worker, task);
-      }
-    }
-  }
-
-  private attachRun(worker: WorkerState, task: TaskState): void {
-    worker.addTask(task);
-  }
-
-  private detectNewIncarnation(
-    worker: WorkerState,
-    report: WorkerReport,
-    nowMs: number,
-  ): void {
-    const bornMs = report.bornMs ?? worker.registration.bornMs;
-    if (worker.bornMs === bornMs) return;
-    const isFirst = worker.bornMs === undefined;
-    worker.beginIncarnation(bornMs);
-    for (const task of worker.tasks) {
-      // An unanswered command may still reach the new incarnation.
-      const isUnanswered =
-        task.state === 'starting' ||
-        (task.state === 'stopping' && task.absentAfterMs === Infinity);
-      if (!isUnanswered && task.state !== 'assigned') {
-        task.absentAfterMs = -Infinity;
-      }
-    }
-    this.options.log.logDecision('worker-life', {
-      worker: worker.registration.id,
-      bornMs,
-      isFirst,
-      atMs: Math.round(nowMs),
-    });
-  }
-
-  /** Begins a new incarnation if the clock of the worker has been reset. */
-  private detectClockReset(
-    worker: WorkerState,
-    clockMs: number | undefined,
-  ): void {
-    const nowMs = this.options.clock.nowMs();
-    if (clockMs === undefined || !worker.isClockReset(clockMs, nowMs)) return;
-    this.options.log.logDecision('worker-clock-went-back', {
-      worker: worker.registration.id,
-      clockMs,
-    });
-    worker.beginIncarnation(undefined);
+    this.registry.inheritRun(task, task.assignment);
   }
 
   private confirm(task: TaskState): void {
@@ -761,13 +642,3 @@
     this.options.effects.requestCommit();
   }
 }
-
-/**
- * Does not count the time in which a worker was silent as time without
- * progress: a suspended worker goes on where it was.
- */
-function excludeSilence(worker: WorkerState, nowMs: number): void {
-  const silentMs = nowMs - worker.lastReportMs;
-  if (silentMs < SILENCE_MS) return;
-  for (const task of worker.tasks) task.lastProgressMs = nowMs;
-}
--- /dev/null
+++ b/src/orchestrator/worker_registry.ts
@@ -0,0 +1,163 @@
+import {Clock} from '../clock/clock.js';
+import {NodeLog} from '../logging/node_log.js';
+import {WorkerRegistration} from '../work/worker_registration.js';
+import {Assignment, TaskState} from './task_state.js';
+import {WorkerReport} from './worker_port.js';
+import {WorkerState} from './worker_state.js';
+
+/** Options of {@link WorkerRegistry}. */
+export interface WorkerRegistryOptions {
+  clock: Clock;
+  log: NodeLog;
+  /** Longest lease in ms that a worker grants. */
+  longestLeaseMs: number;
+  /** Time in ms for which a previous owner may still extend leases. */
+  previousTermLeaseMs: number;
+}
+
+/**
+ * Time in ms between two reports of a worker above which it was silent. Polls
+ * wait up to 1300 ms for an event.
+ */
+const SILENCE_MS = 1600;
+
+/** Minimum rate of the clock of a worker relative to true time. */
+const MIN_CLOCK_RATE = 0.98;
+
+/** Allowance in ms for the transfer of a command that extends a lease. */
+const LEASE_TRANSFER_MS = 300;
+
+/**
+ * Workers of a partition in one term of ownership, with what is known of their
+ * incarnations, clocks and leases.
+ */
+export class WorkerRegistry {
+  /** Workers that are registered or may still run a task, by id. */
+  readonly workers = new Map<string, WorkerState>();
+  private readonly termStartMs: number;
+
+  constructor(private readonly options: WorkerRegistryOptions) {
+    this.termStartMs = options.clock.nowMs();
+  }
+
+  /** Adds a worker or updates its registration. */
+  upsert(registration: WorkerRegistration): WorkerState {
+    const existing = this.workers.get(registration.id);
+    if (!existing) return this.add(registration);
+    existing.isRegistered = true;
+    existing.version += 1;
+    if (registration.isDraining !== existing.registration.isDraining) {
+      this.options.log.logDecision('worker-state', {
+        worker: registration.id,
+        isDraining: registration.isDraining,
+        remainingMs: registration.remainingMs,
+      });
+    }
+    existing.registration = registration;
+    return existing;
+  }
+
+  /** Handles the removal of a registration; the lease may still be valid. */
+  unregister(id: string): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    worker.isRegistered = false;
+    this.options.log.logDecision('worker-unregistered', {
+      worker: id,
+      tasks: worker.tasks.size,
+    });
+  }
+
+  /** Attaches a run that a previous owner assigned to its worker. */
+  inheritRun(task: TaskState, {workerId, workerBornMs}: Assignment): void {
+    const worker =
+      this.workers.get(workerId) ??
+      this.addUnregistered(workerId, workerBornMs);
+    worker.addTask(task);
+  }
+
+  /** Records what a report tells about the worker itself. */
+  recordReport(worker: WorkerState, report: WorkerReport, nowMs: number): void {
+    this.detectNewIncarnation(worker, report, nowMs);
+    worker.recordClock(report.clockMs, nowMs);
+    excludeSilence(worker, nowMs);
+    worker.lastReportMs = nowMs;
+  }
+
+  /** Begins a new incarnation if the clock of the worker has been reset. */
+  detectClockReset(worker: WorkerState, clockMs: number | undefined): void {
+    const nowMs = this.options.clock.nowMs();
+    if (clockMs === undefined || !worker.isClockReset(clockMs, nowMs)) return;
+    this.options.log.logDecision('worker-clock-went-back', {
+      worker: worker.registration.id,
+      clockMs,
+    });
+    worker.beginIncarnation(undefined);
+  }
+
+  private add(registration: WorkerRegistration): WorkerState {
+    const worker = new WorkerState(registration);
+    // A previous owner may have extended the lease of the worker until now.
+    const {previousTermLeaseMs, longestLeaseMs} = this.options;
+    worker.leaseEndsMs =
+      this.termStartMs +
+      previousTermLeaseMs +
+      LEASE_TRANSFER_MS +
+      longestLeaseMs / MIN_CLOCK_RATE;
+    this.workers.set(registration.id, worker);
+    return worker;
+  }
+
+  /** Adds a worker that is not registered but may still run a task. */
+  private addUnregistered(id: string, bornMs: number): WorkerState {
+    const worker = this.add({
+      id,
+      service: '',
+      address: '',
+      dataCentre: '',
+      isDraining: false,
+      remainingMs: undefined,
+      capacity: {cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0},
+      labels: [],
+      bornMs,
+    });
+    worker.isRegistered = false;
+    return worker;
+  }
+
+  private detectNewIncarnation(
+    worker: WorkerState,
+    report: WorkerReport,
+    nowMs: number,
+  ): void {
+    const bornMs = report.bornMs ?? worker.registration.bornMs;
+    if (worker.bornMs === bornMs) return;
+    const isFirst = worker.bornMs === undefined;
+    worker.beginIncarnation(bornMs);
+    for (const task of worker.tasks) {
+      // An unanswered command may still reach the new incarnation.
+      const isUnanswered =
+        task.state === 'starting' ||
+        (task.state === 'stopping' && task.absentAfterMs === Infinity);
+      if (!isUnanswered && task.state !== 'assigned') {
+        task.absentAfterMs = -Infinity;
+      }
+    }
+    this.options.log.logDecision('worker-life', {
+      worker: worker.registration.id,
+      bornMs,
+      isFirst,
+      atMs: Math.round(nowMs),
+    });
+  }
+}
+
+/**
+ * Does not count the time in which a worker was silent as time without
+ * progress: a suspended worker goes on where it was.
+ */
+function excludeSilence(worker: WorkerState, nowMs: number): void {
+  const silentMs = nowMs - worker.lastReportMs;
+  if (silentMs < SILENCE_MS) return;
+  for (const task of worker.tasks) task.lastProgressMs = nowMs;
+}
