Commit urgent starts first and send each start after its own transaction

In a burst of batch jobs, and after a takeover, an urgent start waited for ten and more round trips to the store. Ruled out: transactions in parallel, since each requires the head that the previous one wrote. Change: takePending returns batches; jobs with starts come first, by priority, and starts are sent once their own batch is stored. Ends are acknowledged once all batches are.

--- a/measure/scenarios/owner_load.ts
+++ b/measure/scenarios/owner_load.ts
@@ -9,6 +9,7 @@
 import {WorkerState} from '../../src/orchestrator/worker_state.js';
 import {RandomSource} from '../../src/random/random_source.js';
 import {SeededRandom} from '../../src/random/seeded_random.js';
+import {applyPending} from '../../testing/apply_pending.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
@@ -124,7 +125,7 @@
       this.submitFillJobs();
       this.measureTime('tick', () => this.orchestrator.tick());
       this.measureTime('schedule', () => this.orchestrator.schedule());
-      this.orchestrator.takePending().onStored();
+      applyPending(this.orchestrator.takePending());
       this.finishDueTasks();
       this.reportWorkers();
     }
--- a/src/orchestrator/commit_loop.ts
+++ b/src/orchestrator/commit_loop.ts
@@ -1,8 +1,4 @@
-import {
-  CommitLog,
-  KeyChange,
-  MAX_CHANGES_PER_COMMIT,
-} from '../leadership/commit_log.js';
+import {CommitLog} from '../leadership/commit_log.js';
 import {PendingCommit} from './orchestrator_effects.js';
 
 /** Options of {@link CommitLoop}. */
@@ -55,7 +51,7 @@
     this.isCommitting = true;
     try {
       while (!this.stopped && this.options.hasPending()) {
-        await this.commitBatch();
+        await this.commitPending();
       }
     } catch (error) {
       this.options.onFenced(error as Error);
@@ -64,22 +60,15 @@
     }
   }
 
-  private async commitBatch(): Promise<void> {
+  private async commitPending(): Promise<void> {
     const waiters = this.waiters;
     this.waiters = [];
-    const {changes, onStored} = this.options.takePending();
-    for (const batch of batchesOf(changes)) {
-      await this.options.commitLog.commit(batch);
+    const pending = this.options.takePending();
+    for (const {changes, onStored} of pending.batches) {
+      await this.options.commitLog.commit(changes);
+      onStored();
     }
-    onStored();
+    pending.onStored();
     for (const resolve of waiters) resolve();
   }
 }
-
-function* batchesOf(
-  changes: readonly KeyChange[],
-): Generator<readonly KeyChange[]> {
-  for (let start = 0; start < changes.length; start += MAX_CHANGES_PER_COMMIT) {
-    yield changes.slice(start, start + MAX_CHANGES_PER_COMMIT);
-  }
-}
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -1,6 +1,6 @@
 import {Clock} from '../clock/clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
-import {KeyChange} from '../leadership/commit_log.js';
+import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {NodeLog} from '../logging/node_log.js';
 import {Configuration, Queue} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
@@ -11,7 +11,11 @@
 import {BestEffortController} from './best_effort_controller.js';
 import {progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
-import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
+import {
+  CommitBatch,
+  OrchestratorEffects,
+  PendingCommit,
+} from './orchestrator_effects.js';
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {StepAdvice} from './step_advice.js';
@@ -66,6 +70,12 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
+/** Commit order of jobs whose queue was removed, after all priorities. */
+const NO_PRIORITY_RANK = 1_000_000;
+
+/** Commit order of jobs without a start that depends on the commit. */
+const NO_START_RANK = 2_000_000;
+
 /** How a run ends whose worker no longer reports it. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'lease-ended',
@@ -278,31 +288,56 @@
   }
 
   /**
-   * Removes and returns the pending changes. Commands that depend on them are
-   * sent once they are committed.
+   * Removes and returns the pending changes, those that the starts of urgent
+   * jobs depend on first. A start is sent once its own batch is committed, ends
+   * are acknowledged once all batches are.
    */
   takePending(): PendingCommit {
     const jobs = [...this.dirtyJobs];
     this.dirtyJobs.clear();
-    const starts = this.pendingStarts.splice(0);
+    const startsByJob = groupByJob(this.pendingStarts.splice(0));
     const removals = this.deletions.splice(0);
     const processedSequences = [...this.workers.values()].map(
       (worker) =>
         [worker, worker.incarnation, worker.processedSequence] as const,
     );
-    const phases = jobs.map((job) => [job, job.phase] as const);
-    const changes: KeyChange[] = jobs.map((job) => ({
-      key: this.options.keys.progress(job.definition.id),
-      value: encodeProgress(progressOf(job)),
-    }));
+    const rank = (job: JobState): number =>
+      startsByJob.has(job)
+        ? (this.queueOf(job)?.priority ?? NO_PRIORITY_RANK)
+        : NO_START_RANK;
+    jobs.sort((left, right) => rank(left) - rank(right));
+    const batches: CommitBatch[] = [];
+    for (const chunk of chunks(jobs, MAX_CHANGES_PER_COMMIT)) {
+      batches.push(this.createBatch(chunk, startsByJob));
+    }
+    for (const changes of chunks(removals, MAX_CHANGES_PER_COMMIT)) {
+      batches.push({changes, onStored: () => undefined});
+    }
     return {
-      changes: [...changes, ...removals],
+      batches,
       onStored: () => {
         for (const [worker, incarnation, end] of processedSequences) {
           if (worker.incarnation === incarnation) worker.storedSequence = end;
         }
+      },
+    };
+  }
+
+  private createBatch(
+    jobs: readonly JobState[],
+    startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
+  ): CommitBatch {
+    const phases = jobs.map((job) => [job, job.phase] as const);
+    return {
+      changes: jobs.map((job) => ({
+        key: this.options.keys.progress(job.definition.id),
+        value: encodeProgress(progressOf(job)),
+      })),
+      onStored: () => {
         this.publishPhases(phases);
-        for (const task of starts) this.sendStart(task);
+        for (const job of jobs) {
+          for (const task of startsByJob.get(job) ?? []) this.sendStart(task);
+        }
       },
     };
   }
@@ -642,3 +677,21 @@
     this.options.effects.requestCommit();
   }
 }
+
+function groupByJob(
+  tasks: readonly TaskState[],
+): ReadonlyMap<JobState, TaskState[]> {
+  const byJob = new Map<JobState, TaskState[]>();
+  for (const task of tasks) {
+    const group = byJob.get(task.job) ?? [];
+    group.push(task);
+    byJob.set(task.job, group);
+  }
+  return byJob;
+}
+
+function* chunks<T>(values: readonly T[], size: number): Generator<T[]> {
+  for (let start = 0; start < values.length; start += size) {
+    yield values.slice(start, start + size);
+  }
+}
--- a/src/orchestrator/orchestrator_advice_test.ts
+++ b/src/orchestrator/orchestrator_advice_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {applyPending} from '../../testing/apply_pending.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
@@ -64,7 +65,7 @@
   /** Runs a scheduling pass, commits it and sends the start commands. */
   runPass(): void {
     this.orchestrator.schedule();
-    this.orchestrator.takePending().onStored();
+    applyPending(this.orchestrator.takePending());
   }
 
   /** Answers the latest advice request. */
--- /dev/null
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {idleEffects} from '../../testing/idle_effects.js';
+import {silentLog} from '../../testing/silent_log.js';
+import {
+  simpleConfiguration,
+  simpleJob,
+  simpleWorker,
+} from '../../testing/simple_definitions.js';
+import {ManualClock} from '../clock/manual_clock.js';
+import {MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
+import {PartitionKeys} from '../leadership/partition_keys.js';
+import {JobState} from './job_state.js';
+import {Orchestrator} from './orchestrator.js';
+
+const BATCH_JOBS = 100;
+
+interface Fixture {
+  orchestrator: Orchestrator;
+  /** Jobs of the starts that were sent, in order. */
+  started: string[];
+}
+
+/** Creates a fleet with capacity for all jobs, and two queues. */
+function createFixture(): Fixture {
+  const started: string[] = [];
+  const orchestrator = new Orchestrator({
+    clock: new ManualClock(),
+    log: silentLog(),
+    keys: new PartitionKeys('main'),
+    longestLeaseMs: 6000,
+    keepFinishedMs: 1000,
+    previousTermLeaseMs: 0,
+    effects: idleEffects({
+      start: ({job}) => started.push(job.definition.id),
+    }),
+  });
+  const configuration = simpleConfiguration();
+  const [queue] = configuration.queues;
+  const queues = [
+    {...queue!, name: 'batch', priority: 2},
+    {...queue!, name: 'urgent', priority: 0},
+  ];
+  orchestrator.configure({...configuration, queues});
+  for (let number = 0; number < BATCH_JOBS; number++) {
+    orchestrator.upsertWorker(simpleWorker(`w${number}`));
+  }
+  for (const worker of orchestrator.workers.values()) {
+    const report = {clockMs: 0, bornMs: 1, running: [], ended: []};
+    orchestrator.processReport(worker, report, 0);
+  }
+  return {orchestrator, started};
+}
+
+test('in a burst of batch jobs an urgent start waits for one transaction', () => {
+  // A burst fills several transactions, which are committed one after another.
+  // Guards against an urgent job that waits for all of them.
+  const {orchestrator, started} = createFixture();
+  for (let number = 0; number < BATCH_JOBS; number++) {
+    const job = simpleJob(`batch${number}`, {queue: 'batch'});
+    orchestrator.addJob(new JobState(job, 0));
+  }
+  orchestrator.schedule();
+  const urgent = simpleJob('urgent', {queue: 'urgent'});
+  orchestrator.addJob(new JobState(urgent, 0));
+  orchestrator.schedule();
+  const {batches} = orchestrator.takePending();
+  assert.ok(batches.length > BATCH_JOBS / MAX_CHANGES_PER_COMMIT);
+  assert.ok(
+    batches.every(({changes}) => changes.length <= MAX_CHANGES_PER_COMMIT),
+  );
+  batches[0]!.onStored();
+  assert.equal(started[0], 'urgent');
+  assert.equal(started.length, MAX_CHANGES_PER_COMMIT);
+});
+
+test('ends are acknowledged only once all batches are stored', () => {
+  // Guards against an end that a worker discards although the transaction with
+  // its job is never committed.
+  const {orchestrator} = createFixture();
+  const worker = orchestrator.workers.get('w0')!;
+  worker.processedSequence = 5;
+  const pending = orchestrator.takePending();
+  for (const {onStored} of pending.batches) onStored();
+  assert.equal(worker.sequenceToAcknowledge, 0);
+  pending.onStored();
+  assert.equal(worker.sequenceToAcknowledge, 5);
+});
--- a/src/orchestrator/orchestrator_effects.ts
+++ b/src/orchestrator/orchestrator_effects.ts
@@ -22,9 +22,17 @@
   requestCommit(): void;
 }
 
-/** Changes to commit, and a callback for what depends on the commit. */
+/** Changes of one transaction, and a callback for what depends on them. */
+export interface CommitBatch {
+  changes: readonly KeyChange[];
+  /** To be called once the changes are committed. */
+  onStored: () => void;
+}
+
+/** Changes to commit in several transactions. */
 export interface PendingCommit {
-  changes: KeyChange[];
-  /** To be called once all changes are committed. */
+  /** Transactions in the order in which they are to be committed. */
+  batches: readonly CommitBatch[];
+  /** To be called once all batches are committed. */
   onStored: () => void;
 }
--- a/src/orchestrator/orchestrator_log_test.ts
+++ b/src/orchestrator/orchestrator_log_test.ts
@@ -3,6 +3,7 @@
 
 import {pino} from 'pino';
 
+import {applyPending} from '../../testing/apply_pending.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {
   simpleConfiguration,
@@ -56,7 +57,7 @@
   };
   const runPass = (): void => {
     orchestrator.schedule();
-    orchestrator.takePending().onStored();
+    applyPending(orchestrator.takePending());
   };
   orchestrator.addJob(new JobState(simpleJob('job'), 0));
   clock.advance(400);
--- a/src/orchestrator/orchestrator_silence_test.ts
+++ b/src/orchestrator/orchestrator_silence_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {applyPending} from '../../testing/apply_pending.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
@@ -42,7 +43,7 @@
     const steps = [simpleStep({estimatedMs: 2000})];
     this.orchestrator.addJob(new JobState(simpleJob('job', {steps}), 0));
     this.orchestrator.schedule();
-    this.orchestrator.takePending().onStored();
+    applyPending(this.orchestrator.takePending());
   }
 
   /** Reports the progress of the task, or no task without `percent`. */
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -390,9 +390,12 @@
    */
   private commit(term: Term): void {
     if (term.pending) {
-      const {changes, onStored} = term.pending;
+      const {batches, onStored} = term.pending;
       term.pending = undefined;
-      for (const change of changes) this.applyChange(change);
+      for (const batch of batches) {
+        for (const change of batch.changes) this.applyChange(change);
+        batch.onStored();
+      }
       onStored();
     }
     if (term.orchestrator.hasPending) {
