Report the transport error of a caller in the tests

The test caller dropped the error, so the failure could not be traced. Change: the result carries the error, so that the assertion prints it.

--- a/testing/caller.ts
+++ b/testing/caller.ts
@@ -36,6 +36,8 @@
   isCorrect: boolean;
   /** Time in ms from sending the request to reading the whole response. */
   latencyMs: number;
+  /** Transport error; undefined if there was a response. */
+  error?: string;
 }
 
 /** Options of {@link Caller}. */
@@ -75,8 +77,9 @@
     try {
       const result = await this.send(input);
       return {...result, latencyMs: performance.now() - startMs};
-    } catch {
-      return {...NO_RESPONSE, latencyMs: performance.now() - startMs};
+    } catch (error) {
+      const latencyMs = performance.now() - startMs;
+      return {...NO_RESPONSE, latencyMs, error: String(error)};
     }
   }
 
