Keep the changed workers of recent passes instead of asking each worker

Cause: for each waiting step the list of workers that changed since a pass was found by a walk over all workers (11% of the decisions' time in owner-load). Change: WorkerChanges keeps the changed workers of the last 64 passes. Ruled out: nothing else was tried.

--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -134,10 +134,12 @@
     step: StepDefinition,
     origin: StepOrigin,
   ): readonly WorkerState[] {
-    const workers = this.options.workers.values();
     const failedPass = this.unplaceable.failedPassOf(step, origin);
-    if (failedPass === undefined) return [...workers];
-    return [...this.changes.changedAfter(failedPass, workers)];
+    const changed =
+      failedPass === undefined
+        ? undefined
+        : this.changes.changedAfter(failedPass);
+    return changed ?? [...this.options.workers.values()];
   }
 
   private assignGang(job: JobState, step: StepState, nowMs: number): void {
--- a/src/orchestrator/worker_changes.ts
+++ b/src/orchestrator/worker_changes.ts
@@ -1,15 +1,22 @@
 import {WorkerState} from './worker_state.js';
 
-interface SeenVersion {
-  version: number;
-  /** Pass in which the version was first seen. */
+/** Workers that changed between a pass and the one before it. */
+interface PassChanges {
   pass: number;
+  workers: readonly WorkerState[];
 }
 
-/** Tracks since which scheduling pass each worker is unchanged. */
+/**
+ * Number of passes whose changes are kept; at passes of 6 ms, more than the
+ * interval after which all workers are searched anyway.
+ */
+const KEPT_PASSES = 64;
+
+/** Tracks which workers changed in the latest scheduling passes. */
 export class WorkerChanges {
   private pass = 0;
-  private readonly seen = new WeakMap<WorkerState, SeenVersion>();
+  private readonly versions = new WeakMap<WorkerState, number>();
+  private readonly recent: PassChanges[] = [];
 
   /** Number of the current pass. */
   get currentPass(): number {
@@ -19,24 +26,27 @@
   /** Begins a pass and records which workers changed since the last one. */
   beginPass(workers: Iterable<WorkerState>): void {
     this.pass += 1;
+    const changed: WorkerState[] = [];
     for (const worker of workers) {
-      const {version} = worker;
-      const known = this.seen.get(worker);
-      if (!known) this.seen.set(worker, {version, pass: this.pass});
-      else if (known.version !== version) {
-        known.version = version;
-        known.pass = this.pass;
-      }
+      if (this.versions.get(worker) === worker.version) continue;
+      this.versions.set(worker, worker.version);
+      changed.push(worker);
     }
+    this.recent.push({pass: this.pass, workers: changed});
+    if (this.recent.length > KEPT_PASSES) this.recent.shift();
   }
 
-  /** Returns the workers that changed after a pass began. */
-  *changedAfter(
-    pass: number,
-    workers: Iterable<WorkerState>,
-  ): Generator<WorkerState> {
-    for (const worker of workers) {
-      if ((this.seen.get(worker)?.pass ?? Infinity) > pass) yield worker;
+  /**
+   * Returns the workers that changed after a pass began; undefined if the pass
+   * is too long ago.
+   */
+  changedAfter(pass: number): readonly WorkerState[] | undefined {
+    if (pass < this.pass - this.recent.length) return undefined;
+    const changed = new Set<WorkerState>();
+    for (const {pass: changePass, workers} of this.recent) {
+      if (changePass <= pass) continue;
+      for (const worker of workers) changed.add(worker);
     }
+    return [...changed];
   }
 }
