Refuse a count of waiting jobs that is not known

Ruled out: reading all progress from the store for each such request. Change: the owner's latest count is repeated for 2 s; then the caller gets 503 with Retry-After.

--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -70,6 +70,12 @@
 /** Retry-after time in ms while the store is unreachable. */
 const STORE_RETRY_AFTER_MS = 1000;
 
+/** Retry-after time in ms while no owner answers; a takeover takes that long. */
+const OWNER_RETRY_AFTER_MS = 1000;
+
+/** Age in ms up to which a count of waiting jobs is repeated. */
+const COUNT_AGE_LIMIT_MS = 2000;
+
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
 
@@ -91,6 +97,11 @@
  */
 export class JobGateway {
   private current: Configuration | undefined;
+  /** Latest count of waiting jobs that the owner gave, by queue. */
+  private readonly latestCounts = new Map<
+    string,
+    {pending: number; nowMs: number}
+  >();
 
   constructor(private readonly options: JobGatewayOptions) {}
 
@@ -272,33 +283,40 @@
   }
 
   /**
-   * Returns the number of jobs in a queue of which no task has started, from
-   * the owner if it answers. Otherwise the count covers all mirrored jobs that
-   * are not known to have started.
+   * Returns the number of jobs in a queue of which no task has started. Only
+   * the owner knows it; its latest answer is repeated for a short time, and
+   * then the count is unavailable.
    */
   async getPendingCount(queue: Queue): Promise<GatewayResult> {
-    const {owner, ownedJobs, table, log} = this.options;
-    const {name} = queue;
+    const {clock, ownedJobs} = this.options;
     const owned = ownedJobs();
-    if (owned) return pendingResult(owned.countPending(name));
+    if (owned) return pendingResult(owned.countPending(queue.name));
+    const pending = await this.askOwnerForPending(queue.name);
+    const nowMs = clock.nowMs();
+    if (pending !== undefined) {
+      this.latestCounts.set(queue.name, {pending, nowMs});
+      return pendingResult(pending);
+    }
+    const latest = this.latestCounts.get(queue.name);
+    if (latest && nowMs - latest.nowMs <= COUNT_AGE_LIMIT_MS) {
+      return pendingResult(latest.pending);
+    }
+    const retryAfterMs = OWNER_RETRY_AFTER_MS;
+    return {code: ResultCodes.NO_OWNER, retryAfterMs};
+  }
+
+  private async askOwnerForPending(queue: string): Promise<number | undefined> {
+    const {owner, log} = this.options;
+    const timeoutMs = LOOK_UP_TIMEOUT_MS;
     try {
-      if (owner.isOpen) {
-        const timeoutMs = LOOK_UP_TIMEOUT_MS;
-        const body = {queue: name};
-        const result = await owner.request(
-          OwnerMessage.PENDING,
-          body,
-          timeoutMs,
-        );
-        if (result.pending !== undefined) return result;
-      }
+      const body = {queue};
+      const result = await owner.request(OwnerMessage.PENDING, body, timeoutMs);
+      return result.pending;
     } catch (error) {
-      log.logDecision('pending-unanswered', {
-        queue: name,
-        reason: (error as Error).message,
-      });
+      const reason = (error as Error).message;
+      log.logDecision('pending-unanswered', {queue, reason});
+      return undefined;
     }
-    return pendingResult(table.countPending(name));
   }
 
   private recordAccepted(
--- a/src/work/job_table.ts
+++ b/src/work/job_table.ts
@@ -81,16 +81,6 @@
     return entry?.submission !== undefined && isFinalPhase(entry.phase);
   }
 
-  /** Counts the jobs of a queue of which no later phase is known. */
-  countPending(queue: string): number {
-    let pending = 0;
-    for (const [jobId, {submission}] of this.entries) {
-      if (submission?.definition.queue !== queue) continue;
-      if (this.phaseOf(jobId) === JobPhase.QUEUED) pending += 1;
-    }
-    return pending;
-  }
-
   private getOrCreateEntry(jobId: string): JobEntry {
     let entry = this.entries.get(jobId);
     if (!entry) {
