--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -1,80 +1,21 @@
-import {Clock} from '../clock/clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {NodeLog} from '../logging/node_log.js';
-import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
-import {ResultError} from '../result_codes/result_error.js';
-import {MetadataStore} from '../store/metadata_store.js';
+import {ResultCodes} from '../result_codes/result_code.js';
 import {Configuration, findQueue, Queue} from '../work/configuration.js';
-import {JobDefinition, JobPhase} from '../work/job_definition.js';
+import {JobDefinition} from '../work/job_definition.js';
 import {
-  decodeProgress,
   decodeSubmission,
   encodeSubmission,
   SubmissionRecord,
 } from '../work/job_records.js';
-import {JobTable} from '../work/job_table.js';
 import {
-  JobMessage,
-  OwnerMessage,
-  QueueMessage,
-  RelayedSubmission,
-  SubmittedMessage,
-} from './owner_messages.js';
+  GatewayResult,
+  storeUnavailable,
+  toFailureResult,
+} from './gateway_result.js';
+import {JobLookUp, JobLookUpOptions} from './job_look_up.js';
+import {OwnerMessage} from './owner_messages.js';
 
 /** Options of {@link JobGateway}. */
-export interface JobGatewayOptions {
-  store: MetadataStore;
-  clock: Clock;
-  log: NodeLog;
-  keys: PartitionKeys;
-  table: JobTable;
-  /** Whether the store has responded to this node recently. */
-  isStoreReachable: () => boolean;
-  /** Sends requests to the owner of the partition. */
-  owner: OwnerClient;
-  /** Returns the local state of jobs if this node owns the partition. */
-  ownedJobs: () => OwnedJobs | undefined;
-}
-
-/** Jobs of the partition as its owner knows them. */
-export interface OwnedJobs {
-  /** Returns the number of jobs in a queue of which no task has started. */
-  countPending(queue: string): number;
-}
-
-/** Connection to the owner of the partition, as a gateway uses it. */
-export interface OwnerClient {
-  /** Whether the owner is connected. */
-  readonly isOpen: boolean;
-  /** Notifies the owner of a submission or cancellation that was stored. */
-  send(name: string, body: JobMessage | SubmittedMessage): void;
-  /** Sends a request to the owner; rejects if it does not respond in time. */
-  request(
-    name: string,
-    body: JobMessage | QueueMessage | RelayedSubmission,
-    timeoutMs: number,
-  ): Promise<GatewayResult>;
-}
-
-/** Result of a request to the gateway. */
-export interface GatewayResult {
-  code: ResultCode;
-  /** Time in ms after which the client should retry. @default none */
-  retryAfterMs?: number;
-  /** Phase of the requested job. @default none */
-  phase?: JobPhase;
-  /** Number of jobs in a queue of which no task has started. @default none */
-  pending?: number;
-}
-
-/** Retry-after time in ms while the store is unreachable. */
-const STORE_RETRY_AFTER_MS = 1000;
-
-/** Retry-after time in ms while no owner answers; a takeover takes that long. */
-const OWNER_RETRY_AFTER_MS = 1000;
-
-/** Age in ms up to which a count of waiting jobs is repeated. */
-const COUNT_AGE_LIMIT_MS = 2000;
+export type JobGatewayOptions = JobLookUpOptions;
 
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
@@ -85,25 +26,17 @@
 /** Timeout in ms of a cancellation that the owner relays. */
 const RELAY_TIMEOUT_MS = 1500;
 
-/**
- * Timeout in ms of a question to the owner; leaves time to read the store
- * before the deadline of the client.
- */
-const LOOK_UP_TIMEOUT_MS = 700;
-
 /**
  * Accepts, queries and cancels jobs for clients. Uses the store directly, or
  * the owner as a relay while this node cannot reach the store.
  */
 export class JobGateway {
   private current: Configuration | undefined;
-  /** Latest count of waiting jobs that the owner gave, by queue. */
-  private readonly latestCounts = new Map<
-    string,
-    {pending: number; nowMs: number}
-  >();
+  private readonly lookUp: JobLookUp;
 
-  constructor(private readonly options: JobGatewayOptions) {}
+  constructor(private readonly options: JobGatewayOptions) {
+    this.lookUp = new JobLookUp(options);
+  }
 
   /** Current configuration; undefined until the first is received. */
   get configuration(): Configuration | undefined {
@@ -191,7 +124,10 @@
         'stored-earlier',
       );
     } catch (error) {
-      return this.failureResult('refuse', id, error);
+      return toFailureResult(this.options.log, error, {
+        decision: 'refuse',
+        jobId: id,
+      });
     }
   }
 
@@ -227,25 +163,14 @@
     }
   }
 
-  /**
-   * Returns the phase of a job. Only a final phase is answered from the local
-   * table, since the owner does not announce phases to other nodes.
-   */
-  async getPhase(jobId: string): Promise<GatewayResult> {
-    const {table, ownedJobs, log} = this.options;
-    const known = table.phaseOf(jobId);
-    const isCurrent = table.hasEnded(jobId) || ownedJobs() !== undefined;
-    if (known !== undefined && isCurrent) {
-      return {code: ResultCodes.OK, phase: known};
-    }
-    const result = await this.lookUpJob(jobId);
-    if (known === undefined || isConclusive(result)) return result;
-    log.logDecision('state-stale', {
-      job: jobId,
-      phase: known,
-      code: result.code.number,
-    });
-    return {code: ResultCodes.OK, phase: known};
+  /** Returns the phase of a job. */
+  getPhase(jobId: string): Promise<GatewayResult> {
+    return this.lookUp.getPhase(jobId);
+  }
+
+  /** Returns the number of jobs in a queue of which no task has started. */
+  getPendingCount(queue: Queue): Promise<GatewayResult> {
+    return this.lookUp.getPendingCount(queue.name);
   }
 
   /** Cancels a job; resolves once the cancellation is stored. */
@@ -260,7 +185,7 @@
       log.logDecision('cancel', {job: jobId, phase: table.phaseOf(jobId)});
       return {code: ResultCodes.CANCELLED};
     } catch (error) {
-      return this.failureResult('cancel-failed', jobId, error);
+      return toFailureResult(log, error, {decision: 'cancel-failed', jobId});
     }
   }
 
@@ -282,43 +207,6 @@
     });
   }
 
-  /**
-   * Returns the number of jobs in a queue of which no task has started. Only
-   * the owner knows it; its latest answer is repeated for a short time, and
-   * then the count is unavailable.
-   */
-  async getPendingCount(queue: Queue): Promise<GatewayResult> {
-    const {clock, ownedJobs} = this.options;
-    const owned = ownedJobs();
-    if (owned) return pendingResult(owned.countPending(queue.name));
-    const pending = await this.askOwnerForPending(queue.name);
-    const nowMs = clock.nowMs();
-    if (pending !== undefined) {
-      this.latestCounts.set(queue.name, {pending, nowMs});
-      return pendingResult(pending);
-    }
-    const latest = this.latestCounts.get(queue.name);
-    if (latest && nowMs - latest.nowMs <= COUNT_AGE_LIMIT_MS) {
-      return pendingResult(latest.pending);
-    }
-    const retryAfterMs = OWNER_RETRY_AFTER_MS;
-    return {code: ResultCodes.NO_OWNER, retryAfterMs};
-  }
-
-  private async askOwnerForPending(queue: string): Promise<number | undefined> {
-    const {owner, log} = this.options;
-    const timeoutMs = LOOK_UP_TIMEOUT_MS;
-    try {
-      const body = {queue};
-      const result = await owner.request(OwnerMessage.PENDING, body, timeoutMs);
-      return result.pending;
-    } catch (error) {
-      const reason = (error as Error).message;
-      log.logDecision('pending-unanswered', {queue, reason});
-      return undefined;
-    }
-  }
-
   private recordAccepted(
     submission: SubmissionRecord,
     how: string,
@@ -341,92 +229,4 @@
     });
     return {code: ResultCodes.ACCEPTED};
   }
-
-  /** Looks up a job at the owner or, if it does not answer, in the store. */
-  private async lookUpJob(jobId: string): Promise<GatewayResult> {
-    const {owner, ownedJobs, isStoreReachable} = this.options;
-    if (owner.isOpen && ownedJobs() === undefined) {
-      const result = await this.askOwner(jobId);
-      if (isConclusive(result) || !isStoreReachable()) return result;
-    }
-    return this.readJob(jobId);
-  }
-
-  private async askOwner(jobId: string): Promise<GatewayResult> {
-    const {owner, table} = this.options;
-    const timeoutMs = LOOK_UP_TIMEOUT_MS;
-    try {
-      const body = {jobId};
-      const result = await owner.request(OwnerMessage.PHASE, body, timeoutMs);
-      if (result.phase !== undefined) table.recordPhase(jobId, result.phase);
-      return result;
-    } catch (error) {
-      return this.failureResult('owner-unanswered', jobId, error);
-    }
-  }
-
-  private async readJob(jobId: string): Promise<GatewayResult> {
-    try {
-      const result = await this.readJobRecords(jobId);
-      this.options.log.logDecision('look-up', {
-        job: jobId,
-        code: result.code.number,
-        phase: result.phase,
-      });
-      return result;
-    } catch (error) {
-      return this.failureResult('state-unknown', jobId, error);
-    }
-  }
-
-  private async readJobRecords(jobId: string): Promise<GatewayResult> {
-    const {store, keys, table} = this.options;
-    if (!table.entries.get(jobId)?.submission) {
-      const item = await store.read(keys.submission(jobId));
-      if (!item) return {code: ResultCodes.NOT_FOUND};
-      table.addSubmission(jobId, decodeSubmission(item.value));
-    }
-    const progress = await store.read(keys.progress(jobId));
-    if (progress) {
-      table.recordPhase(jobId, decodeProgress(progress.value).phase);
-    }
-    return {code: ResultCodes.OK, phase: table.phaseOf(jobId)};
-  }
-
-  /**
-   * Logs an error and converts it to a result: PLATFORM_UNAVAILABLE if the
-   * error has that code, else MAY_HAVE_BEEN_ACCEPTED, since a write may have
-   * succeeded.
-   */
-  private failureResult(
-    decision: string,
-    jobId: string,
-    error: unknown,
-  ): GatewayResult {
-    const code =
-      error instanceof ResultError ? error.code : ResultCodes.INTERNAL;
-    this.options.log.logDecision(decision, {
-      job: jobId,
-      code: code.number,
-      reason: (error as Error).message,
-    });
-    if (code === ResultCodes.PLATFORM_UNAVAILABLE) return storeUnavailable();
-    return {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED};
-  }
-}
-
-/** Whether a look-up has found the job or that there is none. */
-function isConclusive({code}: GatewayResult): boolean {
-  return code === ResultCodes.OK || code === ResultCodes.NOT_FOUND;
-}
-
-function pendingResult(pending: number): GatewayResult {
-  return {code: ResultCodes.OK, pending};
-}
-
-function storeUnavailable(): GatewayResult {
-  return {
-    code: ResultCodes.PLATFORM_UNAVAILABLE,
-    retryAfterMs: STORE_RETRY_AFTER_MS,
-  };
 }
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -13,7 +13,8 @@
 import {JobPhase} from '../work/job_definition.js';
 import {encodeProgress} from '../work/job_records.js';
 import {JobTable} from '../work/job_table.js';
-import {JobGateway, OwnerClient} from './job_gateway.js';
+import {JobGateway} from './job_gateway.js';
+import {OwnerClient} from './owner_client.js';
 
 const ID = '5c0e7a21d94b36f8';
 
--- a/src/node/owner_link.ts
+++ b/src/node/owner_link.ts
@@ -7,7 +7,7 @@
 import {RandomSource} from '../random/random_source.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {GatewayResult} from './job_gateway.js';
+import {GatewayResult} from './gateway_result.js';
 import {
   fromRelayedResponse,
   HandOverMessage,
--- a/src/node/owner_link_server.ts
+++ b/src/node/owner_link_server.ts
@@ -8,7 +8,8 @@
 import {ResultError} from '../result_codes/result_error.js';
 import {decodeSubmission} from '../work/job_records.js';
 import {JobTable} from '../work/job_table.js';
-import {JobGateway, OwnedJobs} from './job_gateway.js';
+import {JobGateway} from './job_gateway.js';
+import {OwnedJobs} from './owner_client.js';
 import {
   broadcast,
   HandOverMessage,
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -15,7 +15,8 @@
 import {SeededRandom} from '../random/seeded_random.js';
 import {JobPhase} from '../work/job_definition.js';
 import {JobTable} from '../work/job_table.js';
-import {JobGateway, OwnedJobs} from './job_gateway.js';
+import {JobGateway} from './job_gateway.js';
+import {OwnedJobs} from './owner_client.js';
 import {OwnerLinkServer} from './owner_link_server.js';
 import {OwnerLink} from './owner_link.js';
 
--- a/src/node/owner_messages.ts
+++ b/src/node/owner_messages.ts
@@ -1,7 +1,7 @@
 import {Link} from '../links/link.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {JobPhase} from '../work/job_definition.js';
-import {GatewayResult} from './job_gateway.js';
+import {GatewayResult} from './gateway_result.js';
 
 /** Names of the messages and requests between the owner and other nodes. */
 export const OwnerMessage = {
