--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -76,9 +76,8 @@
 /** Commit order of jobs without a start that depends on the commit. */
 const NO_START_RANK = 2_000_000;
 
-/** How a run ends whose worker no longer reports it. */
+/** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
-  'lease-ended',
   'not-there',
   EndKind.LEASE_ENDED,
 ]);
