Log which tasks were on a worker that was replaced

Nothing linked a crashed worker to its successor, which registers at the same address under another id, and run-ended did not name the worker. A poll that another incarnation answers now writes worker-replaced with the tasks that were on the worker; run-ended names worker and duration.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -180,6 +180,11 @@
     this.registry.unregister(id);
   }
 
+  /** Handles the answer of another incarnation at the address of a worker. */
+  handleReplacement(worker: WorkerState): void {
+    this.registry.recordReplacement(worker);
+  }
+
   /**
    * Processes the report of a worker in response to a poll sent at `sentMs`.
    */
@@ -405,14 +410,16 @@
   private endRun(task: TaskState, how: string): void {
     if (!task.isPlaced) return;
     if (LOST_RUN_ENDS.has(how)) task.job.history.lostRuns += 1;
-    this.clearAssignment(task);
-    if (!task.apply('ended')) task.apply('withdrawn');
     this.options.log.logDetail('run-ended', {
       task: task.name,
       run: task.run,
+      worker: task.assignment?.workerId,
       how,
+      tookMs: Math.round(this.options.clock.nowMs() - task.startedMs),
       failures: task.failures,
     });
+    this.clearAssignment(task);
+    if (!task.apply('ended')) task.apply('withdrawn');
     this.markDirty(task.job);
   }
 
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -84,6 +84,22 @@
     worker.lastReportMs = nowMs;
   }
 
+  /**
+   * Records that another incarnation answers at the address of a worker, which
+   * shows that the worker has ended.
+   */
+  recordReplacement(worker: WorkerState): void {
+    if (worker.isReplaced) return;
+    worker.isReplaced = true;
+    const {id, address, isDraining} = worker.registration;
+    this.options.log.logDecision('worker-replaced', {
+      worker: id,
+      address,
+      isDraining,
+      tasks: worker.taskNames(),
+    });
+  }
+
   /** Begins a new incarnation if the clock of the worker has been reset. */
   detectClockReset(worker: WorkerState, clockMs: number | undefined): void {
     const nowMs = this.options.clock.nowMs();
@@ -145,9 +161,11 @@
     }
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
+      address: worker.registration.address,
       bornMs,
       isFirst,
       atMs: Math.round(nowMs),
+      tasks: isFirst ? worker.tasks.size : worker.taskNames(),
     });
   }
 }
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/worker_session.ts
@@ -91,6 +91,9 @@
       return;
     }
     this.setReachable(false, outcome.reason);
+    if (outcome.reason === RefusalReason.OTHER_INCARNATION) {
+      orchestrator.handleReplacement(worker);
+    }
     if (outcome.reason === RefusalReason.FENCED) {
       term.end('a worker reported a higher fencing token');
     }
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -8,6 +8,9 @@
 /** Clock lag in ms that is attributed to a slow response, not a restart. */
 const CLOCK_TOLERANCE_MS = 1500;
 
+/** Maximum number of tasks named in one log line. */
+const LOGGED_TASKS = 32;
+
 /** Average fraction of its CPU request that a latency-critical task uses. */
 const LATENCY_CRITICAL_UTILIZATION = 0.5;
 
@@ -38,6 +41,8 @@
    * Time in ms at which draining was first reported; Infinity if not draining.
    */
   drainingSinceMs = Infinity;
+  /** Whether another incarnation has answered at its address. */
+  isReplaced = false;
   /** Number of incarnations observed so far. */
   incarnation = 0;
   /** Incremented with each change of its tasks and each report. */
@@ -129,6 +134,11 @@
     if (this.tasks.delete(task)) this.updateUsage(task, -1);
   }
 
+  /** Returns names of tasks on this worker for a log line. */
+  taskNames(): string[] {
+    return [...this.tasks].slice(0, LOGGED_TASKS).map(({name}) => name);
+  }
+
   /** Memory in MB that is not requested by tasks. */
   get freeMemoryMb(): number {
     return this.registration.capacity.memoryMb - this.usedMemoryMb;
