Reproduce a task that crashes worker after worker in the simulation

The simulated worker can crash and is back after 3 s, under another id at its address or under its own; a task of a test can crash each worker that starts it.

--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -11,6 +11,7 @@
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
 import {JobDefinition} from '../src/work/job_definition.js';
+import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeProgress} from '../src/work/job_records.js';
 import {silentLog} from './silent_log.js';
 import {simpleConfiguration, simpleWorker} from './simple_definitions.js';
@@ -24,6 +25,17 @@
   workers?: number;
   /** Maximum number of attempts of a task. @default 3 */
   maxAttempts?: number;
+  /** Names of tasks that crash each worker that starts them. @default none */
+  crashingTasks?: readonly string[];
+  /** Time in ms for which a crashed worker is down. @default 3000 */
+  crashDownMs?: number;
+  /**
+   * Whether a crashed worker restarts under its id; otherwise it registers
+   * under a new id at the same address.
+   *
+   * @default false
+   */
+  keepsIdAfterCrash?: boolean;
 }
 
 const MAX_LEASE_MS = 6000;
@@ -32,6 +44,24 @@
 /** Maximum time in ms by which the execution of a command is delayed. */
 const MAX_COMMAND_DELAY_MS = 12_000;
 
+/** Time in ms after a crash at which the registration of a worker lapses. */
+const REGISTRATION_LAPSE_MS = 3300;
+
+/** Number of crashes after which further starts of a task are counted. */
+const CRASH_LIMIT = 3;
+
+/** Starts of a crashing task after the crash limit that break the promise. */
+const STARTS_OVER_CRASH_LIMIT = 3;
+
+/** A crash of a worker under one of its runs. */
+interface WorkerCrash {
+  worker: string;
+  /** Simulated time in ms. */
+  atMs: number;
+  /** All tasks that were lost. */
+  tasks: readonly string[];
+}
+
 /** The term of one owner of the partition. */
 interface Term {
   /** Fencing token of the term. */
@@ -78,6 +108,12 @@
   private readonly latestStartedRuns = new Map<string, number>();
   /** Tokens of the owners that cannot reach a worker, by worker id. */
   private readonly disconnectedWorkers = new Map<string, Set<number>>();
+  /** Starts of each crashing task after it has reached the crash limit. */
+  private readonly startsOverCrashLimit = new Map<string, number>();
+  /** Crashes of workers so far. */
+  readonly crashes: WorkerCrash[] = [];
+  /** Ids of workers whose registration has not lapsed, by address. */
+  private readonly registered = new Map<string, WorkerRegistration>();
   private delayedMessages: DelayedMessage[] = [];
   private terms: Term[] = [];
   private nextToken = 10;
@@ -125,8 +161,8 @@
     this.terms.push(term);
     const {orchestrator} = term;
     orchestrator.configure(simpleConfiguration(this.options.maxAttempts));
-    for (const id of this.workers.keys()) {
-      orchestrator.upsertWorker(simpleWorker(id));
+    for (const registration of this.registered.values()) {
+      orchestrator.upsertWorker(registration);
     }
     for (const definition of this.jobs) {
       const job = new JobState(definition, this.clock.wallMs());
@@ -182,9 +218,45 @@
     }
   }
 
-  private addWorker(id: string): void {
+  /** Number of crashes that a task has caused or has been lost in. */
+  countCrashes(task: string): number {
+    return this.crashes.filter(({tasks}) => tasks.includes(task)).length;
+  }
+
+  /** Crashes a worker with all its runs; it is back after some seconds. */
+  crash(id: string): void {
+    const worker = this.workers.get(id)!;
+    if (worker.isDown) return;
+    const tasks = worker.running;
+    this.crashes.push({worker: id, atMs: this.clock.nowMs(), tasks});
+    worker.crash();
+    const {crashDownMs = 3000, keepsIdAfterCrash = false} = this.options;
+    this.scheduleMessage(crashDownMs, () => {
+      if (keepsIdAfterCrash) worker.restart(worker.bornMs + 1);
+      else this.replaceWorker(id);
+    });
+    if (keepsIdAfterCrash) return;
+    this.scheduleMessage(REGISTRATION_LAPSE_MS, () => {
+      this.registered.delete(id);
+      for (const term of this.terms) term.orchestrator.unregisterWorker(id);
+    });
+  }
+
+  /** Starts the next incarnation at the address of a crashed worker. */
+  private replaceWorker(id: string): void {
+    this.workers.delete(id);
+    const [machine, life] = id.split('-') as [string, string | undefined];
+    const nextId = `${machine}-${Number(life ?? 1) + 1}`;
+    const registration = this.addWorker(nextId, machine);
+    for (const term of this.terms) term.orchestrator.upsertWorker(registration);
+  }
+
+  private addWorker(id: string, machine = id): WorkerRegistration {
+    const number = Number(machine.slice(1));
+    const registration = simpleWorker(id, {address: `127.0.0.1:${number + 1}`});
+    this.registered.set(id, registration);
     const worker = new SimulatedTaskWorker({
-      registration: simpleWorker(id),
+      registration,
       longestLeaseMs: MAX_LEASE_MS,
       clockRate: 0.98 + this.random.next() * 0.02,
       onStarted: (task, run) => this.recordStart(id, task, run),
@@ -192,6 +264,7 @@
       onCompleted: (task, run) => this.recordCompletion(task, run),
     });
     this.workers.set(id, worker);
+    return registration;
   }
 
   private recordStart(workerId: string, task: string, run: number): void {
@@ -210,6 +283,20 @@
       Math.max(run, this.latestStartedRuns.get(task) ?? 0),
     );
     workers.add(workerId);
+    if (this.options.crashingTasks?.includes(task)) {
+      this.recordCrashingStart(workerId, task);
+    }
+  }
+
+  private recordCrashingStart(workerId: string, task: string): void {
+    if (this.countCrashes(task) >= CRASH_LIMIT) {
+      const starts = (this.startsOverCrashLimit.get(task) ?? 0) + 1;
+      this.startsOverCrashLimit.set(task, starts);
+      if (starts === STARTS_OVER_CRASH_LIMIT) {
+        this.violations.push(`${task} was started again and again`);
+      }
+    }
+    this.scheduleMessage(0, () => this.crash(workerId));
   }
 
   private recordCompletion(task: string, run: number): void {
@@ -286,6 +373,8 @@
   ): void {
     const unknown: CommandOutcome = {kind: 'unknown', reason: 'no answer'};
     const simulatedWorker = this.findReachableWorker(token, workerId);
+    const executeIfUp = (worker: SimulatedTaskWorker): CommandOutcome =>
+      worker.isDown ? unknown : execute(worker);
     const roll = this.random.next();
     const isDelayed = simulatedWorker !== undefined && roll < 0.06;
     const isLost = !simulatedWorker || (roll >= 0.06 && roll < 0.1);
@@ -296,7 +385,7 @@
       const {bornMs} = simulatedWorker;
       // A restart of the worker discards the commands queued inside it.
       this.scheduleMessage(executionDelayMs, () => {
-        if (simulatedWorker.bornMs === bornMs) execute(simulatedWorker);
+        if (simulatedWorker.bornMs === bornMs) executeIfUp(simulatedWorker);
       });
     }
     if (isDelayed || isLost) {
@@ -304,7 +393,7 @@
       return;
     }
     this.scheduleMessage(delayMs, () => {
-      const outcome = execute(simulatedWorker);
+      const outcome = executeIfUp(simulatedWorker);
       const isAnswerLost = this.random.next() < 0.05;
       this.scheduleMessage(delayMs, () =>
         onOutcome(isAnswerLost ? unknown : outcome),
@@ -330,7 +419,8 @@
     workerId: string,
   ): SimulatedTaskWorker | undefined {
     if (this.disconnectedWorkers.get(workerId)?.has(token)) return undefined;
-    return this.workers.get(workerId);
+    const worker = this.workers.get(workerId);
+    return worker?.isDown ? undefined : worker;
   }
 
   private findOrchestrator(token: number): Orchestrator | undefined {
@@ -356,7 +446,11 @@
       worker.registration.id,
     );
     const sentMs = this.clock.nowMs();
-    const isLeaseValid = sentMs < term.termLeaseUntilMs;
+    const isCrashed = this.isCrashed(worker.registration.id);
+    if (isCrashed && this.hasSuccessor(worker)) {
+      term.orchestrator.handleReplacement(worker);
+    }
+    const isLeaseValid = sentMs < term.termLeaseUntilMs && !isCrashed;
     const leaseUntilMs =
       worker.hasReported && isLeaseValid
         ? worker.leaseLimit(sentMs, MAX_LEASE_MS)
@@ -384,6 +478,20 @@
     });
   }
 
+  private isCrashed(id: string): boolean {
+    return this.workers.get(id)?.isDown ?? true;
+  }
+
+  /** Whether another incarnation answers at the address of a worker. */
+  private hasSuccessor({registration}: WorkerState): boolean {
+    return [...this.registered.values()].some(
+      ({id, address}) =>
+        id !== registration.id &&
+        address === registration.address &&
+        !this.isCrashed(id),
+    );
+  }
+
   /**
    * Applies the commit started in the previous step and starts the next one. An
    * owner that is replaced in between never applies its commit.
@@ -428,6 +536,7 @@
   private finishRandomTasks(probability: number): void {
     for (const worker of this.workers.values()) {
       for (const task of worker.running) {
+        if (this.options.crashingTasks?.includes(task)) continue;
         if (this.random.next() >= probability) continue;
         const kind = this.random.next() < 0.1 ? EndKind.FAILED : EndKind.DONE;
         worker.finish(task, kind);
--- a/testing/simulated_task_worker.ts
+++ b/testing/simulated_task_worker.ts
@@ -41,6 +41,8 @@
 export class SimulatedTaskWorker {
   /** Identifies the incarnation of the worker. */
   bornMs: number;
+  /** True from a crash to the start of the next incarnation. */
+  isDown = false;
   private highestToken = 0;
   private clockMs = 1000;
   private leaseUntilMs = 0;
@@ -60,6 +62,13 @@
     return [...this.runs.keys()];
   }
 
+  /** Ends the process with all its runs; no command is executed from then on. */
+  crash(): void {
+    this.isDown = true;
+    for (const name of this.running) this.options.onRemoved(name);
+    this.runs.clear();
+  }
+
   /** Advances the worker's clock; an expired lease ends all runs. */
   advance(durationMs: number): void {
     this.clockMs += durationMs * (this.options.clockRate ?? 1);
@@ -70,6 +79,7 @@
 
   /** Starts a new incarnation, which knows nothing of the previous one. */
   restart(bornMs: number): void {
+    this.isDown = false;
     for (const name of this.running) this.options.onRemoved(name);
     this.runs.clear();
     this.highestEndedRuns.clear();
