Give up a task that crashes the workers that start it

Callers saw jobs that stay running while one of their tasks takes down a worker every six seconds, with everything else on it.

Cause: only runs that end as failed count as attempts. A run that is lost with its worker ended as lease-ended, counted for nothing, and was placed again in the same pass as all other tasks of that worker; and a crash could not be told from a lost connection, because the next incarnation registers at the same address under another id. Ruled out: the machine (five addresses in one chain) and ends that fail (failures is 0 in each run-ended line).

Change: each worker crash is attributed to the tasks that may have caused it (attribute_crash.ts). The count is part of the progress of the job, in the commit that ends the runs, so that a successor neither forgets nor repeats it. A suspect runs on a worker with little other work, and nothing is placed beside it until it has run for a second. Two crashes of which it is the only likely cause, or four in any role, end its job as failed. Losses of many workers at once, of a rack, and of workers that leave as planned count for nothing; a worker that was cut off counts only once another incarnation has answered in its place. Runs of a worker that has ended are placed again at once instead of at the end of its lease; without that, each owner counted the same crash again (found by the test with takeovers).

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -258,6 +258,7 @@
       keys,
       table,
       term,
+      countEvent: (event) => this.metrics.increment(event),
       longestLeaseMs: settings.workers.longestLeaseMs,
       keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
     });
--- /dev/null
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {CrashRole} from '../work/crash_role.js';
+import {attributeCrash, CrashScene} from './attribute_crash.js';
+import {JobState} from './job_state.js';
+import {TaskState} from './task_state.js';
+
+const LOST_MS = 60_000;
+
+/** Creates a running task whose start was sent `ageMs` before the crash. */
+function createTask(
+  ageMs: number,
+  {isSuspect = false, isProven = false} = {},
+): TaskState {
+  const steps = [simpleStep()];
+  const job = new JobState(simpleJob(`job${ageMs}${isSuspect}`, {steps}), 0);
+  const [task] = job.occurrence(0).steps[0]!.tasks;
+  for (const event of ['assigned', 'committed', 'confirmed'] as const) {
+    task!.apply(event);
+  }
+  task!.startedMs = LOST_MS - ageMs;
+  task!.isProven = isProven;
+  if (isSuspect) task!.crashes.add(CrashRole.SUSPECT);
+  return task!;
+}
+
+function rolesOf(
+  tasks: readonly TaskState[],
+  scene: Partial<CrashScene> = {},
+): Array<CrashRole | undefined> {
+  const roles = attributeCrash({tasks, lostMs: LOST_MS, ...scene});
+  return tasks.map((task) => roles.get(task));
+}
+
+test('a suspect that has just started is the cause, not what stands beside it', () => {
+  // Guards against work that becomes suspect because it shared a worker with a
+  // task that crashes it.
+  const suspect = createTask(20, {isSuspect: true});
+  const tasks = [createTask(30), suspect, createTask(20_000)];
+  assert.deepEqual(rolesOf(tasks), [undefined, CrashRole.CAUSE, undefined]);
+});
+
+test('without a suspect, tasks that have just started are suspect', () => {
+  // Guards against a crash for which all work of a worker is held back.
+  const tasks = [createTask(20), createTask(20_000)];
+  const expected = [CrashRole.SUSPECT, CrashRole.BYSTANDER];
+  assert.deepEqual(rolesOf(tasks), expected);
+});
+
+test('all tasks are suspect if none has just started', () => {
+  // Guards against a task that is never suspect because it crashes its workers
+  // long after its start.
+  const tasks = [createTask(9000), createTask(20_000)];
+  assert.deepEqual(rolesOf(tasks), [CrashRole.SUSPECT, CrashRole.SUSPECT]);
+});
+
+test('a suspect that has run for a time is no cause while others start', () => {
+  // Guards against an innocent suspect that is blamed for the first crash of
+  // another task.
+  const suspect = createTask(9000, {isSuspect: true, isProven: true});
+  const expected = [CrashRole.SUSPECT, CrashRole.SUSPECT];
+  assert.deepEqual(rolesOf([suspect, createTask(20)]), expected);
+});
+
+test('a suspect is not the cause on a machine that keeps crashing', () => {
+  // Guards against work that is given up because a machine is faulty.
+  const suspect = createTask(20, {isSuspect: true});
+  const roles = rolesOf([suspect], {isMachineUnreliable: true});
+  assert.deepEqual(roles, [CrashRole.SUSPECT]);
+});
+
+test('the loss of many workers at once makes no task suspect', () => {
+  // Guards against work that is given up because a rack lost power.
+  const tasks = [createTask(20), createTask(20, {isSuspect: true})];
+  const roles = rolesOf(tasks, {isWidespread: true});
+  assert.deepEqual(roles, [undefined, CrashRole.SUSPECT]);
+});
+
+test('a run that was sent after the worker was lost has no part', () => {
+  // Guards against a task that is blamed for a worker that was already down.
+  assert.deepEqual(rolesOf([createTask(-10)]), [undefined]);
+});
--- /dev/null
+++ b/src/orchestrator/crash_tracker.ts
@@ -0,0 +1,203 @@
+import {Clock} from '../clock/clock.js';
+import {NodeLog} from '../logging/node_log.js';
+import {attributeCrash} from './attribute_crash.js';
+import {CrashRole} from '../work/crash_role.js';
+import {LossHistory} from './loss_history.js';
+import {StoredLoss} from '../work/stored_loss.js';
+import {TaskState} from './task_state.js';
+import {WorkerState} from './worker_state.js';
+
+/** What shows that an incarnation of a worker has ended. */
+export const CrashEvidence = {
+  /** Another incarnation answers at its address. */
+  REPLACED: 'replaced',
+  /** It reports a later start under the same id, or its clock went back. */
+  RESTARTED: 'restarted',
+} as const;
+
+/** One of the values of {@link CrashEvidence}. */
+export type CrashEvidence = (typeof CrashEvidence)[keyof typeof CrashEvidence];
+
+/** Options of {@link CrashTracker}. */
+export interface CrashTrackerOptions {
+  clock: Clock;
+  log: NodeLog;
+  /** Returns the workers of the partition. */
+  workers: () => Iterable<WorkerState>;
+  /** Called with each crash that is counted. */
+  onCrash: () => void;
+  /** Called with each task whose crash counts have changed. */
+  onCounted: (task: TaskState) => void;
+}
+
+/** Tasks of a worker whose lease ended before it was known whether it crashed. */
+interface OpenLoss {
+  workerId: string;
+  bornMs: number;
+  address: string;
+  roles: ReadonlyMap<TaskState, CrashRole>;
+}
+
+/**
+ * Counts the worker crashes of each task, each crash once. A worker that stops
+ * to answer may be cut off and run on; its tasks are counted only once another
+ * incarnation is known.
+ */
+export class CrashTracker {
+  private readonly history: LossHistory;
+  private readonly openLosses = new Map<string, OpenLoss[]>();
+
+  constructor(private readonly options: CrashTrackerOptions) {
+    this.history = new LossHistory(options.workers);
+  }
+
+  /** Records that a worker stopped to answer. */
+  recordSilence(worker: WorkerState): void {
+    if (worker.lostMs !== Infinity) return;
+    worker.lostMs = this.options.clock.nowMs();
+    const hasSuspect = [...worker.tasks].some(({isSuspect}) => isSuspect);
+    this.history.recordLoss(worker, hasSuspect);
+  }
+
+  /** Records that a worker answers again. */
+  recordAnswer(worker: WorkerState): void {
+    worker.lostMs = Infinity;
+    worker.hasEnded = false;
+    worker.isCrashCounted = false;
+  }
+
+  /**
+   * Counts the crash of the incarnation that ran the tasks of a worker. Workers
+   * that leave as planned do not crash.
+   */
+  recordCrash(worker: WorkerState, evidence: CrashEvidence): void {
+    if (worker.isCrashCounted) return;
+    worker.isCrashCounted = true;
+    const {address, isDraining} = worker.registration;
+    this.recordSilence(worker);
+    if (!isDraining) {
+      this.count(
+        address,
+        this.attribute(worker),
+        evidence,
+        worker.registration.id,
+      );
+    }
+  }
+
+  /**
+   * Records that the lease of a silent worker has ended, so that its tasks are
+   * placed again before it is known whether the worker has crashed.
+   */
+  recordLeaseEnd(worker: WorkerState): void {
+    if (worker.isCrashCounted || worker.lostMs === Infinity) return;
+    worker.isCrashCounted = true;
+    const {id, address, isDraining} = worker.registration;
+    if (isDraining) return;
+    const roles = this.attribute(worker);
+    if (roles.size === 0) return;
+    this.addOpenLoss({
+      workerId: id,
+      bornMs: worker.bornMs ?? worker.registration.bornMs,
+      address,
+      roles,
+    });
+  }
+
+  /** Restores a loss that an earlier owner could not settle. */
+  restoreLoss(task: TaskState, {role, ...loss}: StoredLoss): void {
+    this.addOpenLoss({...loss, roles: new Map([[task, role]])});
+  }
+
+  /**
+   * Settles the losses at the address of a worker that has reported: the same
+   * incarnation was only cut off, another one shows that the earlier crashed.
+   */
+  settleLosses(worker: WorkerState): void {
+    const {address} = worker.registration;
+    const losses = this.openLosses.get(address);
+    if (!losses) return;
+    this.openLosses.delete(address);
+    for (const loss of losses) {
+      for (const task of loss.roles.keys()) removeLoss(task, loss.workerId);
+      const isSame = isSameIncarnation(loss, worker);
+      if (isSame) {
+        for (const task of loss.roles.keys()) this.options.onCounted(task);
+        continue;
+      }
+      this.count(address, loss.roles, CrashEvidence.REPLACED, loss.workerId);
+    }
+  }
+
+  /** Forgets the crashes of a task that has run long enough. */
+  clear(task: TaskState): void {
+    task.crashes.clear();
+    task.losses.length = 0;
+    this.options.log.logDecision('crash-suspicion-cleared', {task: task.name});
+    this.options.onCounted(task);
+  }
+
+  private addOpenLoss(loss: OpenLoss): void {
+    const known = this.openLosses.get(loss.address) ?? [];
+    this.openLosses.set(loss.address, [...known, loss]);
+    for (const [task, role] of loss.roles) {
+      const {workerId, bornMs, address} = loss;
+      task.losses.push({workerId, bornMs, address, role});
+      this.options.onCounted(task);
+    }
+  }
+
+  private attribute(worker: WorkerState): ReadonlyMap<TaskState, CrashRole> {
+    return attributeCrash({
+      tasks: worker.tasks,
+      lostMs: worker.lostMs,
+      isMachineUnreliable: this.history.isUnreliable(
+        worker.registration.address,
+        this.options.clock.nowMs(),
+      ),
+      isWidespread: this.history.isWidespread(worker),
+    });
+  }
+
+  private count(
+    address: string,
+    roles: ReadonlyMap<TaskState, CrashRole>,
+    evidence: CrashEvidence,
+    worker: string,
+  ): void {
+    const tasksIn = (wanted: CrashRole): string[] =>
+      [...roles].filter(([, role]) => role === wanted).map(([{name}]) => name);
+    const causes = tasksIn(CrashRole.CAUSE);
+    this.options.log.logDecision('worker-crashed', {
+      worker,
+      address,
+      evidence,
+      causes,
+      suspects: tasksIn(CrashRole.SUSPECT),
+      bystanders: tasksIn(CrashRole.BYSTANDER).length,
+    });
+    this.options.onCrash();
+    if (causes.length === 0) {
+      this.history.recordUnexplained(address, {
+        atMs: this.options.clock.nowMs(),
+        suspects: [...roles.keys()],
+      });
+    }
+    for (const [task, role] of roles) {
+      if (task.job.isFinal || task.state === 'done') continue;
+      task.crashes.add(role);
+      this.options.onCounted(task);
+    }
+  }
+}
+
+/** Whether a worker is the incarnation that was lost. */
+function isSameIncarnation(loss: OpenLoss, worker: WorkerState): boolean {
+  if (loss.workerId !== worker.registration.id) return false;
+  return loss.bornMs === 0 || loss.bornMs === worker.bornMs;
+}
+
+function removeLoss(task: TaskState, workerId: string): void {
+  const position = task.losses.findIndex((loss) => loss.workerId === workerId);
+  if (position >= 0) task.losses.splice(position, 1);
+}
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -2,6 +2,7 @@
 import {
   OccurrenceRecord,
   ProgressRecord,
+  TaskCrashRecord,
   TaskRecord,
 } from '../work/job_records.js';
 import {JobState, OccurrenceState} from './job_state.js';
@@ -43,9 +44,18 @@
     workerId: task.assignment?.workerId,
     workerBornMs: task.assignment?.workerBornMs,
     checkpoint: task.checkpoint || undefined,
+    workerAddress: task.assignment?.workerAddress,
+    crashes: crashRecord(task),
   };
 }
 
+/** Returns the crash record of a task; undefined if there is nothing to keep. */
+function crashRecord(task: TaskState): TaskCrashRecord | undefined {
+  const {crashes, losses} = task;
+  if (crashes.isEmpty && losses.length === 0) return undefined;
+  return {counts: crashes.toRecord(), losses: [...losses]};
+}
+
 function finishOccurrence(job: JobState, occurrence: OccurrenceState): void {
   for (const {tasks} of occurrence.steps) {
     for (const task of tasks) {
@@ -72,6 +82,10 @@
   task.run = row.run;
   task.failures = row.failures;
   task.checkpoint = row.checkpoint ?? '';
+  if (row.crashes) {
+    task.crashes.restore(row.crashes.counts);
+    task.losses.push(...row.crashes.losses);
+  }
   if (row.isDone) {
     task.apply('done');
     job.recordTaskDone(task);
@@ -82,6 +96,7 @@
   task.assignment = {
     workerId: row.workerId,
     workerBornMs: row.workerBornMs ?? 0,
+    workerAddress: row.workerAddress,
   };
   // The first poll with the new fencing token is conclusive, because the worker
   // rejects commands of earlier owners from then on.
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -9,6 +9,7 @@
 import {AdviceOutcome} from './advice_port.js';
 import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
 import {BestEffortController} from './best_effort_controller.js';
+import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {
@@ -47,8 +48,20 @@
   order?: JobOrder;
   /** @default an {@link InterferenceAwarePlacement} */
   placement?: TaskPlacement;
+  /** Counts an event in the metrics. @default not counted */
+  countEvent?: (event: OrchestratorEvent) => void;
 }
 
+/** Events that are counted in the metrics. */
+export const OrchestratorEvent = {
+  WORKER_CRASHED: 'worker_crashes_total',
+  TASK_GIVEN_UP: 'tasks_given_up_total',
+} as const;
+
+/** One of the values of {@link OrchestratorEvent}. */
+export type OrchestratorEvent =
+  (typeof OrchestratorEvent)[keyof typeof OrchestratorEvent];
+
 /** Interval in ms between load summaries in the log. */
 const SUMMARY_INTERVAL_MS = 1000;
 
@@ -70,6 +83,18 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
+/**
+ * Time in ms after the start of a run of a suspect task after which a report
+ * shows that the start did not crash the worker.
+ */
+const PROOF_MS = 1000;
+
+/**
+ * Time in ms for which a task has to run before crashes under its earlier runs
+ * are forgotten; bounds how often a task that crashes later does so.
+ */
+const CLEAR_CRASHES_AFTER_MS = 30_000;
+
 /** Commit order of jobs whose queue was removed, after all priorities. */
 const NO_PRIORITY_RANK = 1_000_000;
 
@@ -79,6 +104,7 @@
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
+  'worker-ended',
   EndKind.LEASE_ENDED,
 ]);
 
@@ -100,13 +126,24 @@
   private readonly advice = new StepAdvice();
   private readonly scheduler: TaskScheduler;
   private readonly reportProcessor: ReportProcessor;
+  private readonly crashes: CrashTracker;
   private configuration: Configuration | undefined;
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
 
   constructor(private readonly options: OrchestratorOptions) {
-    this.registry = new WorkerRegistry(options);
+    this.registry = new WorkerRegistry({
+      ...options,
+      onRestart: (worker) =>
+        this.crashes.recordCrash(worker, CrashEvidence.RESTARTED),
+    });
+    this.crashes = new CrashTracker({
+      ...options,
+      workers: () => this.workers.values(),
+      onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
+      onCounted: (task) => this.handleCrashCount(task),
+    });
     this.scheduler = new TaskScheduler({
       workers: this.workers,
       order: options.order ?? new DeadlineOrder(),
@@ -180,9 +217,23 @@
     this.registry.unregister(id);
   }
 
-  /** Handles the answer of another incarnation at the address of a worker. */
+  /**
+   * Handles the answer of another incarnation at the address of a worker: the
+   * worker has ended, and with it all runs that were sent to it. They end in
+   * the same commit that counts the crash, so that no successor counts it again.
+   */
   handleReplacement(worker: WorkerState): void {
-    this.registry.recordReplacement(worker);
+    if (worker.hasEnded) return;
+    worker.hasEnded = true;
+    this.crashes.recordCrash(worker, CrashEvidence.REPLACED);
+    for (const task of [...worker.tasks]) {
+      if (task.state !== 'assigned') this.endRun(task, 'worker-ended');
+    }
+  }
+
+  /** Handles the first unanswered poll of a worker. */
+  handleSilence(worker: WorkerState): void {
+    this.crashes.recordSilence(worker);
   }
 
   /**
@@ -195,9 +246,12 @@
   ): void {
     const nowMs = this.options.clock.nowMs();
     this.registry.recordReport(worker, report, nowMs);
+    this.crashes.recordAnswer(worker);
+    this.crashes.settleLosses(worker);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
     this.stopStuck(worker, nowMs);
+    this.proveRuns(worker, nowMs);
     if (worker.registration.isDraining) this.drain(worker);
   }
 
@@ -393,7 +447,11 @@
 
   private registerTask(task: TaskState): void {
     this.tasksByName.set(task.name, task);
+    for (const loss of task.losses.splice(0)) {
+      this.crashes.restoreLoss(task, loss);
+    }
     if (task.state !== 'inherited' || !task.assignment) return;
+    task.startedMs = this.options.clock.nowMs();
     this.registry.inheritRun(task, task.assignment);
   }
 
@@ -402,6 +460,7 @@
     const nowMs = this.options.clock.nowMs();
     task.job.hasStarted = true;
     task.lastProgressMs = nowMs;
+    task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = 100;
     if (task.job.isFinal) this.requestStop(task, 'job-ended');
@@ -474,6 +533,38 @@
     }
   }
 
+  /**
+   * Stores the changed crash counts of a task. A task that has crashed too many
+   * workers is not started again, which ends its job.
+   */
+  private handleCrashCount(task: TaskState): void {
+    if (task.job.isFinal) return;
+    this.markDirty(task.job);
+    if (!task.crashes.isOverLimit) return;
+    const {job, name, run} = task;
+    this.options.countEvent?.(OrchestratorEvent.TASK_GIVEN_UP);
+    this.options.log.logDecision('task-given-up', {
+      job: job.definition.id,
+      task: name,
+      run,
+      ...task.crashes.toRecord(),
+    });
+    this.endJob(job, JobPhase.FAILED);
+  }
+
+  /** Updates which tasks have run long enough not to be blamed for a crash. */
+  private proveRuns(worker: WorkerState, nowMs: number): void {
+    for (const task of worker.tasks) {
+      if (!task.isSuspect || task.state !== 'running') continue;
+      const ranMs = nowMs - task.runningSinceMs;
+      if (ranMs >= CLEAR_CRASHES_AFTER_MS) this.crashes.clear(task);
+      else if (ranMs >= PROOF_MS && !task.isProven) {
+        task.isProven = true;
+        worker.version += 1;
+      }
+    }
+  }
+
   private endJob(job: JobState, phase: JobPhase): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
@@ -524,7 +615,9 @@
   private sendStart(task: TaskState): void {
     if (task.state !== 'assigned') return;
     const worker = this.workerOf(task);
-    if (task.job.isFinal || !worker || worker.registration.isDraining) {
+    const canStart =
+      worker && !worker.hasEnded && !worker.registration.isDraining;
+    if (task.job.isFinal || !canStart) {
       this.endRun(task, 'withdrawn');
       return;
     }
@@ -557,6 +650,7 @@
       if (!worker.isRegistered) this.workers.delete(worker.registration.id);
       return;
     }
+    this.crashes.recordLeaseEnd(worker);
     for (const task of [...worker.tasks]) {
       if (task.state !== 'assigned') this.endRun(task, 'lease-ended');
     }
@@ -645,6 +739,8 @@
     task.percent = 0;
     task.gauge = undefined;
     task.overLimitSinceMs = Infinity;
+    task.runningSinceMs = Infinity;
+    task.isProven = false;
     const nowMs = this.options.clock.nowMs();
     task.ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
     task.stopSentMs = -Infinity;
@@ -652,6 +748,7 @@
     task.assignment = {
       workerId: worker.registration.id,
       workerBornMs: worker.bornMs ?? 0,
+      workerAddress: worker.registration.address,
     };
     worker.addTask(task);
     this.pendingStarts.push(task);
--- a/src/orchestrator/orchestrator_property_test.ts
+++ b/src/orchestrator/orchestrator_property_test.ts
@@ -2,13 +2,23 @@
 import {test} from 'node:test';
 
 import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
-import {SimulatedPartition} from '../../testing/simulated_partition.js';
+import {
+  SimulatedPartition,
+  SimulatedPartitionOptions,
+} from '../../testing/simulated_partition.js';
 import {JobPhase} from '../work/job_definition.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 300);
 
-function simulateSeed(seed: number): SimulatedPartition {
-  const partition = new SimulatedPartition({seed, maxAttempts: 50});
+function simulateSeed(
+  seed: number,
+  options: Partial<SimulatedPartitionOptions> = {},
+): SimulatedPartition {
+  const partition = new SimulatedPartition({
+    seed,
+    maxAttempts: 50,
+    ...options,
+  });
   for (let number = 0; number < 4; number++) {
     const first = simpleStep({taskCount: 3});
     const second = simpleStep({taskCount: 2, after: [0]});
@@ -52,6 +62,15 @@
   assert.deepEqual(simulateSeed(10_665).violations, []);
 });
 
+test('no task runs twice at once when crashed workers return under new ids', () => {
+  // Guards against runs of a crashed worker that are placed again although one
+  // of them, or a command in flight, is still to take effect.
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const {violations} = simulateSeed(seed, {crashRate: 0.01});
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
 test('all jobs succeed once the faults are over', () => {
   // Guards against a task whose state stays uncertain forever.
   for (let seed = 1; seed <= SEEDS / 10; seed++) {
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -14,7 +14,7 @@
 import {restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {CommandSender} from './command_sender.js';
-import {Orchestrator} from './orchestrator.js';
+import {Orchestrator, OrchestratorEvent} from './orchestrator.js';
 import {WorkerPort} from './worker_port.js';
 import {WorkerSession} from './worker_session.js';
 import {WorkerState} from './worker_state.js';
@@ -33,6 +33,8 @@
   longestLeaseMs: number;
   /** Retention time in ms of finished jobs. */
   keepFinishedMs: number;
+  /** Counts an event in the metrics. @default not counted */
+  countEvent?: (event: OrchestratorEvent) => void;
 }
 
 /** State with which a term starts; must be current for the term. */
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -37,6 +37,15 @@
 /** Penalty for a worker on which recent runs failed. */
 const SUSPECT_PENALTY = 500;
 
+/**
+ * Penalty of a worker for a task that may crash it, per task that would be lost
+ * as well; latency-critical tasks count more, since they are missed at once.
+ */
+const NEIGHBOR_PENALTY = 20;
+
+/** Weight of a latency-critical neighbor in addition to that of each task. */
+const LATENCY_CRITICAL_NEIGHBORS = 2;
+
 /** Score per latency-critical task of the same image; negated for others. */
 const SAME_IMAGE_SCORE = 10;
 
@@ -129,10 +138,12 @@
   const {step} = task;
   const {registration: entry, health} = worker;
   if (entry.service !== context.service || !worker.isRegistered) return false;
-  if (!worker.hasReported || entry.isDraining) return false;
+  if (!worker.hasReported || worker.hasEnded) return false;
+  if (entry.isDraining) return false;
   if (context.nowMs - worker.lastReportMs > REPORT_AGE_LIMIT_MS) return false;
   if (health.isBlocked(context.nowMs)) return false;
   if (context.isAllowed?.(worker) === false) return false;
+  if (isNextToSuspect(task, worker)) return false;
   if (step.requiredLabel && !entry.labels.includes(step.requiredLabel)) {
     return false;
   }
@@ -145,6 +156,16 @@
     : worker.freeCpu >= step.cpuMillicores;
 }
 
+/**
+ * Returns whether a worker may be crashed soon by a task of another gang, so
+ * that nothing else is placed there until that task has proven itself.
+ */
+function isNextToSuspect(task: TaskState, worker: WorkerState): boolean {
+  const suspect = worker.unprovenSuspect();
+  if (!suspect) return false;
+  return !(task.step.isGang && suspect.job === task.job);
+}
+
 function scoreOf(
   task: TaskState,
   worker: WorkerState,
@@ -154,6 +175,12 @@
   let score = 0;
   const rack = step.affinityRack ?? context.preferredRack;
   if (rack !== undefined && worker.rack !== rack) score -= RACK_PENALTY;
+  if (task.isSuspect) {
+    const neighbors =
+      worker.tasks.size +
+      LATENCY_CRITICAL_NEIGHBORS * worker.latencyCriticalCount;
+    score -= NEIGHBOR_PENALTY * neighbors;
+  }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
   if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
   return score;
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -120,9 +120,11 @@
     const context = this.createContext(job, step, nowMs);
     const workers = this.workersWorthSearching(definition, origin);
     const assigner = new StepAssigner(this.options, context, workers);
-    for (const task of waiting) {
+    for (const task of suspectsLast(waiting)) {
       const preferredRack = this.preferredRackOf(step);
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
+      // A suspect is placed on fewer workers than other tasks of its step.
+      if (task.isSuspect) continue;
       unplaceable.add(definition, origin);
       if (needsAdvice) this.requestAdvice(task, context);
       return;
@@ -252,6 +254,7 @@
   private candidates: CandidateSet | undefined;
   private preferredRack: string | undefined;
   private failedWorkerId: string | undefined;
+  private isSuspect = false;
 
   constructor(
     private readonly options: TaskSchedulerOptions,
@@ -283,10 +286,12 @@
   ): CandidateSet {
     const isSame =
       this.preferredRack === preferredRack &&
+      this.isSuspect === task.isSuspect &&
       this.failedWorkerId === task.failedWorkerId;
     if (this.candidates && isSame) return this.candidates;
     this.preferredRack = preferredRack;
     this.failedWorkerId = task.failedWorkerId;
+    this.isSuspect = task.isSuspect;
     const {placement} = this.options;
     const context = {...this.context, preferredRack};
     const {workers} = this;
@@ -295,6 +300,14 @@
   }
 }
 
+/** Returns tasks with those that may crash their worker at the end. */
+function suspectsLast(tasks: readonly TaskState[]): TaskState[] {
+  return [
+    ...tasks.filter(({isSuspect}) => !isSuspect),
+    ...tasks.filter(({isSuspect}) => isSuspect),
+  ];
+}
+
 function isMovable(task: TaskState, nowMs: number): boolean {
   const {step} = task;
   if (task.state !== 'running' || task.speedLimitPercent >= 100) return false;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -1,5 +1,8 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {formatTaskName} from '../work/task_name.js';
+import {CrashCounts} from './crash_counts.js';
+import {CrashRole} from '../work/crash_role.js';
+import {StoredLoss} from '../work/stored_loss.js';
 import {JobState} from './job_state.js';
 import {RunEvent, runLifeCycle, RunState} from './run_life_cycle.js';
 
@@ -8,6 +11,8 @@
   workerId: string;
   /** Incarnation of the worker, as its Unix start time in ms; 0 if unknown. */
   workerBornMs: number;
+  /** Host and port of the worker. @default unknown */
+  workerAddress?: string;
 }
 
 /** One task of one step of one occurrence of a job. */
@@ -49,6 +54,17 @@
   lastMoveCheckMs = -Infinity;
   /** Ticket from the advice service for the current run. */
   ticket: string | undefined;
+  /** Worker crashes under its runs. */
+  readonly crashes = new CrashCounts();
+  /** Losses of its workers of which it is not known whether they crashed. */
+  readonly losses: StoredLoss[] = [];
+  /** Time in ms at which the current run was first known to be active. */
+  runningSinceMs = Infinity;
+  /**
+   * Whether its worker has reported long enough after the start of the run to
+   * show that the start did not crash it.
+   */
+  isProven = false;
   /** Worker on which the latest run failed. */
   failedWorkerId: string | undefined;
 
@@ -68,6 +84,14 @@
     return true;
   }
 
+  /** Whether the task may be what crashed a worker. */
+  get isSuspect(): boolean {
+    return (
+      this.crashes.isSuspect ||
+      this.losses.some(({role}) => role !== CrashRole.BYSTANDER)
+    );
+  }
+
   /** Whether a run of the task is or may be active on a worker. */
   get isPlaced(): boolean {
     return this.assignment !== undefined;
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -13,6 +13,8 @@
   longestLeaseMs: number;
   /** Time in ms for which a previous owner may still extend leases. */
   previousTermLeaseMs: number;
+  /** Called before a worker begins its next incarnation under the same id. */
+  onRestart: (worker: WorkerState) => void;
 }
 
 /**
@@ -69,10 +71,9 @@
   }
 
   /** Attaches a run that a previous owner assigned to its worker. */
-  inheritRun(task: TaskState, {workerId, workerBornMs}: Assignment): void {
+  inheritRun(task: TaskState, assignment: Assignment): void {
     const worker =
-      this.workers.get(workerId) ??
-      this.addUnregistered(workerId, workerBornMs);
+      this.workers.get(assignment.workerId) ?? this.addUnregistered(assignment);
     worker.addTask(task);
   }
 
@@ -84,22 +85,6 @@
     worker.lastReportMs = nowMs;
   }
 
-  /**
-   * Records that another incarnation answers at the address of a worker, which
-   * shows that the worker has ended.
-   */
-  recordReplacement(worker: WorkerState): void {
-    if (worker.isReplaced) return;
-    worker.isReplaced = true;
-    const {id, address, isDraining} = worker.registration;
-    this.options.log.logDecision('worker-replaced', {
-      worker: id,
-      address,
-      isDraining,
-      tasks: worker.taskNames(),
-    });
-  }
-
   /** Begins a new incarnation if the clock of the worker has been reset. */
   detectClockReset(worker: WorkerState, clockMs: number | undefined): void {
     const nowMs = this.options.clock.nowMs();
@@ -108,6 +93,7 @@
       worker: worker.registration.id,
       clockMs,
     });
+    this.options.onRestart(worker);
     worker.beginIncarnation(undefined);
   }
 
@@ -125,17 +111,17 @@
   }
 
   /** Adds a worker that is not registered but may still run a task. */
-  private addUnregistered(id: string, bornMs: number): WorkerState {
+  private addUnregistered(assignment: Assignment): WorkerState {
     const worker = this.add({
-      id,
+      id: assignment.workerId,
       service: '',
-      address: '',
+      address: assignment.workerAddress ?? '',
       dataCentre: '',
       isDraining: false,
       remainingMs: undefined,
       capacity: {cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0},
       labels: [],
-      bornMs,
+      bornMs: assignment.workerBornMs,
     });
     worker.isRegistered = false;
     return worker;
@@ -149,6 +135,9 @@
     const bornMs = report.bornMs ?? worker.registration.bornMs;
     if (worker.bornMs === bornMs) return;
     const isFirst = worker.bornMs === undefined;
+    if (!isFirst || ranEarlierIncarnation(worker, bornMs)) {
+      this.options.onRestart(worker);
+    }
     worker.beginIncarnation(bornMs);
     for (const task of worker.tasks) {
       // An unanswered command may still reach the new incarnation.
@@ -158,6 +147,8 @@
       if (!isUnanswered && task.state !== 'assigned') {
         task.absentAfterMs = -Infinity;
       }
+      // The crash is counted; a successor must not count it again.
+      if (task.assignment) task.assignment.workerBornMs = bornMs;
     }
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
@@ -170,6 +161,16 @@
   }
 }
 
+/** Whether a worker has inherited runs of an incarnation before `bornMs`. */
+function ranEarlierIncarnation(worker: WorkerState, bornMs: number): boolean {
+  for (const {assignment} of worker.tasks) {
+    // The start time is 0 if an earlier owner did not know it.
+    const startMs = assignment?.workerBornMs ?? 0;
+    if (startMs !== 0 && startMs !== bornMs) return true;
+  }
+  return false;
+}
+
 /**
  * Does not count the time in which a worker was silent as time without
  * progress: a suspended worker goes on where it was.
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/worker_session.ts
@@ -25,7 +25,10 @@
 /** Long-poll timeout in ms for workers with latency-critical tasks. */
 const LATENCY_CRITICAL_WAIT_MS = 700;
 
-/** Timeout while a tail latency is near its limit; gauges renew each 500 ms. */
+/**
+ * Timeout in ms while a tail latency is near its limit, or while a task may
+ * crash the worker; gauges renew each 500 ms.
+ */
 const NEAR_LIMIT_WAIT_MS = 450;
 
 /** Long-poll timeout in ms for other workers. */
@@ -120,6 +123,7 @@
     if (!worker.hasReported || !this.isReachable) return 0;
     if (worker.processedSequence > worker.storedSequence) return 0;
     if (worker.tasks.size === 0) return IDLE_WAIT_MS;
+    if (worker.unprovenSuspect()) return NEAR_LIMIT_WAIT_MS;
     if (worker.latencyCriticalCount === 0) return IDLE_WAIT_MS;
     return worker.isNearLimit ? NEAR_LIMIT_WAIT_MS : LATENCY_CRITICAL_WAIT_MS;
   }
@@ -141,6 +145,9 @@
       leaseLeftMs: Math.round(worker.leaseEndsMs - this.options.clock.nowMs()),
     };
     if (isReachable) log.logDecision('worker-regained', facts);
-    else log.logDecision('worker-lost', {...facts, reason});
+    else {
+      log.logDecision('worker-lost', {...facts, reason});
+      this.options.orchestrator.handleSilence(worker);
+    }
   }
 }
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -41,8 +41,12 @@
    * Time in ms at which draining was first reported; Infinity if not draining.
    */
   drainingSinceMs = Infinity;
+  /** Time in ms since which the worker does not answer, or Infinity. */
+  lostMs = Infinity;
   /** Whether another incarnation has answered at its address. */
-  isReplaced = false;
+  hasEnded = false;
+  /** Whether the loss of its present incarnation has been counted. */
+  isCrashCounted = false;
   /** Number of incarnations observed so far. */
   incarnation = 0;
   /** Incremented with each change of its tasks and each report. */
@@ -58,6 +62,17 @@
 
   constructor(public registration: WorkerRegistration) {}
 
+  /**
+   * Returns the task on this worker that may crash it and has not run long
+   * enough to rule that out, if there is one.
+   */
+  unprovenSuspect(): TaskState | undefined {
+    for (const task of this.tasks) {
+      if (task.isSuspect && !task.isProven) return task;
+    }
+    return undefined;
+  }
+
   /** Whether the current incarnation has reported in this term. */
   get hasReported(): boolean {
     return this.bornMs !== undefined;
--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -1,6 +1,8 @@
 import {decode, encode} from 'cbor-x';
 
 import {JobDefinition, JobPhase} from './job_definition.js';
+import {StoredCrashCounts} from './stored_crash_counts.js';
+import {StoredLoss} from './stored_loss.js';
 
 /** Record that the gateway stores before it accepts a job. */
 export interface SubmissionRecord {
@@ -19,6 +21,17 @@
   workerId?: string;
   workerBornMs?: number;
   checkpoint?: string;
+  /** Host and port of the worker. @default unknown */
+  workerAddress?: string;
+  /** Worker crashes under its runs. @default none */
+  crashes?: TaskCrashRecord;
+}
+
+/** Stored worker crashes of a task that a successor has to know. */
+export interface TaskCrashRecord {
+  counts: StoredCrashCounts;
+  /** Losses of workers of which it is not known whether they crashed. */
+  losses: readonly StoredLoss[];
 }
 
 /** Stored state of one occurrence of a job. */
@@ -44,6 +57,8 @@
   workerId?: string | null,
   workerBornMs?: number,
   checkpoint?: string,
+  workerAddress?: string,
+  crashes?: TaskCrashRecord,
 ];
 
 /** Encodes a submission as CBOR. */
@@ -85,18 +100,29 @@
 }
 
 function toRow(task: TaskRecord): TaskRow {
-  const {index, run, failures, isDone, workerId, checkpoint} = task;
-  if (workerId === undefined && !checkpoint) {
+  const {index, run, failures, isDone, workerId, checkpoint, crashes} = task;
+  if (workerId === undefined && !checkpoint && !crashes) {
     return [index, run, failures, isDone ? 1 : 0];
   }
   const bornMs = task.workerBornMs ?? 0;
   const worker = workerId ?? null;
-  return [index, run, failures, isDone ? 1 : 0, worker, bornMs, checkpoint];
+  const row: TaskRow = [
+    index,
+    run,
+    failures,
+    isDone ? 1 : 0,
+    worker,
+    bornMs,
+    checkpoint,
+    task.workerAddress,
+  ];
+  if (crashes) row.push(crashes);
+  return row;
 }
 
 function fromRow(row: TaskRow): TaskRecord {
-  const [index, run, failures, isDone, workerId, workerBornMs, checkpoint] =
-    row;
+  const [index, run, failures, isDone, workerId, workerBornMs] = row;
+  const [, , , , , , checkpoint, workerAddress, crashes] = row;
   return {
     index,
     run,
@@ -105,5 +131,7 @@
     workerId: workerId ?? undefined,
     workerBornMs,
     checkpoint,
+    workerAddress,
+    crashes,
   };
 }
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -8,9 +8,10 @@
 import {TaskState} from '../src/orchestrator/task_state.js';
 import {EndKind, CommandOutcome} from '../src/orchestrator/worker_port.js';
 import {WorkerState} from '../src/orchestrator/worker_state.js';
+import {NodeLog} from '../src/logging/node_log.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
-import {JobDefinition} from '../src/work/job_definition.js';
+import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeProgress} from '../src/work/job_records.js';
 import {silentLog} from './silent_log.js';
@@ -27,6 +28,8 @@
   maxAttempts?: number;
   /** Names of tasks that crash each worker that starts them. @default none */
   crashingTasks?: readonly string[];
+  /** Probability of a random crash in each step with faults. @default 0 */
+  crashRate?: number;
   /** Time in ms for which a crashed worker is down. @default 3000 */
   crashDownMs?: number;
   /**
@@ -36,6 +39,8 @@
    * @default false
    */
   keepsIdAfterCrash?: boolean;
+  /** Log of the owners. @default none */
+  log?: NodeLog;
 }
 
 const MAX_LEASE_MS = 6000;
@@ -44,6 +49,9 @@
 /** Maximum time in ms by which the execution of a command is delayed. */
 const MAX_COMMAND_DELAY_MS = 12_000;
 
+/** Time in ms for which the members of a gang wait for each other. */
+const GANG_TIMEOUT_MS = 3000;
+
 /** Time in ms after a crash at which the registration of a worker lapses. */
 const REGISTRATION_LAPSE_MS = 3300;
 
@@ -108,6 +116,8 @@
   private readonly latestStartedRuns = new Map<string, number>();
   /** Tokens of the owners that cannot reach a worker, by worker id. */
   private readonly disconnectedWorkers = new Map<string, Set<number>>();
+  /** Time in ms since which a gang lacks members, by the name of its step. */
+  private readonly incompleteGangs = new Map<string, number>();
   /** Starts of each crashing task after it has reached the crash limit. */
   private readonly startsOverCrashLimit = new Map<string, number>();
   /** Crashes of workers so far. */
@@ -197,6 +207,7 @@
       this.clock.advance(STEP_MS);
       for (const worker of this.workers.values()) worker.advance(STEP_MS);
       this.deliverDueMessages();
+      this.endIncompleteGangs();
       for (const term of this.terms) this.runTerm(term);
     }
   }
@@ -230,6 +241,7 @@
     const tasks = worker.running;
     this.crashes.push({worker: id, atMs: this.clock.nowMs(), tasks});
     worker.crash();
+    this.breakGangs(tasks);
     const {crashDownMs = 3000, keepsIdAfterCrash = false} = this.options;
     this.scheduleMessage(crashDownMs, () => {
       if (keepsIdAfterCrash) worker.restart(worker.bornMs + 1);
@@ -311,7 +323,7 @@
   private createOrchestrator(token: number): Orchestrator {
     const orchestrator: Orchestrator = new Orchestrator({
       clock: this.clock,
-      log: silentLog(),
+      log: this.options.log ?? silentLog(),
       keys: this.keys,
       longestLeaseMs: MAX_LEASE_MS,
       keepFinishedMs: 3_600_000,
@@ -447,6 +459,7 @@
     );
     const sentMs = this.clock.nowMs();
     const isCrashed = this.isCrashed(worker.registration.id);
+    if (isCrashed) term.orchestrator.handleSilence(worker);
     if (isCrashed && this.hasSuccessor(worker)) {
       term.orchestrator.handleReplacement(worker);
     }
@@ -525,18 +538,78 @@
     else if (roll < 0.018) this.disconnect(id, this.token);
     else if (roll < 0.03) this.reconnect(id);
     else if (roll < 0.033) this.restartWorker(id);
+    else if (roll < 0.033 + (this.options.crashRate ?? 0)) this.crash(id);
     this.finishRandomTasks(0.02);
   }
 
   private restartWorker(id: string): void {
     const worker = this.workers.get(id)!;
+    if (worker.isDown) return;
     worker.restart(worker.bornMs + 1);
   }
 
+  /** Whether a task ends after some time; crashing gangs never get so far. */
+  private endsByItself(task: string): boolean {
+    const {crashingTasks = []} = this.options;
+    if (crashingTasks.includes(task)) return false;
+    const step = this.stepOf(task);
+    if (step.isLongRunning) return false;
+    const isInStep = (other: string): boolean =>
+      stepNameOf(other) === stepNameOf(task);
+    return !step.isGang || !crashingTasks.some(isInStep);
+  }
+
+  private stepOf(task: string): StepDefinition {
+    const [id, , step] = task.split('.');
+    const job = this.jobs.find((definition) => definition.id === id)!;
+    return job.steps[Number(step)]!;
+  }
+
+  /** Ends the members of gangs that have waited too long for the others. */
+  private endIncompleteGangs(): void {
+    for (const [step, sinceMs] of this.incompleteGangs) {
+      if (this.clock.nowMs() - sinceMs < GANG_TIMEOUT_MS) continue;
+      this.incompleteGangs.delete(step);
+      this.endGang(step, EndKind.GANG_INCOMPLETE);
+    }
+    for (const worker of this.workers.values()) {
+      for (const task of worker.running) this.checkGang(task);
+    }
+  }
+
+  private checkGang(task: string): void {
+    const {isGang, taskCount} = this.stepOf(task);
+    if (!isGang) return;
+    const step = stepNameOf(task);
+    const present = [...this.workers.values()].flatMap(({running}) =>
+      running.filter((member) => stepNameOf(member) === step),
+    );
+    if (present.length === taskCount) this.incompleteGangs.delete(step);
+    else if (!this.incompleteGangs.has(step)) {
+      this.incompleteGangs.set(step, this.clock.nowMs());
+    }
+  }
+
+  private endGang(step: string, kind: EndKind): void {
+    for (const worker of this.workers.values()) {
+      for (const member of worker.running) {
+        if (stepNameOf(member) === step) worker.finish(member, kind);
+      }
+    }
+  }
+
+  /** Ends the other members of the gangs of which a worker lost a member. */
+  private breakGangs(lost: readonly string[]): void {
+    for (const task of lost) {
+      if (!this.stepOf(task).isGang) continue;
+      this.endGang(stepNameOf(task), EndKind.GANG_BROKEN);
+    }
+  }
+
   private finishRandomTasks(probability: number): void {
     for (const worker of this.workers.values()) {
       for (const task of worker.running) {
-        if (this.options.crashingTasks?.includes(task)) continue;
+        if (!this.endsByItself(task)) continue;
         if (this.random.next() >= probability) continue;
         const kind = this.random.next() < 0.1 ? EndKind.FAILED : EndKind.DONE;
         worker.finish(task, kind);
@@ -544,3 +617,8 @@
     }
   }
 }
+
+/** Returns the name of the step and occurrence that a task belongs to. */
+function stepNameOf(task: string): string {
+  return task.slice(0, task.lastIndexOf('.'));
+}
