Count runs of no task against the capacity of their worker

Cause: the record of a job that has ended names no tasks, so that a successor takes its runs that are still being stopped for runs of no task; it stopped them but did not count what they use. Ruled out: late commands, which the worker counts itself.

The simulated workers can now start whatever they are told to, change their capacity and take time to stop a run.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -3,8 +3,9 @@
 import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {NodeLog} from '../logging/node_log.js';
 import {Configuration, Queue} from '../work/configuration.js';
-import {JobPhase} from '../work/job_definition.js';
+import {JobPhase, StepDefinition} from '../work/job_definition.js';
 import {encodeProgress} from '../work/job_records.js';
+import {parseTaskName} from '../work/task_name.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
 import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
@@ -27,6 +28,7 @@
   CommandOutcome,
   EndKind,
   RefusalReason,
+  RunningReport,
   WorkerReport,
 } from './worker_port.js';
 import {WorkerRegistry} from './worker_registry.js';
@@ -166,8 +168,7 @@
       onEnded: (task, end) => this.endRun(task, end),
       onDone: (task) => this.finishTask(task),
       onFailed: (task) => this.failRun(task),
-      onOrphanRun: (run, worker) =>
-        this.options.effects.stopOrphanRun(run, worker),
+      onOrphanRuns: (runs, worker) => this.stopOrphanRuns(runs, worker),
     });
   }
 
@@ -601,6 +602,23 @@
     this.options.effects.stop(task, worker);
   }
 
+  /** Stops runs that belong to no task; until they end, their room is used. */
+  private stopOrphanRuns(
+    runs: readonly RunningReport[],
+    worker: WorkerState,
+  ): void {
+    if (runs.length === 0 && !worker.hasOrphans) return;
+    worker.replaceOrphans(runs.map(({task}) => this.stepOfRun(task)));
+    for (const run of runs) this.options.effects.stopOrphanRun(run, worker);
+  }
+
+  /** Returns the step that a run belongs to; undefined if it is not known. */
+  private stepOfRun(taskName: string): StepDefinition | undefined {
+    const name = parseTaskName(taskName);
+    if (!name) return undefined;
+    return this.jobs.get(name.jobId)?.definition.steps[name.step];
+  }
+
   private resendStop(task: TaskState, nowMs: number): void {
     if (task.state !== 'stopping' || task.absentAfterMs !== Infinity) return;
     if (nowMs - task.stopSentMs >= STOP_RESEND_MS) this.sendStop(task);
--- a/src/orchestrator/report_processor.ts
+++ b/src/orchestrator/report_processor.ts
@@ -19,8 +19,8 @@
   onDone(task: TaskState): void;
   /** Called when a run failed. */
   onFailed(task: TaskState): void;
-  /** Called for a run that is not the current run of any task. */
-  onOrphanRun(run: {task: string; run: number}, worker: WorkerState): void;
+  /** Called with all runs that are not the current run of any task. */
+  onOrphanRuns(runs: readonly RunningReport[], worker: WorkerState): void;
 }
 
 /** Applies worker reports to the tasks that are or may be on the worker. */
@@ -39,6 +39,7 @@
     times: {sentMs: number; nowMs: number},
   ): void {
     const listed = new Set<TaskState>();
+    const orphans: RunningReport[] = [];
     for (const end of report.ended) this.processEnd(worker, end);
     for (const running of report.running) {
       const task = this.currentRun(worker, running);
@@ -46,9 +47,10 @@
         listed.add(task);
         this.processRunning(task, running, times.nowMs);
       } else {
-        this.handlers.onOrphanRun(running, worker);
+        orphans.push(running);
       }
     }
+    this.handlers.onOrphanRuns(orphans, worker);
     for (const task of [...worker.tasks]) {
       if (listed.has(task) || task.state === 'assigned') continue;
       if (times.sentMs > task.absentAfterMs) {
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -1,3 +1,4 @@
+import {StepDefinition} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {TaskState} from './task_state.js';
 import {WorkerHealth} from './worker_health.js';
@@ -51,6 +52,10 @@
   incarnation = 0;
   /** Incremented with each change of its tasks and each report. */
   version = 0;
+  /** Steps of the runs on this worker that belong to no task. */
+  private orphanSteps: readonly StepDefinition[] = [];
+  /** Whether it runs something of which the request is not known. */
+  hasUnknownRuns = false;
   private usedMemoryMb = 0;
   private usedAccelerators = 0;
   private usedCpu = 0;
@@ -141,12 +146,38 @@
   addTask(task: TaskState): void {
     if (this.tasks.has(task)) return;
     this.tasks.add(task);
-    this.updateUsage(task, 1);
+    this.updateUsage(task.step, 1);
   }
 
   /** Removes a task that is no longer on this worker. */
   removeTask(task: TaskState): void {
-    if (this.tasks.delete(task)) this.updateUsage(task, -1);
+    if (this.tasks.delete(task)) this.updateUsage(task.step, -1);
+  }
+
+  /**
+   * Replaces the steps of the runs that belong to no task. They are being
+   * stopped and use their request until they have ended.
+   *
+   * @param steps - Undefined for runs of jobs that are not known.
+   */
+  replaceOrphans(steps: ReadonlyArray<StepDefinition | undefined>): void {
+    const known = steps.filter((step) => step !== undefined);
+    for (const step of this.orphanSteps) this.updateUsage(step, -1);
+    for (const step of known) this.updateUsage(step, 1);
+    this.orphanSteps = known;
+    this.hasUnknownRuns = known.length < steps.length;
+  }
+
+  /** Whether it runs something that belongs to no task. */
+  get hasOrphans(): boolean {
+    return this.orphanSteps.length > 0 || this.hasUnknownRuns;
+  }
+
+  /** Whether all that is or may be active on this worker fits its capacity. */
+  get isWithinCapacity(): boolean {
+    return (
+      this.freeCpu >= 0 && this.freeMemoryMb >= 0 && this.freeAccelerators >= 0
+    );
   }
 
   /** Returns names of tasks on this worker for a log line. */
@@ -195,9 +226,8 @@
     return count;
   }
 
-  private updateUsage(task: TaskState, sign: 1 | -1): void {
+  private updateUsage(step: StepDefinition, sign: 1 | -1): void {
     this.version += 1;
-    const {step} = task;
     this.usedMemoryMb += sign * step.memoryMb;
     this.usedAccelerators += sign * step.acceleratorCount;
     if (step.usesLeftoverCpu) this.bestEffortCpu += sign * step.cpuMillicores;
--- a/src/work/task_name.ts
+++ b/src/work/task_name.ts
@@ -10,3 +10,17 @@
 export function formatTaskName(name: TaskName): string {
   return `${name.jobId}.${name.occurrence}.${name.step}.${name.index}`;
 }
+
+const TASK_NAME_PATTERN = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/;
+
+/** Parses the name of a task; undefined if it does not have the format. */
+export function parseTaskName(text: string): TaskName | undefined {
+  const match = TASK_NAME_PATTERN.exec(text);
+  if (!match) return undefined;
+  return {
+    jobId: match[1]!,
+    occurrence: Number(match[2]),
+    step: Number(match[3]),
+    index: Number(match[4]),
+  };
+}
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -11,7 +11,11 @@
 import {NodeLog} from '../src/logging/node_log.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
-import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
+import {
+  JobDefinition,
+  StepDefinition,
+  TaskResources,
+} from '../src/work/job_definition.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeProgress} from '../src/work/job_records.js';
 import {silentLog} from './silent_log.js';
@@ -39,6 +43,14 @@
    * @default false
    */
   keepsIdAfterCrash?: boolean;
+  /**
+   * Probability of a change of the capacity of a worker, and of a cancelled
+   * job, in each step with faults. The workers then start whatever they are
+   * told to, and take some time to stop a run.
+   *
+   * @default 0
+   */
+  capacityChangeRate?: number;
   /** Log of the owners. @default none */
   log?: NodeLog;
 }
@@ -61,6 +73,24 @@
 /** Starts of a crashing task after the crash limit that break the promise. */
 const STARTS_OVER_CRASH_LIMIT = 3;
 
+/** Time in ms that a worker takes to stop a run, if its capacity may change. */
+const STOP_MS = 200;
+
+/** Time in ms after which owners must have learned of a smaller capacity. */
+const CAPACITY_KNOWN_MS = 4100;
+
+/** Time in ms until a changed registration reaches the owners. */
+const REGISTRATION_DELAY_MS = 1300;
+
+/** Fractions of its full capacity that a worker changes to. */
+const CAPACITY_FRACTIONS = [0, 0.25, 0.5, 1] as const;
+
+/** A capacity of a worker and the time in ms at which it was replaced. */
+interface EarlierCapacity {
+  capacity: TaskResources;
+  replacedMs: number;
+}
+
 /** A crash of a worker under one of its runs. */
 interface WorkerCrash {
   worker: string;
@@ -108,6 +138,9 @@
   /** Contents of the store by key. */
   private readonly stored = new Map<string, Buffer>();
   private readonly jobs: JobDefinition[] = [];
+  /** Whether a command is being executed that its worker has held back. */
+  private isExecutingLate = false;
+  private readonly cancelled = new Set<string>();
   /** Workers that run a task now. */
   private readonly workersByTask = new Map<string, Set<string>>();
   /** Run number of the acknowledged success of each task. */
@@ -116,6 +149,8 @@
   private readonly latestStartedRuns = new Map<string, number>();
   /** Tokens of the owners that cannot reach a worker, by worker id. */
   private readonly disconnectedWorkers = new Map<string, Set<number>>();
+  /** Capacities that owners may still believe in, by worker id. */
+  private readonly earlierCapacities = new Map<string, EarlierCapacity[]>();
   /** Time in ms since which a gang lacks members, by the name of its step. */
   private readonly incompleteGangs = new Map<string, number>();
   /** Starts of each crashing task after it has reached the crash limit. */
@@ -179,6 +214,7 @@
       const value = this.stored.get(this.keys.progress(definition.id));
       if (value) restoreProgress(job, decodeProgress(value));
       orchestrator.addJob(job);
+      if (this.cancelled.has(definition.id)) orchestrator.cancel(definition.id);
     }
   }
 
@@ -270,6 +306,7 @@
     const worker = new SimulatedTaskWorker({
       registration,
       longestLeaseMs: MAX_LEASE_MS,
+      stopMs: this.options.capacityChangeRate ? STOP_MS : 0,
       clockRate: 0.98 + this.random.next() * 0.02,
       onStarted: (task, run) => this.recordStart(id, task, run),
       onRemoved: (task) => this.workersByTask.get(task)?.delete(id),
@@ -295,11 +332,64 @@
       Math.max(run, this.latestStartedRuns.get(task) ?? 0),
     );
     workers.add(workerId);
+    // A start that the worker has held back may meet a smaller capacity.
+    if (this.options.capacityChangeRate && !this.isExecutingLate) {
+      this.checkCapacity(workerId, task);
+    }
     if (this.options.crashingTasks?.includes(task)) {
       this.recordCrashingStart(workerId, task);
     }
   }
 
+  /** Checks that the runs on a worker fit a capacity it lately had. */
+  private checkCapacity(workerId: string, task: string): void {
+    const runs = this.workers.get(workerId)!.running;
+    const cpu = runs.reduce(
+      (sum, name) => sum + this.stepOf(name).cpuMillicores,
+      0,
+    );
+    const sinceMs = this.clock.nowMs() - CAPACITY_KNOWN_MS;
+    const earlier = (this.earlierCapacities.get(workerId) ?? [])
+      .filter(({replacedMs}) => replacedMs >= sinceMs)
+      .map(({capacity}) => capacity);
+    const {capacity} = this.registered.get(workerId)!;
+    const known = [capacity, ...earlier].map(
+      ({cpuMillicores}) => cpuMillicores,
+    );
+    if (cpu <= Math.max(...known)) return;
+    this.violations.push(
+      `${task} brings ${workerId} to ${cpu} of ${Math.max(...known)} millicores`,
+    );
+  }
+
+  private changeCapacity(id: string): void {
+    const registration = this.registered.get(id);
+    if (!registration) return;
+    const position = this.random.nextInteger(CAPACITY_FRACTIONS.length);
+    const fraction = CAPACITY_FRACTIONS[position]!;
+    const full = simpleWorker(id).capacity;
+    const capacity = {
+      ...full,
+      cpuMillicores: full.cpuMillicores * fraction,
+    };
+    const earlier = this.earlierCapacities.get(id) ?? [];
+    const replacedMs = this.clock.nowMs();
+    earlier.push({capacity: registration.capacity, replacedMs});
+    this.earlierCapacities.set(id, earlier);
+    const changed = {...registration, capacity};
+    this.registered.set(id, changed);
+    this.scheduleMessage(REGISTRATION_DELAY_MS, () => {
+      if (!this.registered.has(id)) return;
+      for (const term of this.terms) term.orchestrator.upsertWorker(changed);
+    });
+  }
+
+  private cancelRandomJob(): void {
+    const {id} = this.jobs[this.random.nextInteger(this.jobs.length)]!;
+    for (const {orchestrator} of this.terms) orchestrator.cancel(id);
+    this.cancelled.add(id);
+  }
+
   private recordCrashingStart(workerId: string, task: string): void {
     if (this.countCrashes(task) >= CRASH_LIMIT) {
       const starts = (this.startsOverCrashLimit.get(task) ?? 0) + 1;
@@ -397,7 +487,10 @@
       const {bornMs} = simulatedWorker;
       // A restart of the worker discards the commands queued inside it.
       this.scheduleMessage(executionDelayMs, () => {
-        if (simulatedWorker.bornMs === bornMs) executeIfUp(simulatedWorker);
+        if (simulatedWorker.bornMs !== bornMs) return;
+        this.isExecutingLate = true;
+        executeIfUp(simulatedWorker);
+        this.isExecutingLate = false;
       });
     }
     if (isDelayed || isLost) {
@@ -539,6 +632,13 @@
     else if (roll < 0.03) this.reconnect(id);
     else if (roll < 0.033) this.restartWorker(id);
     else if (roll < 0.033 + (this.options.crashRate ?? 0)) this.crash(id);
+    const changeRate = this.options.capacityChangeRate ?? 0;
+    if (changeRate > 0 && this.random.next() < changeRate) {
+      this.changeCapacity(id);
+    }
+    if (changeRate > 0 && this.random.next() < changeRate / 4) {
+      this.cancelRandomJob();
+    }
     this.finishRandomTasks(0.02);
   }
 
--- a/testing/simulated_task_worker.ts
+++ b/testing/simulated_task_worker.ts
@@ -13,6 +13,8 @@
   task: string;
   run: number;
   fencingToken: number;
+  /** Clock reading in ms at which a stop ends it. @default not stopped */
+  stopsMs?: number;
 }
 
 /** Options of {@link SimulatedTaskWorker}. */
@@ -23,6 +25,8 @@
   longestLeaseMs: number;
   /** Rate of the worker's clock relative to simulated time. @default 1 */
   clockRate?: number;
+  /** Time in ms from a stop command to the end of the run. @default 0 */
+  stopMs?: number;
   /** Called when a run starts. */
   onStarted: (task: string, run: number) => void;
   /** Called when a run no longer executes, for whatever reason. */
@@ -72,6 +76,9 @@
   /** Advances the worker's clock; an expired lease ends all runs. */
   advance(durationMs: number): void {
     this.clockMs += durationMs * (this.options.clockRate ?? 1);
+    for (const {task, stopsMs = Infinity} of [...this.runs.values()]) {
+      if (this.clockMs >= stopsMs) this.endRun(task, EndKind.STOPPED);
+    }
     if (this.clockMs < this.leaseUntilMs) return;
     this.lastSequenceAtLeaseEnd = this.nextSequence - 1;
     for (const name of this.running) this.endRun(name, EndKind.LEASE_ENDED);
@@ -133,9 +140,11 @@
     }
     const highest = this.highestEndedRuns.get(command.task) ?? 0;
     this.highestEndedRuns.set(command.task, Math.max(highest, command.run));
-    if (this.runs.get(command.task)?.run === command.run) {
-      this.endRun(command.task, EndKind.STOPPED);
-    }
+    const current = this.runs.get(command.task);
+    const {stopMs = 0} = this.options;
+    if (current?.run !== command.run) return {kind: 'done'};
+    if (stopMs === 0) this.endRun(command.task, EndKind.STOPPED);
+    else current.stopsMs ??= this.clockMs + stopMs;
     return {kind: 'done'};
   }
 
