Withdraw a start whose worker has shrunk since its assignment

A start whose commit was slow went out although the registration had meanwhile shown a smaller capacity.

Change: a start is sent only while all that is or may be active on the worker fits; else the task waits again. The new test failed before (the start was sent with 1000 of 500 millicores).

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -634,7 +634,10 @@
     if (task.state !== 'assigned') return;
     const worker = this.workerOf(task);
     const canStart =
-      worker && !worker.hasEnded && !worker.registration.isDraining;
+      worker &&
+      !worker.hasEnded &&
+      !worker.registration.isDraining &&
+      worker.isWithinCapacity;
     if (task.job.isFinal || !canStart) {
       this.endRun(task, 'withdrawn');
       return;
--- a/src/orchestrator/worker_capacity_test.ts
+++ b/src/orchestrator/worker_capacity_test.ts
@@ -1,8 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {applyPending} from '../../testing/apply_pending.js';
+import {idleEffects} from '../../testing/idle_effects.js';
+import {silentLog} from '../../testing/silent_log.js';
+import {
+  simpleConfiguration,
+  simpleJob,
+  simpleStep,
+  simpleWorker,
+} from '../../testing/simple_definitions.js';
 import {SimulatedPartition} from '../../testing/simulated_partition.js';
+import {ManualClock} from '../clock/manual_clock.js';
+import {PartitionKeys} from '../leadership/partition_keys.js';
+import {JobState} from './job_state.js';
+import {Orchestrator} from './orchestrator.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 200);
 
@@ -28,3 +40,33 @@
     assert.deepEqual(simulateSeed(seed).violations, [], `seed ${seed}`);
   }
 });
+
+test('a start is not sent if the capacity has shrunk since its assignment', () => {
+  // Guards against a start that waited for a slow commit and exceeds the
+  // capacity of a worker that does not guard it.
+  const started: string[] = [];
+  const orchestrator = new Orchestrator({
+    clock: new ManualClock(),
+    log: silentLog(),
+    keys: new PartitionKeys('main'),
+    longestLeaseMs: 6000,
+    keepFinishedMs: 1000,
+    previousTermLeaseMs: 0,
+    effects: idleEffects({start: ({name}) => started.push(name)}),
+  });
+  orchestrator.configure(simpleConfiguration());
+  orchestrator.upsertWorker(simpleWorker('w'));
+  const worker = orchestrator.workers.get('w')!;
+  const report = {clockMs: 0, bornMs: 1, running: [], ended: []};
+  orchestrator.processReport(worker, report, 0);
+  orchestrator.addJob(new JobState(simpleJob('job'), 0));
+  orchestrator.schedule();
+  const capacity = {cpuMillicores: 500, memoryMb: 16_000, acceleratorCount: 0};
+  orchestrator.upsertWorker(simpleWorker('w', {capacity}));
+  applyPending(orchestrator.takePending());
+  assert.deepEqual(started, []);
+  orchestrator.upsertWorker(simpleWorker('w'));
+  orchestrator.schedule();
+  applyPending(orchestrator.takePending());
+  assert.deepEqual(started, ['job.0.0.0']);
+});
