Place nothing on a worker that did not answer the latest poll

Change: a worker gets no tasks from the first unanswered poll to its next report. Running work is not touched. The new test fails without the check.

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -53,7 +53,7 @@
 
   /** Records that a worker stopped to answer. */
   recordSilence(worker: WorkerState): void {
-    if (worker.lostMs !== Infinity) return;
+    if (worker.isSilent) return;
     worker.lostMs = this.options.clock.nowMs();
     const hasSuspect = [...worker.tasks].some(({isSuspect}) => isSuspect);
     this.history.recordLoss(worker, hasSuspect);
@@ -90,7 +90,7 @@
    * placed again before it is known whether the worker has crashed.
    */
   recordLeaseEnd(worker: WorkerState): void {
-    if (worker.isCrashCounted || worker.lostMs === Infinity) return;
+    if (worker.isCrashCounted || !worker.isSilent) return;
     worker.isCrashCounted = true;
     const {id, address, isDraining} = worker.registration;
     if (isDraining) return;
--- a/src/orchestrator/orchestrator_silence_test.ts
+++ b/src/orchestrator/orchestrator_silence_test.ts
@@ -60,6 +60,19 @@
     this.orchestrator.processReport(this.worker, report, nowMs);
   }
 
+  /** Records that a poll of the worker was not answered. */
+  missPoll(): void {
+    this.orchestrator.handleSilence(this.worker);
+  }
+
+  /** Adds a job with one task and returns whether it is placed. */
+  placesJob(id: string): boolean {
+    const job = new JobState(simpleJob(id), 0);
+    this.orchestrator.addJob(job);
+    this.orchestrator.schedule();
+    return [...job.tasks()].every(({isPlaced}) => isPlaced);
+  }
+
   /** Reports the same progress at the usual interval for a duration in ms. */
   reportFor(durationMs: number, percent: number): void {
     for (let passed = 0; passed < durationMs; passed += POLL_INTERVAL_MS) {
@@ -91,3 +104,14 @@
   bench.reportFor(3000, 20);
   assert.equal(bench.stopped.length, 1);
 });
+
+test('nothing is placed on a worker that did not answer the latest poll', () => {
+  // Guards against tasks that wait for the lease of a crashed worker, because
+  // they were placed on it after its connections had been closed.
+  const bench = new SilenceBench();
+  bench.reportFor(500, 20);
+  bench.missPoll();
+  assert.equal(bench.placesJob('early'), false);
+  bench.report(20);
+  assert.equal(bench.placesJob('late'), true);
+});
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -140,6 +140,7 @@
   if (entry.service !== context.service || !worker.isRegistered) return false;
   if (!worker.hasReported || worker.hasEnded) return false;
   if (entry.isDraining || worker.hasUnknownRuns) return false;
+  if (worker.isSilent) return false;
   if (context.nowMs - worker.lastReportMs > REPORT_AGE_LIMIT_MS) return false;
   if (health.isBlocked(context.nowMs)) return false;
   if (context.isAllowed?.(worker) === false) return false;
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -78,6 +78,11 @@
     return undefined;
   }
 
+  /** Whether the worker did not answer the latest poll. */
+  get isSilent(): boolean {
+    return this.lostMs !== Infinity;
+  }
+
   /** Whether the current incarnation has reported in this term. */
   get hasReported(): boolean {
     return this.bornMs !== undefined;
