Forget the loss of a worker that answers again

A poll that fails for a reason of this node, such as a connection that was replaced, counted as a loss of the worker for 15 s. Four of them within three seconds of a crash would have excused the task that caused it.

Change: the loss is removed once the same incarnation reports.

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -59,8 +59,9 @@
     this.history.recordLoss(worker, hasSuspect);
   }
 
-  /** Records that a worker answers again. */
+  /** Records that a worker answers again; it was not lost if it runs on. */
   recordAnswer(worker: WorkerState): void {
+    if (!worker.isCrashCounted) this.history.removeLoss(worker);
     worker.lostMs = Infinity;
     worker.hasEnded = false;
     worker.isCrashCounted = false;
--- a/src/orchestrator/loss_history.ts
+++ b/src/orchestrator/loss_history.ts
@@ -56,6 +56,12 @@
     this.losses.push({workerId, rack, lostMs, hasSuspect});
   }
 
+  /** Removes the loss of a worker that turned out to run on. */
+  removeLoss(worker: WorkerState): void {
+    const {id} = worker.registration;
+    this.losses = this.losses.filter(({workerId}) => workerId !== id);
+  }
+
   /** Records a crash for which no single task is the likely cause. */
   recordUnexplained(address: string, crash: UnexplainedCrash): void {
     this.unexplained.set(address, crash);
