Tell a start that was not sent from one in doubt

Change: if no connection could be opened, the start is refused as unreachable, the task is placed elsewhere at once and the worker gets nothing for half a second. A connection that breaks after the request was written stays in doubt; a test holds both. The first failed before.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -76,6 +76,12 @@
 /** Time in ms for which a worker that reports itself unhealthy is blocked. */
 const UNHEALTHY_BLOCK_MS = 1500;
 
+/**
+ * Time in ms for which a worker is blocked that no connection could be opened
+ * to; by then its poll has failed or a report shows that it is back.
+ */
+const UNREACHABLE_BLOCK_MS = 500;
+
 /** Time in ms for which a worker that lacked capacity is blocked. */
 const NO_ROOM_BLOCK_MS = 300;
 
@@ -660,6 +666,8 @@
     const nowMs = this.options.clock.nowMs();
     if (reason === RefusalReason.UNHEALTHY) {
       worker.health.block(nowMs, UNHEALTHY_BLOCK_MS);
+    } else if (reason === RefusalReason.UNREACHABLE) {
+      worker.health.block(nowMs, UNREACHABLE_BLOCK_MS);
     } else if (reason === RefusalReason.NO_ROOM) {
       worker.health.block(nowMs, NO_ROOM_BLOCK_MS);
     }
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -61,6 +61,8 @@
   OTHER_INCARNATION: 'other-incarnation',
   /** Not sent: the lease of the owner's term may have ended. */
   TERM_UNCERTAIN: 'term-uncertain',
+  /** Not sent: no connection to the worker could be opened. */
+  UNREACHABLE: 'unreachable',
   /** The worker is unhealthy and ignored the command. */
   UNHEALTHY: 'unhealthy',
   /** The command is malformed or unknown. */
