Delay starts that workers refuse again and again

Change: three refused starts are repeated at once, as before, since one full worker must not delay urgent work; each further one waits twice as long, at most a second.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -82,6 +82,15 @@
  */
 const UNREACHABLE_BLOCK_MS = 500;
 
+/** Number of refused starts after which a task is placed again at once. */
+const IMMEDIATE_RESTARTS = 3;
+
+/** First delay in ms after further refusals; it doubles with each. */
+const RESTART_DELAY_MS = 50;
+
+/** Maximum delay in ms after a refused start. */
+const MAX_RESTART_DELAY_MS = 1000;
+
 /** Time in ms for which a worker that lacked capacity is blocked. */
 const NO_ROOM_BLOCK_MS = 300;
 
@@ -289,6 +298,7 @@
       return;
     }
     if (worker) this.handleRefusal(task, worker, outcome.reason);
+    this.delayRestart(task);
     this.endRun(task, 'refused');
     if (task.step.isGang) this.stopGang(task);
   }
@@ -467,6 +477,7 @@
     const nowMs = this.options.clock.nowMs();
     task.job.hasStarted = true;
     task.lastProgressMs = nowMs;
+    task.refusals = 0;
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = 100;
@@ -655,6 +666,18 @@
     this.options.effects.start(task, worker);
   }
 
+  /** Waits longer after each further start of a task that is refused. */
+  private delayRestart(task: TaskState): void {
+    task.refusals += 1;
+    const doublings = task.refusals - IMMEDIATE_RESTARTS;
+    if (doublings <= 0) return;
+    const delayMs = Math.min(
+      RESTART_DELAY_MS * 2 ** (doublings - 1),
+      MAX_RESTART_DELAY_MS,
+    );
+    task.notBeforeMs = this.options.clock.nowMs() + delayMs;
+  }
+
   private handleRefusal(
     task: TaskState,
     worker: WorkerState,
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -46,6 +46,8 @@
   stopSentMs = -Infinity;
   /** Time in ms at which the start command was sent; used for logging. */
   startedMs = 0;
+  /** Number of starts in a row that workers have refused. */
+  refusals = 0;
   /** Time in ms before which the task is not assigned again. */
   notBeforeMs = -Infinity;
   /** Time in ms at which the task was last stopped to move it elsewhere. */
