Abandon the run of a gang of which a member is not sent

Found by the simulation of crashing tasks: the member of a gang whose worker had ended between assignment and commit was withdrawn, while the others were started and held their room until the gang timed out on the workers, after which they end alone (rule GANG).

Change: the members that are not sent yet are withdrawn, those that are on their way or run are stopped.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -300,7 +300,7 @@
     if (worker) this.handleRefusal(task, worker, outcome.reason);
     this.delayRestart(task);
     this.endRun(task, 'refused');
-    if (task.step.isGang) this.stopGang(task);
+    if (task.step.isGang) this.abandonGangRun(task);
   }
 
   /** Handles the outcome of a stop command. */
@@ -641,9 +641,16 @@
     if (nowMs - task.stopSentMs >= STOP_RESEND_MS) this.sendStop(task);
   }
 
-  private stopGang(task: TaskState): void {
+  /**
+   * Ends the run of a gang of which a member does not start. The others would
+   * occupy their workers until the gang times out.
+   */
+  private abandonGangRun(task: TaskState): void {
     for (const member of stepOf(task).tasks) {
-      if (member.state === 'running') this.requestStop(member, 'gang-refused');
+      if (member.state === 'assigned') this.endRun(member, 'withdrawn');
+      else if (member.state === 'running') {
+        this.requestStop(member, 'gang-refused');
+      } else if (member.apply('doubted')) this.sendStop(member);
     }
   }
 
@@ -657,6 +664,7 @@
       worker.isWithinCapacity;
     if (task.job.isFinal || !canStart) {
       this.endRun(task, 'withdrawn');
+      if (task.step.isGang) this.abandonGangRun(task);
       return;
     }
     task.apply('committed');
