Relate interference to the machine, not to its present capacity

The learned interference divided by the present capacity: a capacity of zero put infinite and undefined values into the estimates that all workers share, for the rest of the term, and any change of the capacity changed their scale.

Change: loads are fractions of the largest capacity that the incarnation has shown. The new test failed before (estimates not finite). Decisions at a constant capacity are the same.

--- a/src/orchestrator/best_effort_controller.ts
+++ b/src/orchestrator/best_effort_controller.ts
@@ -132,8 +132,7 @@
     step: StepDefinition,
     nowMs: number,
   ): BestEffortHeadroom {
-    const share =
-      step.cpuMillicores / worker.registration.capacity.cpuMillicores;
+    const share = step.cpuMillicores / worker.machineCpu;
     const bestEffortImage = imageOf(step);
     const result: BestEffortHeadroom = {headroom: 1, pressure: 0};
     for (const {image, free} of this.latencyCriticalLoads(worker, nowMs)) {
@@ -166,10 +165,9 @@
   private usesInWindow(worker: WorkerState, nowMs: number): BestEffortUsage[] {
     const recent = this.recentUses.get(worker) ?? new Map<string, RecentUse>();
     this.recentUses.set(worker, recent);
-    const {cpuMillicores} = worker.registration.capacity;
     for (const task of worker.tasks) {
       if (!task.step.usesLeftoverCpu || task.state !== 'running') continue;
-      const share = (task.gauge ?? 0) / cpuMillicores;
+      const share = (task.gauge ?? 0) / worker.machineCpu;
       recent.set(task.name, {
         image: imageOf(task.step),
         share,
@@ -236,9 +234,8 @@
         100,
         task.speedLimitPercent + SPEED_INCREMENT_PERCENT,
       );
-      const {cpuMillicores} = worker.registration.capacity;
       const gained = (percent - task.speedLimitPercent) / 100;
-      const share = (task.step.cpuMillicores * gained) / cpuMillicores;
+      const share = (task.step.cpuMillicores * gained) / worker.machineCpu;
       uses.push({image: imageOf(task.step), share});
       const isFree = [...worker.tasks].every(
         (other) =>
@@ -312,8 +309,7 @@
     bestEffortTask: TaskState,
     tasks: readonly TaskState[],
   ): number {
-    const share =
-      limitedCpu(bestEffortTask) / worker.registration.capacity.cpuMillicores;
+    const share = limitedCpu(bestEffortTask) / worker.machineCpu;
     const pressures = tasks.map(({step}) =>
       this.interference.pressureOf(imageOf(step), imageOf(bestEffortTask.step)),
     );
@@ -359,11 +355,10 @@
   worker: WorkerState,
   cpuOf: (task: TaskState) => number,
 ): BestEffortUsage[] {
-  const {cpuMillicores} = worker.registration.capacity;
   const uses: BestEffortUsage[] = [];
   for (const task of worker.tasks) {
     if (!task.step.usesLeftoverCpu) continue;
-    const share = cpuOf(task) / cpuMillicores;
+    const share = cpuOf(task) / worker.machineCpu;
     uses.push({image: imageOf(task.step), share});
   }
   return sumByImage(uses);
--- a/src/orchestrator/best_effort_controller_test.ts
+++ b/src/orchestrator/best_effort_controller_test.ts
@@ -36,6 +36,7 @@
   private loads: number[] = [];
   private overMs = 0;
   private lastPollMs = 0;
+  private nowMs = TICK_MS;
 
   constructor(
     private readonly pressures: readonly number[],
@@ -61,9 +62,10 @@
     });
   }
 
-  /** Advances time; the controller observes gauges and sets speed limits. */
-  simulate(durationMs: number, phase: number): void {
-    for (let nowMs = TICK_MS; nowMs <= durationMs; nowMs += TICK_MS) {
+  /** Advances time to `untilMs`; the controller observes gauges and sets speed limits. */
+  simulate(untilMs: number, phase: number): void {
+    for (; this.nowMs <= untilMs; this.nowMs += TICK_MS) {
+      const {nowMs} = this;
       const load = Math.min(0.97, this.loadAt(nowMs, phase));
       this.loads = [...this.loads, load].slice(-WINDOW_MS / TICK_MS);
       this.recordOver(load);
@@ -153,3 +155,20 @@
     assert.ok(worst <= 4000, `${mix.join()}: over the target for ${worst} ms`);
   }
 });
+
+test('a worker without capacity for a time leaves all estimates finite', () => {
+  // Guards against estimates for all workers that become unusable because the
+  // capacity of one worker shrank to zero while best-effort tasks ran on it.
+  const bench = new ColocatedWorker([2], 3);
+  const {worker, controller} = bench;
+  bench.simulate(4000, 0);
+  const {capacity} = worker.registration;
+  const none = {...capacity, cpuMillicores: 0};
+  worker.register(simpleWorker('w', {capacity: none}));
+  bench.simulate(6000, 0);
+  worker.register(simpleWorker('w', {capacity}));
+  bench.simulate(10_000, 0);
+  const step = simpleStep({usesLeftoverCpu: true, image: 'fill0'});
+  const {headroom, pressure} = controller.headroomFor(worker, step, 10_000);
+  assert.ok(Number.isFinite(headroom) && Number.isFinite(pressure));
+});
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -97,9 +97,8 @@
     context: PlacementContext,
   ): number | undefined {
     const {step} = task;
-    const {cpuMillicores} = worker.registration.capacity;
     if (step.tailTargetMs > 0) return colocationScore(task, worker, context);
-    const leftover = worker.leftoverCpu / cpuMillicores;
+    const leftover = worker.leftoverCpu / worker.machineCpu;
     if (!step.usesLeftoverCpu) {
       return (
         leftover + (worker.latencyCriticalCount > 0 ? SEPARATION_SCORE : 0)
@@ -122,7 +121,7 @@
 ): number {
   const same = worker.countLatencyCritical(task.step.image);
   const others = worker.latencyCriticalCount - same;
-  const used = 1 - worker.freeCpu / worker.registration.capacity.cpuMillicores;
+  const used = 1 - worker.freeCpu / worker.machineCpu;
   const siblings = context.siblings.get(worker.registration.id) ?? 0;
   const together = SAME_STEP_SCORE * siblings;
   return same > 0
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -47,7 +47,6 @@
     const existing = this.workers.get(registration.id);
     if (!existing) return this.add(registration);
     existing.isRegistered = true;
-    existing.version += 1;
     if (registration.isDraining !== existing.registration.isDraining) {
       this.options.log.logDecision('worker-state', {
         worker: registration.id,
@@ -55,7 +54,7 @@
         remainingMs: registration.remainingMs,
       });
     }
-    existing.registration = registration;
+    existing.register(registration);
     return existing;
   }
 
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -65,7 +65,36 @@
   private clockMs = 0;
   private clockReadMs = -Infinity;
 
-  constructor(public registration: WorkerRegistration) {}
+  private largestCpuMillicores = 0;
+
+  constructor(private currentRegistration: WorkerRegistration) {
+    this.register(currentRegistration);
+  }
+
+  /** Latest registration. */
+  get registration(): WorkerRegistration {
+    return this.currentRegistration;
+  }
+
+  /** Replaces the registration, for example when the capacity has changed. */
+  register(registration: WorkerRegistration): void {
+    this.currentRegistration = registration;
+    const {cpuMillicores} = registration.capacity;
+    this.largestCpuMillicores = Math.max(
+      this.largestCpuMillicores,
+      cpuMillicores,
+    );
+    this.version += 1;
+  }
+
+  /**
+   * CPU in millicores of the machine: the largest capacity that this
+   * incarnation has shown, at least 1. Interference depends on the machine, also
+   * while a smaller part of it is available to tasks.
+   */
+  get machineCpu(): number {
+    return Math.max(1, this.largestCpuMillicores);
+  }
 
   /**
    * Returns the task on this worker that may crash it and has not run long
@@ -141,6 +170,7 @@
    */
   beginIncarnation(bornMs: number | undefined): void {
     this.bornMs = bornMs;
+    this.largestCpuMillicores = this.registration.capacity.cpuMillicores;
     this.incarnation += 1;
     this.processedSequence = 0;
     this.storedSequence = 0;
