Do not blame a suspect while another task has just started beside it

Its first two crashes were each attributed to an innocent suspect that had been placed on the same worker a moment before, and counted for nothing against the task itself; an innocent job came one crash closer to being given up. Ruled out: takeovers (the owner of the later runs did not change) and crashes that went unnoticed (each has its worker-crashed line).

Change: a suspect is the cause only if nothing else has just started on the worker; otherwise all that have just started are suspect, and each counts. Suspects avoid workers on which something has just started.

--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/attribute_crash.ts
@@ -27,13 +27,13 @@
  * Time in ms before a crash within which a start may have caused it. A task
  * that crashes its worker usually does so when it starts.
  */
-const RECENT_START_MS = 1500;
+export const RECENT_START_MS = 1500;
 
 /**
  * Returns the part of each task in the crash of their worker; tasks that are
- * not listed had none. A single suspect that has just started is the cause. If
- * there is none, the tasks that have just started and earlier suspects become
- * suspects, or all tasks if none has just started.
+ * not listed had none. A suspect is the cause if nothing else has just started.
+ * Otherwise the tasks that have just started and earlier suspects are suspect,
+ * or all tasks if none has just started.
  */
 export function attributeCrash(
   scene: CrashScene,
@@ -45,12 +45,13 @@
   const recent = present.filter(
     ({startedMs}) => scene.lostMs - startedMs <= RECENT_START_MS,
   );
-  if (unproven.length === 1) return assignCause(unproven[0]!, scene);
-  if (suspects.length === 1 && recent.length === 0) {
-    return assignCause(suspects[0]!, scene);
+  const starting = [...new Set([...unproven, ...recent])];
+  const candidates = starting.length > 0 ? starting : suspects;
+  const [candidate] = candidates;
+  if (candidates.length === 1 && candidate!.isSuspect) {
+    return assignCause(candidate!, scene);
   }
-  if (unproven.length > 1) return assignRoles(suspects, []);
-  const possible = new Set([...recent, ...suspects]);
+  const possible = new Set([...starting, ...suspects]);
   if (possible.size === 0) return assignRoles(present, []);
   const others = present.filter((task) => !possible.has(task));
   return assignRoles([...possible], others);
--- a/src/orchestrator/crashing_task_test.ts
+++ b/src/orchestrator/crashing_task_test.ts
@@ -102,6 +102,32 @@
   }
 });
 
+test('several crashing tasks on busy workers are given up', () => {
+  // Guards against crashing tasks that are not counted, or innocent ones that
+  // are, because suspects and other tasks start on the same workers.
+  const crashingJobs = ['bad0', 'bad1', 'bad2', 'bad3', 'bad4'];
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const partition = new SimulatedPartition({
+      seed,
+      workers: 10,
+      maxAttempts: 50,
+      crashingTasks: crashingJobs.map((id) => `${id}.0.0.0`),
+    });
+    for (let number = 0; number < 100; number++) {
+      const id = number % 20 === 0 ? `bad${number / 20}` : `good${number}`;
+      partition.submit(simpleJob(id, {steps: [simpleStep({taskCount: 3})]}));
+      partition.runWithoutFaults(200);
+    }
+    partition.runWithoutFaults(120_000);
+    assert.deepEqual(partition.violations, [], `seed ${seed}`);
+    for (const [id, {phase}] of partition.owner.jobs) {
+      const isBad = crashingJobs.includes(id);
+      const expected = isBad ? JobPhase.FAILED : JobPhase.SUCCEEDED;
+      assert.equal(phase, expected, `seed ${seed}, ${id}`);
+    }
+  }
+});
+
 test('no job is given up for workers that crash by themselves', () => {
   // Guards against innocent work that is given up because workers fail at
   // random, one after another.
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -802,6 +802,7 @@
     task.runningSinceMs = Infinity;
     task.isProven = false;
     const nowMs = this.options.clock.nowMs();
+    task.assignedMs = nowMs;
     task.ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
     task.stopSentMs = -Infinity;
     task.absentAfterMs = Infinity;
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -1,4 +1,5 @@
 import {BestEffortController} from './best_effort_controller.js';
+import {RECENT_START_MS} from './attribute_crash.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -43,6 +44,12 @@
  */
 const NEIGHBOR_PENALTY = 20;
 
+/**
+ * Penalty of a worker for such a task if another task has just started there:
+ * after a crash, either could be the cause.
+ */
+const RECENT_START_PENALTY = 200;
+
 /** Weight of a latency-critical neighbor in addition to that of each task. */
 const LATENCY_CRITICAL_NEIGHBORS = 2;
 
@@ -180,6 +187,8 @@
       worker.tasks.size +
       LATENCY_CRITICAL_NEIGHBORS * worker.latencyCriticalCount;
     score -= NEIGHBOR_PENALTY * neighbors;
+    const idleMs = context.nowMs - worker.lastStartMs;
+    if (idleMs < RECENT_START_MS) score -= RECENT_START_PENALTY;
   }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
   if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -44,7 +44,9 @@
   absentAfterMs = Infinity;
   /** Time in ms of the latest stop command; -Infinity if none. */
   stopSentMs = -Infinity;
-  /** Time in ms at which the start command was sent; used for logging. */
+  /** Time in ms at which the current run was assigned. */
+  assignedMs = -Infinity;
+  /** Time in ms at which the start command was sent. */
   startedMs = 0;
   /** Number of starts in a row that workers have refused. */
   refusals = 0;
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -56,6 +56,8 @@
   private orphanSteps: readonly StepDefinition[] = [];
   /** Whether it runs something of which the request is not known. */
   hasUnknownRuns = false;
+  /** Time in ms of the latest assignment of a task. */
+  lastStartMs = -Infinity;
   private usedMemoryMb = 0;
   private usedAccelerators = 0;
   private usedCpu = 0;
@@ -180,6 +182,7 @@
   /** Adds a task that is or may be active on this worker. */
   addTask(task: TaskState): void {
     if (this.tasks.has(task)) return;
+    this.lastStartMs = Math.max(this.lastStartMs, task.assignedMs);
     this.tasks.add(task);
     this.updateUsage(task.step, 1);
   }
