Soak: tasks that crash their worker, capacity that changes

The worker stand-in can crash and come back after 1.5 s, every other time under another id. Two kinds of faults: a job whose first task crashes each worker that starts it, which must be shown as failed and must not be started three times more after three crashes, and a worker whose capacity shrinks for a time. Other jobs shown as failed are a breach, as before.

The soak does not check the capacity of workers; the simulation in worker_capacity_test does.

--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -10,6 +10,7 @@
 
 import {request} from 'undici';
 
+import {sleep} from '../src/clock/sleep.js';
 import {ManagedProcess} from './managed_process.js';
 import {FaultyLink} from './faulty_link.js';
 import {freePorts} from './free_ports.js';
@@ -56,13 +57,41 @@
 
 /** A worker and, with faulty links, the link through which nodes reach it. */
 export interface FleetWorker {
+  /** Id of the present incarnation. */
+  id: string;
+  /** Address that the nodes use. */
+  address: string;
   standIn: TaskWorkerStandIn;
+  /** CPU in millicores that it offers now. */
+  cpuMillicores: number;
+  /** Time in ms of the latest change of its CPU. */
+  resizedMs: number;
+  isDown: boolean;
   link?: FaultyLink;
 }
 
+/** Prefix of the ids of jobs whose first task crashes its workers. */
+export const CRASHING_JOB_PREFIX = 'dead';
+
+/** Time in ms from the start of a crashing task to the crash. */
+const CRASH_DELAY_MS = 10;
+
+/** Time in ms for which a crashed worker is down. */
+const CRASH_DOWN_MS = 1500;
+
+/** Crashes under one task after which its further starts are limited. */
+const CRASH_LIMIT = 3;
+
+/** Starts after that limit which break the promise of the users' pages. */
+const STARTS_OVER_CRASH_LIMIT = 3;
+
 const HOST = 'jobs.example';
 const ROUTE_PREFIX = '/jobs/';
 
+function isCrashing(task: string): boolean {
+  return task.startsWith(CRASHING_JOB_PREFIX) && task.endsWith('.0.0.0');
+}
+
 function buildRoute(name: string, prefix: string): object {
   return {
     name,
@@ -105,10 +134,15 @@
   readonly startedMs = new Map<string, number>();
   /** Ids of the workers that run each task; at most one is allowed. */
   private readonly workersByTask = new Map<string, Set<string>>();
+  /** Number of workers that each crashing task has crashed. */
+  readonly crashes = new Map<string, number>();
+  /** Starts of crashing tasks beyond {@link CRASH_LIMIT} crashes. */
+  private readonly startsOverLimit = new Map<string, number>();
   /** Run of each task whose successful end was acknowledged. */
   private readonly acknowledgedRuns = new Map<string, number>();
   private readonly links: FaultyLink[] = [];
   private version = 0;
+  private isStopped = false;
   private readonly folder: string;
 
   constructor(private readonly options: NodeFleetOptions = {}) {
@@ -132,6 +166,7 @@
 
   /** Kills all nodes and stops the stand-ins and links. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     await Promise.all(this.nodes.map(({process}) => process.kill()));
     for (const {standIn} of this.workers) standIn.stop();
     await Promise.all(this.links.map((link) => link.stop()));
@@ -206,27 +241,80 @@
     const id = `w-${port}`;
     const link = await this.addLink(port);
     const entry = simpleWorker(id, {address: `127.0.0.1:${port}`});
-    const worker = new TaskWorkerStandIn({
+    const standIn = new TaskWorkerStandIn({
       registration: entry,
       longestLeaseMs: 6000,
       taskMs: this.options.taskMs ?? 300,
-      onStarted: (task, run) => this.recordStart(id, task, run),
+      onStarted: (task, run) => {
+        this.recordStart(id, task, run);
+        if (isCrashing(task)) this.recordCrashingStart(worker, task);
+      },
       onRemoved: (task) => this.workersByTask.get(task)?.delete(id),
       onCompleted: (task, run) => this.acknowledgedRuns.set(task, run),
     });
-    await worker.listen();
-    this.workers.push({standIn: worker, link: link?.link});
-    this.put(`servers/${id}`, {
-      service: entry.service,
+    const worker: FleetWorker = {
+      id,
       address: link ? `127.0.0.1:${link.port}` : entry.address,
-      zone: entry.dataCentre,
+      standIn,
+      link: link?.link,
+      cpuMillicores: entry.capacity.cpuMillicores,
+      resizedMs: -Infinity,
+      isDown: false,
+    };
+    await standIn.listen();
+    this.workers.push(worker);
+    this.registerWorker(worker);
+  }
+
+  /** Changes the CPU that a worker offers, in millicores. */
+  resizeWorker(worker: FleetWorker, cpuMillicores: number): void {
+    worker.cpuMillicores = cpuMillicores;
+    worker.resizedMs = performance.now();
+    this.registerWorker(worker);
+  }
+
+  private registerWorker(worker: FleetWorker): void {
+    const {dataCentre, service, labels} = simpleWorker(worker.id);
+    this.put(`servers/${worker.id}`, {
+      service,
+      address: worker.address,
+      zone: dataCentre,
       state: 'ready',
-      capacity: {cpu: 8000, memoryRequestMb: 16_000, gpu: 0},
-      labels: entry.labels,
-      born: entry.bornMs,
+      capacity: {cpu: worker.cpuMillicores, memoryRequestMb: 16_000, gpu: 0},
+      labels,
+      born: worker.standIn.bornMs,
     });
   }
 
+  /** Counts the start of a crashing task, and crashes its worker soon after. */
+  private recordCrashingStart(worker: FleetWorker, task: string): void {
+    if ((this.crashes.get(task) ?? 0) >= CRASH_LIMIT) {
+      const starts = (this.startsOverLimit.get(task) ?? 0) + 1;
+      this.startsOverLimit.set(task, starts);
+      if (starts >= STARTS_OVER_CRASH_LIMIT) {
+        this.violations.push(`${task} started again after ${starts} crashes`);
+      }
+    }
+    setTimeout(() => void this.crashWorker(worker, task), CRASH_DELAY_MS);
+  }
+
+  /** Crashes a worker; every other time it returns under another id. */
+  private async crashWorker(worker: FleetWorker, task: string): Promise<void> {
+    if (worker.isDown || this.isStopped) return;
+    worker.isDown = true;
+    this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
+    worker.standIn.crash();
+    await sleep(CRASH_DOWN_MS);
+    if (this.isStopped) return;
+    const {id} = worker;
+    const isRenamed = worker.standIn.bornMs % 2 === 1;
+    if (isRenamed) worker.id = `${id}x`;
+    await worker.standIn.recover(worker.id);
+    worker.isDown = false;
+    if (isRenamed) this.store.store.remove(`servers/${id}`);
+    this.registerWorker(worker);
+  }
+
   private async addLink(
     targetPort: number,
   ): Promise<{link: FaultyLink; port: number} | undefined> {
--- a/testing/soak_faults.ts
+++ b/testing/soak_faults.ts
@@ -2,7 +2,13 @@
 import {PartitionKeys} from '../src/leadership/partition_keys.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {LinkFaults} from './faulty_link.js';
-import {FleetNode, NodeFleet} from './node_fleet.js';
+import {
+  CRASHING_JOB_PREFIX,
+  FleetNode,
+  FleetWorker,
+  NodeFleet,
+} from './node_fleet.js';
+import {simpleWorker} from './simple_definitions.js';
 
 /** Kinds of faults that a soak test injects from outside the programs. */
 export const SoakFault = {
@@ -26,6 +32,10 @@
   CUT_WORKER: 'cut-worker',
   /** Restarts a worker; its tasks are lost. */
   RESTART_WORKER: 'restart-worker',
+  /** Reduces the capacity of a worker for a time. */
+  RESIZE_WORKER: 'resize-worker',
+  /** Submits a job with a task that crashes each worker that starts it. */
+  CRASHING_JOB: 'crashing-job',
   /** Publishes a new version of the configuration. */
   CONFIGURE: 'configure',
 } as const;
@@ -58,6 +68,13 @@
 /** Maximum time in ms by which the execution of a transaction is delayed. */
 const MAX_COMMIT_DELAY_MS = 3000;
 
+/** Hexadecimal digits of a job id after the prefix of crashing jobs. */
+const JOB_ID_DIGITS = 16 - CRASHING_JOB_PREFIX.length;
+
+const CRASHING_JOB_STEPS = [
+  {count: 2, cpu: 500, memoryRequestMb: 500, estimatedMs: 300},
+];
+
 const LINK_FAULTS: readonly LinkFaults[] = [
   {cut: true},
   {forward: {silent: true}, backward: {silent: true}},
@@ -93,6 +110,8 @@
 export class FaultInjector {
   /** Nodes with a process fault in progress; they get no second one. */
   readonly nodesWithProcessFault = new Set<FleetNode>();
+  /** Ids of the accepted jobs that crash workers; empty if refused. */
+  readonly crashingJobs: string[] = [];
   private activeStoreFaults = 0;
 
   constructor(private readonly fleet: NodeFleet) {}
@@ -113,7 +132,11 @@
     } else if (kind === SoakFault.CUT_WORKER) {
       await this.injectLinkFault(worker.link!, fault);
     } else if (kind === SoakFault.RESTART_WORKER) {
-      worker.standIn.restart();
+      if (!worker.isDown) worker.standIn.restart();
+    } else if (kind === SoakFault.RESIZE_WORKER) {
+      await this.injectResize(worker, fault);
+    } else if (kind === SoakFault.CRASHING_JOB) {
+      await this.submitCrashingJob();
     } else if (kind === SoakFault.CONFIGURE) {
       this.fleet.publishConfiguration();
     } else if (kind === SoakFault.STORE_HISTORY) {
@@ -138,6 +161,29 @@
     link.setFaults({});
   }
 
+  private async injectResize(
+    worker: FleetWorker,
+    {target, durationMs}: ScheduledFault,
+  ): Promise<void> {
+    const {cpuMillicores} = simpleWorker(worker.id).capacity;
+    this.fleet.resizeWorker(worker, (target % 3) * 1000);
+    await sleep(durationMs);
+    this.fleet.resizeWorker(worker, cpuMillicores);
+  }
+
+  private async submitCrashingJob(): Promise<void> {
+    this.crashingJobs.push('');
+    const number = String(this.crashingJobs.length);
+    const id = CRASHING_JOB_PREFIX + number.padStart(JOB_ID_DIGITS, '0');
+    const body = {specification: id, steps: CRASHING_JOB_STEPS};
+    for (const node of this.fleet.nodes) {
+      const {status} = await this.fleet.call(node, 'POST', {id, body});
+      if (status !== 200) continue;
+      this.crashingJobs[Number(number) - 1] = id;
+      return;
+    }
+  }
+
   private async injectStoreOutage({durationMs}: ScheduledFault): Promise<void> {
     const {store} = this.fleet.store;
     this.activeStoreFaults += 1;
--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -210,6 +210,9 @@
     for (const node of this.fleet.nodes) await this.fleet.waitUntilReady(node);
     const untilMs = performance.now() + RECOVERY_TIMEOUT_MS;
     for (const job of this.jobs) await this.checkOutcome(job, untilMs);
+    for (const id of this.injector.crashingJobs) {
+      if (id !== '') await this.checkGivenUp(id, untilMs);
+    }
     await this.checkCancelled();
     await this.checkConfiguration();
   }
@@ -234,6 +237,17 @@
     if (state === 'succeeded') this.checkAllRan(job);
   }
 
+  /** Checks that a job with a crashing task is shown as failed in time. */
+  private async checkGivenUp(id: string, untilMs: number): Promise<void> {
+    let state: string | undefined;
+    do {
+      ({state} = await this.fleet.call(this.pickNode(), 'GET', {id}));
+      if (state === 'failed') return;
+      await sleep(CALL_INTERVAL_MS);
+    } while (performance.now() < untilMs);
+    this.violations.push(`${id} crashes workers and is ${state ?? 'unknown'}`);
+  }
+
   private checkNeverRan({id}: SoakJob): void {
     const hasRun = [...this.fleet.startedMs.keys()].some((task) =>
       task.startsWith(id),
--- a/testing/task_worker_stand_in.ts
+++ b/testing/task_worker_stand_in.ts
@@ -56,9 +56,11 @@
   private readonly server: Server;
   private readonly timer: NodeJS.Timeout;
   private readonly startedMs = new Map<string, number>();
+  private instanceId: string;
   private lastTickMs = performance.now();
 
   constructor(private readonly options: TaskWorkerStandInOptions) {
+    this.instanceId = options.registration.id;
     this.worker = new SimulatedTaskWorker({
       ...options,
       onStarted: (task, run) => {
@@ -94,6 +96,25 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends the process with all its runs; connections are refused from then on. */
+  crash(): void {
+    this.worker.crash();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** Starts the next incarnation after a crash, under the same or another id. */
+  async recover(id: string): Promise<void> {
+    this.instanceId = id;
+    this.worker.restart(this.worker.bornMs + 1);
+    await this.listen();
+  }
+
+  /** Start of the present incarnation, which rises with each. */
+  get bornMs(): number {
+    return this.worker.bornMs;
+  }
+
   /** Stops the server and closes all connections. */
   stop(): void {
     clearInterval(this.timer);
@@ -116,7 +137,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const command = (await readJson(request)) as WireCommand;
-    if (request.headers['expected-instance'] !== this.options.registration.id) {
+    if (request.headers['expected-instance'] !== this.instanceId) {
       writeJson(response, 421, {});
     } else if (request.url === '/api/run-start') {
       const leaseUntilMs = command.deadlineMs ?? 0;
