Count crashing tasks also when they come in a wave

Cause: the crashes excused each other. Four losses within 1.5 s counted as widespread, and nothing that had run on these workers was counted. Ruled out: unnoticed crashes, and counts lost with an owner (one takeover; its worker-crashed lines name no task).

Change: a task that started at most 300 ms before the crash is a candidate also in a widespread loss, and goes before tasks that started earlier. Two such crashes of one task, one of them alone, are enough to give it up; before, each took three workers. A suspect is not placed within 350 ms of another assignment on the same worker, and is proven after half a second.

Tests of the attribution and of the counts; the case of a widespread loss was replaced by one for running tasks and one for a wave.

--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/attribute_crash.ts
@@ -1,3 +1,4 @@
+import {CrashPart} from '../work/crash_part.js';
 import {CrashRole} from '../work/crash_role.js';
 import {TaskState} from './task_state.js';
 
@@ -15,8 +16,8 @@
    */
   isMachineUnreliable?: boolean;
   /**
-   * Whether many workers were lost at the same time; only tasks that were
-   * suspect before remain so.
+   * Whether many workers were lost at the same time. Then only a task that had
+   * just started may be the cause: several tasks may crash workers at once.
    *
    * @default false
    */
@@ -27,7 +28,13 @@
  * Time in ms before a crash within which a start may have caused it. A task
  * that crashes its worker usually does so when it starts.
  */
-export const RECENT_START_MS = 1500;
+const RECENT_START_MS = 1500;
+
+/**
+ * Time in ms before a crash within which a start is the most likely cause. At
+ * hundreds of starts a second, few tasks are innocent and so close to it.
+ */
+const IMMEDIATE_START_MS = 300;
 
 /**
  * Returns the part of each task in the crash of their worker; tasks that are
@@ -37,45 +44,72 @@
  */
 export function attributeCrash(
   scene: CrashScene,
-): ReadonlyMap<TaskState, CrashRole> {
-  const present = [...scene.tasks].filter((task) => isPresent(task, scene));
+): ReadonlyMap<TaskState, CrashPart> {
+  const present = findPresent(scene);
   const suspects = present.filter((task) => task.isSuspect);
-  if (scene.isWidespread) return assignRoles(suspects, []);
-  const unproven = suspects.filter((task) => !task.isProven);
-  const recent = present.filter(
-    ({startedMs}) => scene.lostMs - startedMs <= RECENT_START_MS,
-  );
-  const starting = [...new Set([...unproven, ...recent])];
+  const recent = present.filter(startedWithin(RECENT_START_MS, scene));
+  const starting = findStarting(present, scene);
   const candidates = starting.length > 0 ? starting : suspects;
   const [candidate] = candidates;
   if (candidates.length === 1 && candidate!.isSuspect) {
-    return assignCause(candidate!, scene);
+    if (scene.isMachineUnreliable) {
+      return describeParts(scene, {suspects: candidates});
+    }
+    return describeParts(scene, {cause: candidate, bystanders: recent});
   }
-  const possible = new Set([...starting, ...suspects]);
-  if (possible.size === 0) return assignRoles(present, []);
-  const others = present.filter((task) => !possible.has(task));
-  return assignRoles([...possible], others);
+  const possible = [...new Set([...starting, ...suspects])];
+  if (possible.length === 0) return describeParts(scene, {suspects: present});
+  return describeParts(scene, {suspects: possible, bystanders: present});
 }
 
-/** Whether a run had been sent to the worker before it stopped to answer. */
-function isPresent(task: TaskState, {lostMs}: CrashScene): boolean {
-  return task.state !== 'assigned' && task.startedMs <= lostMs;
+/** Returns the tasks of which a start is most likely to have caused the crash. */
+function findStarting(
+  present: readonly TaskState[],
+  scene: CrashScene,
+): readonly TaskState[] {
+  const unproven = present.filter((task) => task.isSuspect && !task.isProven);
+  const immediate = present.filter(startedWithin(IMMEDIATE_START_MS, scene));
+  const recent = present.filter(startedWithin(RECENT_START_MS, scene));
+  const latest = immediate.length > 0 ? immediate : recent;
+  return [...new Set([...unproven, ...latest])];
 }
 
-function assignCause(
-  task: TaskState,
-  {isMachineUnreliable = false}: CrashScene,
-): ReadonlyMap<TaskState, CrashRole> {
-  const role = isMachineUnreliable ? CrashRole.SUSPECT : CrashRole.CAUSE;
-  return new Map([[task, role]]);
+/**
+ * Returns the tasks of which a run had been sent to the worker before it stopped
+ * to answer; of a widespread loss, only those that may have caused this one.
+ */
+function findPresent(scene: CrashScene): readonly TaskState[] {
+  const present = [...scene.tasks].filter(
+    ({state, startedMs}) => state !== 'assigned' && startedMs <= scene.lostMs,
+  );
+  if (!scene.isWidespread) return present;
+  return present.filter(startedWithin(IMMEDIATE_START_MS, scene));
 }
 
-function assignRoles(
-  suspects: readonly TaskState[],
-  bystanders: readonly TaskState[],
-): ReadonlyMap<TaskState, CrashRole> {
-  return new Map<TaskState, CrashRole>([
-    ...suspects.map((task) => [task, CrashRole.SUSPECT] as const),
-    ...bystanders.map((task) => [task, CrashRole.BYSTANDER] as const),
-  ]);
+function startedWithin(
+  durationMs: number,
+  {lostMs}: CrashScene,
+): (task: TaskState) => boolean {
+  return ({startedMs}) => lostMs - startedMs <= durationMs;
+}
+
+/** Assigns each task the first of the given roles that it has. */
+function describeParts(
+  scene: CrashScene,
+  tasks: {
+    cause?: TaskState;
+    suspects?: readonly TaskState[];
+    bystanders?: readonly TaskState[];
+  },
+): ReadonlyMap<TaskState, CrashPart> {
+  const isImmediate = startedWithin(IMMEDIATE_START_MS, scene);
+  const parts = new Map<TaskState, CrashPart>();
+  const add = (task: TaskState, role: CrashRole): void => {
+    if (parts.has(task)) return;
+    parts.set(task, {role, isImmediate: isImmediate(task)});
+  };
+  if (tasks.cause) add(tasks.cause, CrashRole.CAUSE);
+  for (const task of tasks.suspects ?? []) add(task, CrashRole.SUSPECT);
+  for (const task of tasks.bystanders ?? []) add(task, CrashRole.BYSTANDER);
+  return parts;
 }
--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -22,7 +22,9 @@
   }
   task!.startedMs = LOST_MS - ageMs;
   task!.isProven = isProven;
-  if (isSuspect) task!.crashes.add(CrashRole.SUSPECT);
+  if (isSuspect) {
+    task!.crashes.add({role: CrashRole.SUSPECT, isImmediate: true});
+  }
   return task!;
 }
 
@@ -30,8 +32,8 @@
   tasks: readonly TaskState[],
   scene: Partial<CrashScene> = {},
 ): Array<CrashRole | undefined> {
-  const roles = attributeCrash({tasks, lostMs: LOST_MS, ...scene});
-  return tasks.map((task) => roles.get(task));
+  const parts = attributeCrash({tasks, lostMs: LOST_MS, ...scene});
+  return tasks.map((task) => parts.get(task)?.role);
 }
 
 test('a suspect that has just started is the cause, not what stands beside it', () => {
@@ -50,6 +52,14 @@
   assert.deepEqual(rolesOf([suspect, createTask(30)]), expected);
 });
 
+test('a start before that of the cause counts as a crash beside it', () => {
+  // Guards against a task that crashes its workers a second after its start
+  // and is never counted, because later starts are blamed.
+  const suspect = createTask(20, {isSuspect: true});
+  const expected = [CrashRole.CAUSE, CrashRole.BYSTANDER];
+  assert.deepEqual(rolesOf([suspect, createTask(1000)]), expected);
+});
+
 test('a suspect that has run long is the cause if nothing has just started', () => {
   // Guards against a task that crashes its workers late and is never blamed.
   const suspect = createTask(9000, {isSuspect: true, isProven: true});
@@ -86,14 +96,35 @@
   assert.deepEqual(roles, [CrashRole.SUSPECT]);
 });
 
-test('the loss of many workers at once makes no task suspect', () => {
+test('the loss of many workers at once makes no running task suspect', () => {
   // Guards against work that is given up because a rack lost power.
-  const tasks = [createTask(20), createTask(20, {isSuspect: true})];
+  const tasks = [createTask(400), createTask(9000, {isSuspect: true})];
+  const roles = rolesOf(tasks, {isWidespread: true});
+  assert.deepEqual(roles, [undefined, undefined]);
+});
+
+test('tasks that crash many workers at once are still counted', () => {
+  // A wave of submissions with crashing tasks takes down several workers a
+  // second. Guards against crashing tasks that excuse each other (hunt of
+  // kettridge-mux, deadly_heavy.toml, seed 36415441081).
+  const suspect = createTask(20, {isSuspect: true});
+  const tasks = [createTask(9000), suspect];
   const roles = rolesOf(tasks, {isWidespread: true});
-  assert.deepEqual(roles, [undefined, CrashRole.SUSPECT]);
+  assert.deepEqual(roles, [undefined, CrashRole.CAUSE]);
+  assert.deepEqual(rolesOf([createTask(20)], {isWidespread: true}), [
+    CrashRole.SUSPECT,
+  ]);
 });
 
 test('a run that was sent after the worker was lost has no part', () => {
   // Guards against a task that is blamed for a worker that was already down.
   assert.deepEqual(rolesOf([createTask(-10)]), [undefined]);
 });
+
+test('only tasks that started immediately before a crash are suspect', () => {
+  // Guards against suspicion of all tasks that started within the last second
+  // or two, which would hold back many innocent ones.
+  const tasks = [createTask(10), createTask(1200)];
+  const expected = [CrashRole.SUSPECT, CrashRole.BYSTANDER];
+  assert.deepEqual(rolesOf(tasks), expected);
+});
--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/crash_counts.ts
@@ -1,70 +1,91 @@
+import {CrashPart} from '../work/crash_part.js';
 import {CrashRole} from '../work/crash_role.js';
 import {StoredCrashCounts} from '../work/stored_crash_counts.js';
 
-/** Worker crashes whose only likely cause a task was, after which it ends. */
+/** Crashes with a task as their only likely cause after which its job ends. */
 const MAX_CAUSED = 2;
 
 /**
- * Worker crashes in any role after which a task ends, even if other tasks on
- * the workers kept the cause open each time.
+ * Crashes immediately after a start after which the job of a task ends, if the
+ * task was the only likely cause of one of them.
+ */
+const MAX_IMMEDIATE = 2;
+
+/**
+ * Crashes in any role after which the job of a task ends, even if other tasks
+ * on the workers kept the cause open each time.
  */
 const MAX_CRASHES = 4;
 
 /** Crashes beside a more likely cause after which a task is suspect itself. */
 const SUSPECT_BESIDE = 2;
 
+const NO_CRASHES: StoredCrashCounts = {
+  caused: 0,
+  suspected: 0,
+  beside: 0,
+  immediate: 0,
+};
+
 /**
  * Worker crashes under the runs of one task since it last ran long enough to be
- * cleared, by the role of the task in them.
+ * cleared, by the part of the task in them.
  */
 export class CrashCounts {
-  private caused = 0;
-  private suspected = 0;
-  private beside = 0;
+  private counts = NO_CRASHES;
 
   /** Whether the task may be what crashed a worker. */
   get isSuspect(): boolean {
-    return this.caused + this.suspected > 0 || this.beside >= SUSPECT_BESIDE;
+    const {caused, suspected, beside} = this.counts;
+    return caused + suspected > 0 || beside >= SUSPECT_BESIDE;
   }
 
   /** Whether the task has crashed so many workers that it must not start. */
   get isOverLimit(): boolean {
-    const total = this.caused + this.suspected + this.beside;
-    return this.caused >= MAX_CAUSED || total >= MAX_CRASHES;
+    const {caused, immediate} = this.counts;
+    if (caused >= MAX_CAUSED || this.total >= MAX_CRASHES) return true;
+    return caused > 0 && immediate >= MAX_IMMEDIATE;
   }
 
   /** Whether more than one worker has crashed under the task. */
   get isRepeated(): boolean {
-    return this.caused + this.suspected + this.beside > 1;
+    return this.total > 1;
   }
 
   /** Whether no crash is counted. */
   get isEmpty(): boolean {
-    return this.caused + this.suspected + this.beside === 0;
+    return this.total === 0;
   }
 
   /** Counts one crash. */
-  add(role: CrashRole): void {
-    if (role === CrashRole.CAUSE) this.caused += 1;
-    else if (role === CrashRole.SUSPECT) this.suspected += 1;
-    else this.beside += 1;
+  add({role, isImmediate}: CrashPart): void {
+    const {caused, suspected, beside, immediate} = this.counts;
+    const isPossibleCause = role !== CrashRole.BYSTANDER;
+    this.counts = {
+      caused: caused + (role === CrashRole.CAUSE ? 1 : 0),
+      suspected: suspected + (role === CrashRole.SUSPECT ? 1 : 0),
+      beside: beside + (isPossibleCause ? 0 : 1),
+      immediate: immediate + (isPossibleCause && isImmediate ? 1 : 0),
+    };
   }
 
   /** Forgets all crashes. */
   clear(): void {
-    this.restore({caused: 0, suspected: 0, beside: 0});
+    this.counts = NO_CRASHES;
   }
 
   /** Replaces the counts by stored ones. */
-  restore({caused, suspected, beside}: StoredCrashCounts): void {
-    this.caused = caused;
-    this.suspected = suspected;
-    this.beside = beside;
+  restore(counts: StoredCrashCounts): void {
+    this.counts = counts;
   }
 
   /** Returns the counts to store. */
   toRecord(): StoredCrashCounts {
-    const {caused, suspected, beside} = this;
-    return {caused, suspected, beside};
+    return this.counts;
+  }
+
+  private get total(): number {
+    const {caused, suspected, beside} = this.counts;
+    return caused + suspected + beside;
   }
 }
--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../clock/clock.js';
 import {NodeLog} from '../logging/node_log.js';
 import {attributeCrash} from './attribute_crash.js';
+import {CrashPart} from '../work/crash_part.js';
 import {CrashRole} from '../work/crash_role.js';
 import {LossHistory} from './loss_history.js';
 import {StoredLoss} from '../work/stored_loss.js';
@@ -35,7 +36,7 @@
   workerId: string;
   bornMs: number;
   address: string;
-  roles: ReadonlyMap<TaskState, CrashRole>;
+  parts: ReadonlyMap<TaskState, CrashPart>;
 }
 
 /**
@@ -95,19 +96,19 @@
     worker.isCrashCounted = true;
     const {id, address, isDraining} = worker.registration;
     if (isDraining) return;
-    const roles = this.attribute(worker);
-    if (roles.size === 0) return;
+    const parts = this.attribute(worker);
+    if (parts.size === 0) return;
     this.addOpenLoss({
       workerId: id,
       bornMs: worker.bornMs ?? worker.registration.bornMs,
       address,
-      roles,
+      parts,
     });
   }
 
   /** Restores a loss that an earlier owner could not settle. */
-  restoreLoss(task: TaskState, {role, ...loss}: StoredLoss): void {
-    this.addOpenLoss({...loss, roles: new Map([[task, role]])});
+  restoreLoss(task: TaskState, {part, ...loss}: StoredLoss): void {
+    this.addOpenLoss({...loss, parts: new Map([[task, part]])});
   }
 
   /**
@@ -120,13 +121,13 @@
     if (!losses) return;
     this.openLosses.delete(address);
     for (const loss of losses) {
-      for (const task of loss.roles.keys()) removeLoss(task, loss.workerId);
+      for (const task of loss.parts.keys()) removeLoss(task, loss.workerId);
       const isSame = isSameIncarnation(loss, worker);
       if (isSame) {
-        for (const task of loss.roles.keys()) this.options.onCounted(task);
+        for (const task of loss.parts.keys()) this.options.onCounted(task);
         continue;
       }
-      this.count(address, loss.roles, CrashEvidence.REPLACED, loss.workerId);
+      this.count(address, loss.parts, CrashEvidence.REPLACED, loss.workerId);
     }
   }
 
@@ -141,14 +142,14 @@
   private addOpenLoss(loss: OpenLoss): void {
     const known = this.openLosses.get(loss.address) ?? [];
     this.openLosses.set(loss.address, [...known, loss]);
-    for (const [task, role] of loss.roles) {
+    for (const [task, part] of loss.parts) {
       const {workerId, bornMs, address} = loss;
-      task.losses.push({workerId, bornMs, address, role});
+      task.losses.push({workerId, bornMs, address, part});
       this.options.onCounted(task);
     }
   }
 
-  private attribute(worker: WorkerState): ReadonlyMap<TaskState, CrashRole> {
+  private attribute(worker: WorkerState): ReadonlyMap<TaskState, CrashPart> {
     return attributeCrash({
       tasks: worker.tasks,
       lostMs: worker.lostMs,
@@ -162,12 +163,14 @@
 
   private count(
     address: string,
-    roles: ReadonlyMap<TaskState, CrashRole>,
+    parts: ReadonlyMap<TaskState, CrashPart>,
     evidence: CrashEvidence,
     worker: string,
   ): void {
     const tasksIn = (wanted: CrashRole): string[] =>
-      [...roles].filter(([, role]) => role === wanted).map(([{name}]) => name);
+      [...parts]
+        .filter(([, {role}]) => role === wanted)
+        .map(([{name}]) => name);
     const causes = tasksIn(CrashRole.CAUSE);
     this.options.log.logDecision('worker-crashed', {
       worker,
@@ -181,12 +184,12 @@
     if (causes.length === 0) {
       this.history.recordUnexplained(address, {
         atMs: this.options.clock.nowMs(),
-        suspects: [...roles.keys()],
+        suspects: [...parts.keys()],
       });
     }
-    for (const [task, role] of roles) {
+    for (const [task, part] of parts) {
       if (task.job.isFinal || task.state === 'done') continue;
-      task.crashes.add(role);
+      task.crashes.add(part);
       this.options.onCounted(task);
     }
   }
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -104,7 +104,7 @@
  * Time in ms after the start of a run of a suspect task after which a report
  * shows that the start did not crash the worker.
  */
-const PROOF_MS = 1000;
+const PROOF_MS = 500;
 
 /**
  * Time in ms for which a task has to run before crashes under its earlier runs
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -1,5 +1,4 @@
 import {BestEffortController} from './best_effort_controller.js';
-import {RECENT_START_MS} from './attribute_crash.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -45,10 +44,10 @@
 const NEIGHBOR_PENALTY = 20;
 
 /**
- * Penalty of a worker for such a task if another task has just started there:
- * after a crash, either could be the cause.
+ * Time in ms after an assignment to a worker in which no task is placed there
+ * that may crash it: after a crash, either could be the cause.
  */
-const RECENT_START_PENALTY = 200;
+const SUSPECT_DISTANCE_MS = 350;
 
 /** Weight of a latency-critical neighbor in addition to that of each task. */
 const LATENCY_CRITICAL_NEIGHBORS = 2;
@@ -150,7 +149,7 @@
   if (context.nowMs - worker.lastReportMs > REPORT_AGE_LIMIT_MS) return false;
   if (health.isBlocked(context.nowMs)) return false;
   if (context.isAllowed?.(worker) === false) return false;
-  if (isNextToSuspect(task, worker)) return false;
+  if (isAmbiguous(task, worker, context.nowMs)) return false;
   if (step.requiredLabel && !entry.labels.includes(step.requiredLabel)) {
     return false;
   }
@@ -164,13 +163,20 @@
 }
 
 /**
- * Returns whether a worker may be crashed soon by a task of another gang, so
- * that nothing else is placed there until that task has proven itself.
+ * Returns whether a crash of a worker soon after the start of a task there would
+ * have two likely causes: nothing is placed beside a suspect that has not run
+ * for a time, and no suspect beside a task that was assigned a moment ago.
+ * Members of a gang start together in any case.
  */
-function isNextToSuspect(task: TaskState, worker: WorkerState): boolean {
+function isAmbiguous(
+  task: TaskState,
+  worker: WorkerState,
+  nowMs: number,
+): boolean {
   const suspect = worker.unprovenSuspect();
-  if (!suspect) return false;
-  return !(task.step.isGang && suspect.job === task.job);
+  if (suspect) return !(task.step.isGang && suspect.job === task.job);
+  if (!task.isSuspect || task.step.isGang) return false;
+  return nowMs - worker.lastStartMs < SUSPECT_DISTANCE_MS;
 }
 
 function scoreOf(
@@ -187,8 +193,6 @@
       worker.tasks.size +
       LATENCY_CRITICAL_NEIGHBORS * worker.latencyCriticalCount;
     score -= NEIGHBOR_PENALTY * neighbors;
-    const idleMs = context.nowMs - worker.lastStartMs;
-    if (idleMs < RECENT_START_MS) score -= RECENT_START_PENALTY;
   }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
   if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -92,7 +92,7 @@
   get isSuspect(): boolean {
     return (
       this.crashes.isSuspect ||
-      this.losses.some(({role}) => role !== CrashRole.BYSTANDER)
+      this.losses.some(({part}) => part.role !== CrashRole.BYSTANDER)
     );
   }
 
--- a/src/work/crash_role.ts
+++ b/src/work/crash_role.ts
@@ -1,4 +1,4 @@
-/** Part that a task may have had in the crash of its worker. */
+/** How likely it is that a task crashed its worker. */
 export const CrashRole = {
   /** The only likely cause. */
   CAUSE: 'cause',
--- a/src/work/stored_crash_counts.ts
+++ b/src/work/stored_crash_counts.ts
@@ -6,4 +6,6 @@
   suspected: number;
   /** Crashes with a more likely cause on the same worker. */
   beside: number;
+  /** Crashes, as cause or suspect, immediately after a start of the task. */
+  immediate: number;
 }
--- a/src/work/stored_loss.ts
+++ b/src/work/stored_loss.ts
@@ -1,4 +1,4 @@
-import {CrashRole} from './crash_role.js';
+import {CrashPart} from './crash_part.js';
 
 /** Loss of a worker of which it is not known yet whether it crashed. */
 export interface StoredLoss {
@@ -7,5 +7,5 @@
   bornMs: number;
   address: string;
   /** Part that the task had if the worker crashed. */
-  role: CrashRole;
+  part: CrashPart;
 }
