Do not take the time of a poll's timeout for that of the crash

A worker that loses power is noticed when its poll times out, up to two seconds later; tasks sent to it in the last 300 ms counted as started immediately before its crash, on each worker of a dark rack, and came one crash closer to being given up although they never ran.

Change: polls tell a timeout from a closed or refused connection; after a timeout no start counts as immediate.

--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/attribute_crash.ts
@@ -8,6 +8,13 @@
   tasks: Iterable<TaskState>;
   /** Time in ms at which the worker stopped to answer. */
   lostMs: number;
+  /**
+   * Whether the worker was lost at that time, not before. If not, no start is
+   * known to have come immediately before the crash.
+   *
+   * @default true
+   */
+  isLossTimeKnown?: boolean;
   /**
    * Whether the machine of the worker has crashed lately under other tasks
    * without a known cause; the machine itself is then as likely a cause.
@@ -68,7 +75,7 @@
   scene: CrashScene,
 ): readonly TaskState[] {
   const unproven = present.filter((task) => task.isSuspect && !task.isProven);
-  const immediate = present.filter(startedWithin(IMMEDIATE_START_MS, scene));
+  const immediate = present.filter(startedImmediatelyBefore(scene));
   const recent = present.filter(startedWithin(RECENT_START_MS, scene));
   const latest = immediate.length > 0 ? immediate : recent;
   return [...new Set([...unproven, ...latest])];
@@ -83,7 +90,15 @@
     ({state, startedMs}) => state !== 'assigned' && startedMs <= scene.lostMs,
   );
   if (!scene.isWidespread) return present;
-  return present.filter(startedWithin(IMMEDIATE_START_MS, scene));
+  return present.filter(startedImmediatelyBefore(scene));
+}
+
+function startedImmediatelyBefore(
+  scene: CrashScene,
+): (task: TaskState) => boolean {
+  const {isLossTimeKnown = true} = scene;
+  if (!isLossTimeKnown) return () => false;
+  return startedWithin(IMMEDIATE_START_MS, scene);
 }
 
 function startedWithin(
@@ -102,7 +117,7 @@
     bystanders?: readonly TaskState[];
   },
 ): ReadonlyMap<TaskState, CrashPart> {
-  const isImmediate = startedWithin(IMMEDIATE_START_MS, scene);
+  const isImmediate = startedImmediatelyBefore(scene);
   const parts = new Map<TaskState, CrashPart>();
   const add = (task: TaskState, role: CrashRole): void => {
     if (parts.has(task)) return;
--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -128,3 +128,11 @@
   const expected = [CrashRole.SUSPECT, CrashRole.BYSTANDER];
   assert.deepEqual(rolesOf(tasks), expected);
 });
+
+test('a rack that goes silent makes no task suspect that has just started', () => {
+  // Workers without power are noticed when their polls time out; what was sent
+  // to them meanwhile never ran. Guards against work that is blamed for it.
+  const tasks = [createTask(20), createTask(9000)];
+  const scene = {isWidespread: true, isLossTimeKnown: false};
+  assert.deepEqual(rolesOf(tasks, scene), [undefined, undefined]);
+});
--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -53,8 +53,12 @@
   }
 
   /** Records that a worker stopped to answer. */
-  recordSilence(worker: WorkerState): void {
+  recordSilence(
+    worker: WorkerState,
+    {isTimeout = false}: {isTimeout?: boolean} = {},
+  ): void {
     if (worker.isSilent) return;
+    worker.isLossTimeKnown = !isTimeout;
     worker.lostMs = this.options.clock.nowMs();
     const hasSuspect = [...worker.tasks].some(({isSuspect}) => isSuspect);
     this.history.recordLoss(worker, hasSuspect);
@@ -153,6 +157,7 @@
     return attributeCrash({
       tasks: worker.tasks,
       lostMs: worker.lostMs,
+      isLossTimeKnown: worker.isLossTimeKnown,
       isMachineUnreliable: this.history.isUnreliable(
         worker.registration.address,
         this.options.clock.nowMs(),
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -247,9 +247,17 @@
     }
   }
 
-  /** Handles the first unanswered poll of a worker. */
-  handleSilence(worker: WorkerState): void {
-    this.crashes.recordSilence(worker);
+  /**
+   * Handles an unanswered poll of a worker.
+   *
+   * @param options.isTimeout - Whether the worker was silent, so that the time
+   *     at which it was lost is not known. @default false
+   */
+  handleSilence(
+    worker: WorkerState,
+    options: {isTimeout?: boolean} = {},
+  ): void {
+    this.crashes.recordSilence(worker, options);
   }
 
   /**
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -132,7 +132,17 @@
 export type PollOutcome =
   | {kind: 'report'; report: WorkerReport}
   | {kind: 'refused'; reason: RefusalReason}
-  | {kind: 'unknown'; reason: string};
+  | {
+      kind: 'unknown';
+      reason: string;
+      /**
+       * Whether the worker was silent, so that it may have stopped to run at
+       * any time since its latest answer.
+       *
+       * @default false
+       */
+      hasTimedOut?: boolean;
+    };
 
 /** Client for commands to workers. Its promises never reject. */
 export interface WorkerPort {
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/worker_session.ts
@@ -93,6 +93,8 @@
       await this.waitForCommit();
       return;
     }
+    const hasTimedOut = outcome.kind === 'unknown' && outcome.hasTimedOut;
+    orchestrator.handleSilence(worker, {isTimeout: hasTimedOut});
     this.setReachable(false, outcome.reason);
     if (outcome.reason === RefusalReason.OTHER_INCARNATION) {
       orchestrator.handleReplacement(worker);
@@ -145,9 +147,6 @@
       leaseLeftMs: Math.round(worker.leaseEndsMs - this.options.clock.nowMs()),
     };
     if (isReachable) log.logDecision('worker-regained', facts);
-    else {
-      log.logDecision('worker-lost', {...facts, reason});
-      this.options.orchestrator.handleSilence(worker);
-    }
+    else log.logDecision('worker-lost', {...facts, reason});
   }
 }
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -44,6 +44,8 @@
   drainingSinceMs = Infinity;
   /** Time in ms since which the worker does not answer, or Infinity. */
   lostMs = Infinity;
+  /** False if it was silent, so that it may have been lost before. */
+  isLossTimeKnown = true;
   /** Whether another incarnation has answered at its address. */
   hasEnded = false;
   /** Whether the loss of its present incarnation has been counted. */
