Scheduler program: count a crash right after a start as a failed run

Change: when a worker turns out to have restarted, the tasks whose start was sent in the last 5 s (leases are renewed each 4 s) get a failure on that worker, which is stored with the job. As for failed runs, failures on three healthy workers, or on all workers of the rack if these are fewer, end the job; work that ran for longer is resumed as before.

A job that is hit three times within 5 s of a start by crashes of others is ended too: this core does not isolate suspects.

--- a/src/scheduler/shard_task.ts
+++ b/src/scheduler/shard_task.ts
@@ -14,6 +14,8 @@
   isSent: boolean;
   /** Time on the worker's clock after which the start has no effect, in ms. */
   startBeforeMs: number;
+  /** Time in ms at which the start command was sent; 0 if not known. */
+  sentMs: number;
 }
 
 /** A job with the state of its tasks. */
--- a/src/scheduler/task_registry.ts
+++ b/src/scheduler/task_registry.ts
@@ -1,11 +1,15 @@
 import {Urgency} from '../contracts/urgency.js';
 import {Job} from '../jobs/job.js';
-import {JobRecord, taskIdOf, TaskResult} from '../jobs/job_record.js';
+import {
+  JobRecord,
+  TaskFailure,
+  taskIdOf,
+  TaskResult,
+} from '../jobs/job_record.js';
 import {TaskLifeEvent} from '../jobs/task_life_cycle.js';
 import {WaitingQueue} from '../jobs/waiting_queue.js';
 import {PlacementPolicy} from '../placement/placement_policy.js';
 import {PlacementRequest} from '../placement/placement_request.js';
-import {WorkerTask} from '../workers/worker_client.js';
 import {CustomerUsage} from './customer_limits.js';
 import {ShardJob, ShardTask} from './shard_task.js';
 import {tryCommit} from './try_commit.js';
@@ -152,7 +156,12 @@
       worker: assignment.worker,
       lostWorkMs: 0,
     });
-    task.assignment = {...assignment, isSent: false, startBeforeMs: 0};
+    task.assignment = {
+      ...assignment,
+      isSent: false,
+      startBeforeMs: 0,
+      sentMs: 0,
+    };
     const {customer, resources} = task.shardJob.job;
     this.usage.adjust(customer, resources, 1);
     const tasks = this.tasksByWorker.get(assignment.worker) ?? new Set();
@@ -221,14 +230,11 @@
   }
 
   /** Records a failed run of a task and releases the resources of the run. */
-  fail(task: ShardTask, report: {worker: string; task: WorkerTask}): void {
+  fail(task: ShardTask, failure: TaskFailure): void {
     task.mayHaveRun = true;
     const {record} = task;
     record.failures ??= [];
-    record.failures.push({
-      worker: report.worker,
-      reason: report.task.failure ?? 'unknown',
-    });
+    record.failures.push(failure);
     this.persist(task.shardJob, task);
     this.release(task);
     this.advance(task, 'stopped');
--- a/src/scheduler/worker_protocol.ts
+++ b/src/scheduler/worker_protocol.ts
@@ -261,6 +261,7 @@
     const startBeforeMs = worker.reading!.clockMs + timings.startWindowMs;
     assignment.isSent = true;
     assignment.startBeforeMs = startBeforeMs;
+    assignment.sentMs = nowMs;
     worker.startDeadlines.set(task.taskId, startBeforeMs);
     const {job} = task.shardJob;
     return {
--- a/src/scheduler/worker_report_handler.ts
+++ b/src/scheduler/worker_report_handler.ts
@@ -1,4 +1,5 @@
 import {Urgency} from '../contracts/urgency.js';
+import {TaskFailure} from '../jobs/job_record.js';
 import {PlacementPolicy} from '../placement/placement_policy.js';
 import {WorkerHealth} from '../placement/worker_health.js';
 import {
@@ -11,6 +12,15 @@
 import {tryCommit} from './try_commit.js';
 import {TaskRegistry} from './task_registry.js';
 
+/**
+ * Time in ms from a start within which a restart of the worker counts as a
+ * failure of the task; the restart is noticed with the next command, at the
+ * latest when leases are renewed, after 4 s.
+ */
+const CRASH_AFTER_START_MS = 5000;
+
+const CRASH_REASON = 'worker crashed';
+
 /** Options of {@link WorkerReportHandler}. */
 export interface WorkerReportHandlerOptions {
   /** Shard (rack) of the workers. */
@@ -54,6 +64,7 @@
 
   /** Handles a restart of the worker, which stopped its tasks (rule 6 b). */
   onWorkerRestarted(worker: ShardWorker, incarnation: string): void {
+    this.failRecentStarts(worker);
     this.markAllStopped(worker);
     for (const taskId of worker.endedTaskIds) {
       this.options.registry.tasks
@@ -63,6 +74,20 @@
     worker.resetForIncarnation(incarnation);
   }
 
+  /**
+   * Counts the crash of a worker as a failure of the tasks that it had just
+   * started; one that crashes each worker would else be repeated forever.
+   */
+  private failRecentStarts(worker: ShardWorker): void {
+    const {registry} = this.options;
+    for (const task of registry.tasksOn(worker.name)) {
+      const {isSent, sentMs} = task.assignment!;
+      const isRecent = registry.nowMs - sentMs <= CRASH_AFTER_START_MS;
+      if (!isSent || !isRecent) continue;
+      registry.fail(task, {worker: worker.name, reason: CRASH_REASON});
+    }
+  }
+
   /** Handles the removal of the VM, which has stopped its tasks (rule 6 c). */
   onWorkerRemoved(worker: ShardWorker): void {
     this.markAllStopped(worker);
@@ -139,7 +164,7 @@
         break;
       case WorkerTaskState.FAILED:
         this.recordOutcome(worker, task, true);
-        registry.fail(task, {worker: worker.name, task: reported});
+        registry.fail(task, failureOf(worker, reported));
         break;
       case WorkerTaskState.STOPPED:
         registry.markStopped(task);
@@ -179,7 +204,7 @@
       const isKnown = task.record.failures?.some(
         (failure) => failure.worker === worker.name,
       );
-      if (!isKnown) registry.fail(task, {worker: worker.name, task: reported});
+      if (!isKnown) registry.fail(task, failureOf(worker, reported));
     }
   }
 
@@ -302,3 +327,7 @@
 function orphanRunId(worker: ShardWorker, taskId: string): string {
   return `stray ${worker.name} ${taskId}`;
 }
+
+function failureOf(worker: ShardWorker, reported: WorkerTask): TaskFailure {
+  return {worker: worker.name, reason: reported.failure ?? 'unknown'};
+}
--- a/testing/worker_stand_in.ts
+++ b/testing/worker_stand_in.ts
@@ -21,6 +21,8 @@
   actualUsage?: Resources;
   /** True if the task fails at the end of its run time. @default false */
   fails?: boolean;
+  /** True if the task crashes its worker soon after its start. @default false */
+  crashesWorker?: boolean;
 }
 
 /** Faults applied to a worker. */
@@ -263,6 +265,9 @@
       if (nowMs > task.leaseUntilMs) {
         task.failure = 'lease expired';
         this.end(task, WorkerTaskState.STOPPED);
+      } else if (work.crashesWorker) {
+        this.restart();
+        return;
       } else if (this.faults.failsEverything) {
         this.fail(task, 'worker fault');
       } else if (work.actualRunTimeMs && task.progress >= 1) {
