--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -566,6 +566,7 @@
   private handleCrashCount(task: TaskState): void {
     if (task.job.isFinal) return;
     this.markDirty(task.job);
+    if (task.isSuspect) this.workerOf(task)?.addSuspect(task);
     if (!task.crashes.isOverLimit) return;
     const {job, name, run} = task;
     this.options.countEvent?.(OrchestratorEvent.TASK_GIVEN_UP);
@@ -580,7 +581,7 @@
 
   /** Updates which tasks have run long enough not to be blamed for a crash. */
   private proveRuns(worker: WorkerState, nowMs: number): void {
-    for (const task of worker.tasks) {
+    for (const task of [...worker.suspects]) {
       if (!task.isSuspect || task.state !== 'running') continue;
       const ranMs = nowMs - task.runningSinceMs;
       if (ranMs >= CLEAR_CRASHES_AFTER_MS) this.crashes.clear(task);
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -36,6 +36,8 @@
   readonly health = new WorkerHealth();
   /** Tasks that are or may be active on this worker. */
   readonly tasks = new Set<TaskState>();
+  /** Tasks on this worker that may crash it. */
+  readonly suspects = new Set<TaskState>();
   /** False once the registration was removed. */
   isRegistered = true;
   /**
@@ -105,12 +107,17 @@
    * enough to rule that out, if there is one.
    */
   unprovenSuspect(): TaskState | undefined {
-    for (const task of this.tasks) {
+    for (const task of this.suspects) {
       if (task.isSuspect && !task.isProven) return task;
     }
     return undefined;
   }
 
+  /** Records that a task on this worker may crash it. */
+  addSuspect(task: TaskState): void {
+    if (this.tasks.has(task)) this.suspects.add(task);
+  }
+
   /** Whether the worker did not answer the latest poll. */
   get isSilent(): boolean {
     return this.lostMs !== Infinity;
@@ -186,12 +193,15 @@
     if (this.tasks.has(task)) return;
     this.lastStartMs = Math.max(this.lastStartMs, task.assignedMs);
     this.tasks.add(task);
+    if (task.isSuspect) this.suspects.add(task);
     this.updateUsage(task.step, 1);
   }
 
   /** Removes a task that is no longer on this worker. */
   removeTask(task: TaskState): void {
-    if (this.tasks.delete(task)) this.updateUsage(task.step, -1);
+    if (!this.tasks.delete(task)) return;
+    this.suspects.delete(task);
+    this.updateUsage(task.step, -1);
   }
 
   /**
