--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -1,23 +1,19 @@
 import {Clock} from '../clock/clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
-import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {NodeLog} from '../logging/node_log.js';
 import {Configuration, Queue} from '../work/configuration.js';
 import {JobPhase, StepDefinition} from '../work/job_definition.js';
-import {encodeProgress} from '../work/job_records.js';
 import {parseTaskName} from '../work/task_name.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
 import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
-import {progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
-import {
-  CommitBatch,
-  OrchestratorEffects,
-  PendingCommit,
-} from './orchestrator_effects.js';
+import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
+import {OrchestratorEvent} from './orchestrator_event.js';
+import {PendingChanges} from './pending_changes.js';
+import {restartDelayMs} from './restart_delay.js';
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {StepAdvice} from './step_advice.js';
@@ -54,16 +50,6 @@
   countEvent?: (event: OrchestratorEvent) => void;
 }
 
-/** Events that are counted in the metrics. */
-export const OrchestratorEvent = {
-  WORKER_CRASHED: 'worker_crashes_total',
-  TASK_GIVEN_UP: 'tasks_given_up_total',
-} as const;
-
-/** One of the values of {@link OrchestratorEvent}. */
-export type OrchestratorEvent =
-  (typeof OrchestratorEvent)[keyof typeof OrchestratorEvent];
-
 /** Interval in ms between load summaries in the log. */
 const SUMMARY_INTERVAL_MS = 1000;
 
@@ -82,15 +68,6 @@
  */
 const UNREACHABLE_BLOCK_MS = 500;
 
-/** Number of refused starts after which a task is placed again at once. */
-const IMMEDIATE_RESTARTS = 3;
-
-/** First delay in ms after further refusals; it doubles with each. */
-const RESTART_DELAY_MS = 50;
-
-/** Maximum delay in ms after a refused start. */
-const MAX_RESTART_DELAY_MS = 1000;
-
 /** Time in ms for which a worker that lacked capacity is blocked. */
 const NO_ROOM_BLOCK_MS = 300;
 
@@ -112,12 +89,6 @@
  */
 const CLEAR_CRASHES_AFTER_MS = 30_000;
 
-/** Commit order of jobs whose queue was removed, after all priorities. */
-const NO_PRIORITY_RANK = 1_000_000;
-
-/** Commit order of jobs without a start that depends on the commit. */
-const NO_START_RANK = 2_000_000;
-
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -136,9 +107,7 @@
   readonly jobs = new Map<string, JobState>();
   private readonly registry: WorkerRegistry;
   private readonly tasksByName = new Map<string, TaskState>();
-  private readonly dirtyJobs = new Set<JobState>();
-  private readonly pendingStarts: TaskState[] = [];
-  private readonly deletions: KeyChange[] = [];
+  private readonly changes: PendingChanges;
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
   private readonly scheduler: TaskScheduler;
@@ -161,6 +130,12 @@
       onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
       onCounted: (task) => this.handleCrashCount(task),
     });
+    this.changes = new PendingChanges({
+      keys: options.keys,
+      queueOf: (job) => this.queueOf(job),
+      onStart: (task) => this.sendStart(task),
+      onPhases: (phases) => options.effects.publishPhases(phases),
+    });
     this.scheduler = new TaskScheduler({
       workers: this.workers,
       order: options.order ?? new DeadlineOrder(),
@@ -306,7 +281,9 @@
       return;
     }
     if (worker) this.handleRefusal(task, worker, outcome.reason);
-    this.delayRestart(task);
+    task.refusals += 1;
+    const nowMs = this.options.clock.nowMs();
+    task.notBeforeMs = nowMs + restartDelayMs(task.refusals);
     this.endRun(task, 'refused');
     if (task.step.isGang) this.abandonGangRun(task);
   }
@@ -367,62 +344,12 @@
 
   /** Whether there are changes to commit. */
   get hasPending(): boolean {
-    return this.dirtyJobs.size > 0 || this.deletions.length > 0;
+    return this.changes.hasPending;
   }
 
-  /**
-   * Removes and returns the pending changes, those that the starts of urgent
-   * jobs depend on first. A start is sent once its own batch is committed, ends
-   * are acknowledged once all batches are.
-   */
+  /** Removes and returns the pending changes; see {@link PendingChanges}. */
   takePending(): PendingCommit {
-    const jobs = [...this.dirtyJobs];
-    this.dirtyJobs.clear();
-    const startsByJob = groupByJob(this.pendingStarts.splice(0));
-    const removals = this.deletions.splice(0);
-    const processedSequences = [...this.workers.values()].map(
-      (worker) =>
-        [worker, worker.incarnation, worker.processedSequence] as const,
-    );
-    const rank = (job: JobState): number =>
-      startsByJob.has(job)
-        ? (this.queueOf(job)?.priority ?? NO_PRIORITY_RANK)
-        : NO_START_RANK;
-    jobs.sort((left, right) => rank(left) - rank(right));
-    const batches: CommitBatch[] = [];
-    for (const chunk of chunks(jobs, MAX_CHANGES_PER_COMMIT)) {
-      batches.push(this.createBatch(chunk, startsByJob));
-    }
-    for (const changes of chunks(removals, MAX_CHANGES_PER_COMMIT)) {
-      batches.push({changes, onStored: () => undefined});
-    }
-    return {
-      batches,
-      onStored: () => {
-        for (const [worker, incarnation, end] of processedSequences) {
-          if (worker.incarnation === incarnation) worker.storedSequence = end;
-        }
-      },
-    };
-  }
-
-  private createBatch(
-    jobs: readonly JobState[],
-    startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
-  ): CommitBatch {
-    const phases = jobs.map((job) => [job, job.phase] as const);
-    return {
-      changes: jobs.map((job) => ({
-        key: this.options.keys.progress(job.definition.id),
-        value: encodeProgress(progressOf(job)),
-      })),
-      onStored: () => {
-        this.publishPhases(phases);
-        for (const job of jobs) {
-          for (const task of startsByJob.get(job) ?? []) this.sendStart(task);
-        }
-      },
-    };
+    return this.changes.take(this.workers.values());
   }
 
   /** Returns the number of jobs in a queue of which no task has started. */
@@ -460,16 +387,6 @@
     if (pairs.length > 0) this.options.log.logSummary('interference', {pairs});
   }
 
-  private publishPhases(
-    phases: ReadonlyArray<readonly [JobState, JobPhase]>,
-  ): void {
-    const changed = phases.filter(([job, phase]) => job.storedPhase !== phase);
-    for (const [job, phase] of changed) job.storedPhase = phase;
-    this.options.effects.publishPhases(
-      changed.map(([{definition}, phase]) => [definition.id, phase]),
-    );
-  }
-
   private registerTask(task: TaskState): void {
     this.tasksByName.set(task.name, task);
     for (const loss of task.losses.splice(0)) {
@@ -683,18 +600,6 @@
     this.options.effects.start(task, worker);
   }
 
-  /** Waits longer after each further start of a task that is refused. */
-  private delayRestart(task: TaskState): void {
-    task.refusals += 1;
-    const doublings = task.refusals - IMMEDIATE_RESTARTS;
-    if (doublings <= 0) return;
-    const delayMs = Math.min(
-      RESTART_DELAY_MS * 2 ** (doublings - 1),
-      MAX_RESTART_DELAY_MS,
-    );
-    task.notBeforeMs = this.options.clock.nowMs() + delayMs;
-  }
-
   private handleRefusal(
     task: TaskState,
     worker: WorkerState,
@@ -769,21 +674,14 @@
   private removeFinishedJob(job: JobState, nowMs: number): void {
     if (nowMs - job.finalSinceMs < this.options.keepFinishedMs) return;
     for (const task of job.tasks()) if (task.isPlaced) return;
-    const {keys} = this.options;
     const {id} = job.definition;
     this.bestEffort.removeTasks(job.tasks());
     for (const {steps} of job.occurrences.values()) {
       for (const step of steps) this.advice.removeStep(step);
     }
     this.jobs.delete(id);
-    this.dirtyJobs.delete(job);
     for (const task of job.tasks()) this.tasksByName.delete(task.name);
-    const records = [
-      keys.submission(id),
-      keys.cancellation(id),
-      keys.progress(id),
-    ];
-    for (const key of records) this.deletions.push({key, value: undefined});
+    this.changes.removeJob(job);
     this.options.effects.requestCommit();
   }
 
@@ -798,8 +696,7 @@
   private withdraw(task: TaskState): void {
     this.clearAssignment(task);
     task.apply('withdrawn');
-    const position = this.pendingStarts.indexOf(task);
-    if (position >= 0) this.pendingStarts.splice(position, 1);
+    this.changes.removeStart(task);
   }
 
   private assign(task: TaskState, worker: WorkerState, run: number): void {
@@ -821,7 +718,7 @@
       workerAddress: worker.registration.address,
     };
     worker.addTask(task);
-    this.pendingStarts.push(task);
+    this.changes.addStart(task);
     if (task.job.phase === JobPhase.QUEUED) task.job.phase = JobPhase.RUNNING;
     this.options.log.logDetail('place', {
       task: task.name,
@@ -846,25 +743,7 @@
   }
 
   private markDirty(job: JobState): void {
-    this.dirtyJobs.add(job);
+    this.changes.addJob(job);
     this.options.effects.requestCommit();
   }
 }
-
-function groupByJob(
-  tasks: readonly TaskState[],
-): ReadonlyMap<JobState, TaskState[]> {
-  const byJob = new Map<JobState, TaskState[]>();
-  for (const task of tasks) {
-    const group = byJob.get(task.job) ?? [];
-    group.push(task);
-    byJob.set(task.job, group);
-  }
-  return byJob;
-}
-
-function* chunks<T>(values: readonly T[], size: number): Generator<T[]> {
-  for (let start = 0; start < values.length; start += size) {
-    yield values.slice(start, start + size);
-  }
-}
--- /dev/null
+++ b/src/orchestrator/orchestrator_event.ts
@@ -0,0 +1,9 @@
+/** Events that are counted in the metrics. */
+export const OrchestratorEvent = {
+  WORKER_CRASHED: 'worker_crashes_total',
+  TASK_GIVEN_UP: 'tasks_given_up_total',
+} as const;
+
+/** One of the values of {@link OrchestratorEvent}. */
+export type OrchestratorEvent =
+  (typeof OrchestratorEvent)[keyof typeof OrchestratorEvent];
--- /dev/null
+++ b/src/orchestrator/pending_changes.ts
@@ -0,0 +1,162 @@
+import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
+import {PartitionKeys} from '../leadership/partition_keys.js';
+import {Queue} from '../work/configuration.js';
+import {JobPhase} from '../work/job_definition.js';
+import {encodeProgress} from '../work/job_records.js';
+import {progressOf} from './job_progress.js';
+import {JobState} from './job_state.js';
+import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
+import {TaskState} from './task_state.js';
+import {WorkerState} from './worker_state.js';
+
+/** Options of {@link PendingChanges}. */
+export interface PendingChangesOptions {
+  keys: PartitionKeys;
+  /** Looks up the queue of a job; undefined if it was removed. */
+  queueOf: (job: JobState) => Queue | undefined;
+  /** Called with each start whose assignment is committed. */
+  onStart: (task: TaskState) => void;
+  /** Called with the phases that are committed and have changed. */
+  onPhases: (phases: ReadonlyArray<[jobId: string, phase: JobPhase]>) => void;
+}
+
+/** Commit order of jobs whose queue was removed, after all priorities. */
+const NO_PRIORITY_RANK = 1_000_000;
+
+/** Commit order of jobs without a start that depends on the commit. */
+const NO_START_RANK = 2_000_000;
+
+/** Changes of jobs that are not committed yet, and the starts that wait. */
+export class PendingChanges {
+  private readonly jobs = new Set<JobState>();
+  private readonly starts: TaskState[] = [];
+  private readonly deletions: KeyChange[] = [];
+
+  constructor(private readonly options: PendingChangesOptions) {}
+
+  /** Whether there are changes to commit. */
+  get hasPending(): boolean {
+    return this.jobs.size > 0 || this.deletions.length > 0;
+  }
+
+  /** Adds a job whose progress has changed. */
+  addJob(job: JobState): void {
+    this.jobs.add(job);
+  }
+
+  /** Adds the deletion of all records of a job. */
+  removeJob(job: JobState): void {
+    this.jobs.delete(job);
+    const {keys} = this.options;
+    const {id} = job.definition;
+    const records = [
+      keys.submission(id),
+      keys.cancellation(id),
+      keys.progress(id),
+    ];
+    for (const key of records) this.deletions.push({key, value: undefined});
+  }
+
+  /** Adds a start, which is sent once the progress of its job is committed. */
+  addStart(task: TaskState): void {
+    this.starts.push(task);
+  }
+
+  /** Removes a start that is not to be sent. */
+  removeStart(task: TaskState): void {
+    const position = this.starts.indexOf(task);
+    if (position >= 0) this.starts.splice(position, 1);
+  }
+
+  /**
+   * Removes and returns the pending changes, those that the starts of urgent
+   * jobs depend on first. A start is sent once its own batch is committed, ends
+   * are acknowledged once all batches are.
+   *
+   * @param workers - Workers whose processed ends the changes contain.
+   */
+  take(workers: Iterable<WorkerState>): PendingCommit {
+    const jobs = [...this.jobs];
+    this.jobs.clear();
+    const startsByJob = groupByJob(this.starts.splice(0));
+    const removals = this.deletions.splice(0);
+    const rank = (job: JobState): number =>
+      startsByJob.has(job) ? this.startRankOf(job) : NO_START_RANK;
+    jobs.sort((left, right) => rank(left) - rank(right));
+    const batches: CommitBatch[] = [];
+    for (const chunk of chunks(jobs, MAX_CHANGES_PER_COMMIT)) {
+      batches.push(this.createBatch(chunk, startsByJob));
+    }
+    for (const changes of chunks(removals, MAX_CHANGES_PER_COMMIT)) {
+      batches.push({changes, onStored: () => undefined});
+    }
+    return {batches, onStored: recordProcessedEnds(workers)};
+  }
+
+  private startRankOf(job: JobState): number {
+    return this.options.queueOf(job)?.priority ?? NO_PRIORITY_RANK;
+  }
+
+  private createBatch(
+    jobs: readonly JobState[],
+    startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
+  ): CommitBatch {
+    const {keys, onStart} = this.options;
+    const phases = jobs.map((job) => [job, job.phase] as const);
+    return {
+      changes: jobs.map((job) => ({
+        key: keys.progress(job.definition.id),
+        value: encodeProgress(progressOf(job)),
+      })),
+      onStored: () => {
+        this.publishPhases(phases);
+        for (const job of jobs) {
+          for (const task of startsByJob.get(job) ?? []) onStart(task);
+        }
+      },
+    };
+  }
+
+  private publishPhases(
+    phases: ReadonlyArray<readonly [JobState, JobPhase]>,
+  ): void {
+    const changed = phases.filter(([job, phase]) => job.storedPhase !== phase);
+    for (const [job, phase] of changed) job.storedPhase = phase;
+    this.options.onPhases(
+      changed.map(([{definition}, phase]) => [definition.id, phase]),
+    );
+  }
+}
+
+/**
+ * Returns a callback that marks the ends which the workers have reported so far
+ * as stored, except those of an incarnation that has ended meanwhile.
+ */
+function recordProcessedEnds(workers: Iterable<WorkerState>): () => void {
+  const processed = [...workers].map(
+    (worker) => [worker, worker.incarnation, worker.processedSequence] as const,
+  );
+  return () => {
+    for (const [worker, incarnation, sequence] of processed) {
+      if (worker.incarnation === incarnation) worker.storedSequence = sequence;
+    }
+  };
+}
+
+function groupByJob(
+  tasks: readonly TaskState[],
+): ReadonlyMap<JobState, TaskState[]> {
+  const byJob = new Map<JobState, TaskState[]>();
+  for (const task of tasks) {
+    const group = byJob.get(task.job) ?? [];
+    group.push(task);
+    byJob.set(task.job, group);
+  }
+  return byJob;
+}
+
+function* chunks<T>(values: readonly T[], size: number): Generator<T[]> {
+  for (let start = 0; start < values.length; start += size) {
+    yield values.slice(start, start + size);
+  }
+}
--- /dev/null
+++ b/src/orchestrator/restart_delay.ts
@@ -0,0 +1,18 @@
+/** Number of refused starts after which a task is placed again at once. */
+const IMMEDIATE_RESTARTS = 3;
+
+/** First delay in ms after further refusals; it doubles with each. */
+const FIRST_DELAY_MS = 50;
+
+/** Maximum delay in ms after a refused start. */
+const MAX_DELAY_MS = 1000;
+
+/**
+ * Returns the time in ms for which a task is not placed again after a number of
+ * refused starts in a row.
+ */
+export function restartDelayMs(refusals: number): number {
+  const doublings = refusals - IMMEDIATE_RESTARTS;
+  if (doublings <= 0) return 0;
+  return Math.min(FIRST_DELAY_MS * 2 ** (doublings - 1), MAX_DELAY_MS);
+}
