Share the checks of crashing starts between simulation and soak

The count of starts after three crashes stood twice, in the simulated partition and in the fleet of the soak; the history of capacities moves to a module of its own.

--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -12,6 +12,7 @@
 
 import {sleep} from '../src/clock/sleep.js';
 import {ManagedProcess} from './managed_process.js';
+import {CrashLimit} from './crash_limit.js';
 import {FaultyLink} from './faulty_link.js';
 import {freePorts} from './free_ports.js';
 import {simpleWorker} from './simple_definitions.js';
@@ -79,12 +80,6 @@
 /** Time in ms for which a crashed worker is down. */
 const CRASH_DOWN_MS = 1500;
 
-/** Crashes under one task after which its further starts are limited. */
-const CRASH_LIMIT = 3;
-
-/** Starts after that limit which break the promise of the users' pages. */
-const STARTS_OVER_CRASH_LIMIT = 3;
-
 const HOST = 'jobs.example';
 const ROUTE_PREFIX = '/jobs/';
 
@@ -136,8 +131,7 @@
   private readonly workersByTask = new Map<string, Set<string>>();
   /** Number of workers that each crashing task has crashed. */
   readonly crashes = new Map<string, number>();
-  /** Starts of crashing tasks beyond {@link CRASH_LIMIT} crashes. */
-  private readonly startsOverLimit = new Map<string, number>();
+  private readonly crashLimit = new CrashLimit();
   /** Run of each task whose successful end was acknowledged. */
   private readonly acknowledgedRuns = new Map<string, number>();
   private readonly links: FaultyLink[] = [];
@@ -288,12 +282,9 @@
 
   /** Counts the start of a crashing task, and crashes its worker soon after. */
   private recordCrashingStart(worker: FleetWorker, task: string): void {
-    if ((this.crashes.get(task) ?? 0) >= CRASH_LIMIT) {
-      const starts = (this.startsOverLimit.get(task) ?? 0) + 1;
-      this.startsOverLimit.set(task, starts);
-      if (starts >= STARTS_OVER_CRASH_LIMIT) {
-        this.violations.push(`${task} started again after ${starts} crashes`);
-      }
+    const crashes = this.crashes.get(task) ?? 0;
+    if (this.crashLimit.isExceededBy(task, crashes)) {
+      this.violations.push(`${task} started again after ${crashes} crashes`);
     }
     setTimeout(() => void this.crashWorker(worker, task), CRASH_DELAY_MS);
   }
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -11,13 +11,11 @@
 import {NodeLog} from '../src/logging/node_log.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
-import {
-  JobDefinition,
-  StepDefinition,
-  TaskResources,
-} from '../src/work/job_definition.js';
+import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeProgress} from '../src/work/job_records.js';
+import {CapacityHistory} from './capacity_history.js';
+import {CrashLimit} from './crash_limit.js';
 import {silentLog} from './silent_log.js';
 import {simpleConfiguration, simpleWorker} from './simple_definitions.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
@@ -67,30 +65,15 @@
 /** Time in ms after a crash at which the registration of a worker lapses. */
 const REGISTRATION_LAPSE_MS = 3300;
 
-/** Number of crashes after which further starts of a task are counted. */
-const CRASH_LIMIT = 3;
-
-/** Starts of a crashing task after the crash limit that break the promise. */
-const STARTS_OVER_CRASH_LIMIT = 3;
-
 /** Time in ms that a worker takes to stop a run, if its capacity may change. */
 const STOP_MS = 200;
 
-/** Time in ms after which owners must have learned of a smaller capacity. */
-const CAPACITY_KNOWN_MS = 4100;
-
 /** Time in ms until a changed registration reaches the owners. */
 const REGISTRATION_DELAY_MS = 1300;
 
 /** Fractions of its full capacity that a worker changes to. */
 const CAPACITY_FRACTIONS = [0, 0.25, 0.5, 1] as const;
 
-/** A capacity of a worker and the time in ms at which it was replaced. */
-interface EarlierCapacity {
-  capacity: TaskResources;
-  replacedMs: number;
-}
-
 /** A crash of a worker under one of its runs. */
 interface WorkerCrash {
   worker: string;
@@ -149,12 +132,11 @@
   private readonly latestStartedRuns = new Map<string, number>();
   /** Tokens of the owners that cannot reach a worker, by worker id. */
   private readonly disconnectedWorkers = new Map<string, Set<number>>();
-  /** Capacities that owners may still believe in, by worker id. */
-  private readonly earlierCapacities = new Map<string, EarlierCapacity[]>();
+  /** Capacities that owners may still believe in. */
+  private readonly capacities = new CapacityHistory();
   /** Time in ms since which a gang lacks members, by the name of its step. */
   private readonly incompleteGangs = new Map<string, number>();
-  /** Starts of each crashing task after it has reached the crash limit. */
-  private readonly startsOverCrashLimit = new Map<string, number>();
+  private readonly crashLimit = new CrashLimit();
   /** Crashes of workers so far. */
   readonly crashes: WorkerCrash[] = [];
   /** Ids of workers whose registration has not lapsed, by address. */
@@ -348,17 +330,12 @@
       (sum, name) => sum + this.stepOf(name).cpuMillicores,
       0,
     );
-    const sinceMs = this.clock.nowMs() - CAPACITY_KNOWN_MS;
-    const earlier = (this.earlierCapacities.get(workerId) ?? [])
-      .filter(({replacedMs}) => replacedMs >= sinceMs)
-      .map(({capacity}) => capacity);
     const {capacity} = this.registered.get(workerId)!;
-    const known = [capacity, ...earlier].map(
-      ({cpuMillicores}) => cpuMillicores,
-    );
-    if (cpu <= Math.max(...known)) return;
+    const nowMs = this.clock.nowMs();
+    const known = this.capacities.largestKnown(workerId, {capacity, nowMs});
+    if (cpu <= known) return;
     this.violations.push(
-      `${task} brings ${workerId} to ${cpu} of ${Math.max(...known)} millicores`,
+      `${task} brings ${workerId} to ${cpu} of ${known} millicores`,
     );
   }
 
@@ -372,10 +349,10 @@
       ...full,
       cpuMillicores: full.cpuMillicores * fraction,
     };
-    const earlier = this.earlierCapacities.get(id) ?? [];
-    const replacedMs = this.clock.nowMs();
-    earlier.push({capacity: registration.capacity, replacedMs});
-    this.earlierCapacities.set(id, earlier);
+    this.capacities.recordReplaced(id, {
+      capacity: registration.capacity,
+      nowMs: this.clock.nowMs(),
+    });
     const changed = {...registration, capacity};
     this.registered.set(id, changed);
     this.scheduleMessage(REGISTRATION_DELAY_MS, () => {
@@ -391,12 +368,9 @@
   }
 
   private recordCrashingStart(workerId: string, task: string): void {
-    if (this.countCrashes(task) >= CRASH_LIMIT) {
-      const starts = (this.startsOverCrashLimit.get(task) ?? 0) + 1;
-      this.startsOverCrashLimit.set(task, starts);
-      if (starts === STARTS_OVER_CRASH_LIMIT) {
-        this.violations.push(`${task} was started again and again`);
-      }
+    const crashes = this.countCrashes(task);
+    if (this.crashLimit.isExceededBy(task, crashes)) {
+      this.violations.push(`${task} was started again and again`);
     }
     this.scheduleMessage(0, () => this.crash(workerId));
   }
