Forget open losses and unexplained crashes that concern nobody

Found by reading the change as a newcomer: a worker that never returns left its tasks, and with them their jobs, in the memory of the owner for the rest of the term. Losses of jobs that have ended are now dropped when the next one is added, unexplained crashes after a minute.

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -1,10 +1,10 @@
 import {Clock} from '../clock/clock.js';
 import {NodeLog} from '../logging/node_log.js';
-import {attributeCrash} from './attribute_crash.js';
 import {CrashPart} from '../work/crash_part.js';
 import {CrashRole} from '../work/crash_role.js';
-import {LossHistory} from './loss_history.js';
 import {StoredLoss} from '../work/stored_loss.js';
+import {attributeCrash} from './attribute_crash.js';
+import {LossHistory} from './loss_history.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -52,6 +52,11 @@
     this.history = new LossHistory(options.workers);
   }
 
+  /** Number of losses of which it is not known whether the worker crashed. */
+  get openLossCount(): number {
+    return [...this.openLosses.values()].flat().length;
+  }
+
   /** Records that a worker stopped to answer. */
   recordSilence(
     worker: WorkerState,
@@ -144,6 +149,7 @@
   }
 
   private addOpenLoss(loss: OpenLoss): void {
+    this.removeObsoleteLosses();
     const known = this.openLosses.get(loss.address) ?? [];
     this.openLosses.set(loss.address, [...known, loss]);
     for (const [task, part] of loss.parts) {
@@ -153,6 +159,19 @@
     }
   }
 
+  /** Removes the losses of tasks that have ended, which no crash concerns. */
+  private removeObsoleteLosses(): void {
+    const isOpen = ({parts}: OpenLoss): boolean =>
+      [...parts.keys()].some(
+        ({job, state}) => !job.isFinal && state !== 'done',
+      );
+    for (const [address, losses] of this.openLosses) {
+      const open = losses.filter(isOpen);
+      if (open.length > 0) this.openLosses.set(address, open);
+      else this.openLosses.delete(address);
+    }
+  }
+
   private attribute(worker: WorkerState): ReadonlyMap<TaskState, CrashPart> {
     return attributeCrash({
       tasks: worker.tasks,
--- /dev/null
+++ b/src/orchestrator/crash_tracker_test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {silentLog} from '../../testing/silent_log.js';
+import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
+import {ManualClock} from '../clock/manual_clock.js';
+import {JobPhase} from '../work/job_definition.js';
+import {CrashTracker} from './crash_tracker.js';
+import {JobState} from './job_state.js';
+import {TaskState} from './task_state.js';
+import {WorkerState} from './worker_state.js';
+
+interface Fixture {
+  tracker: CrashTracker;
+  clock: ManualClock;
+}
+
+function createTracker(): Fixture {
+  const clock = new ManualClock();
+  const tracker = new CrashTracker({
+    clock,
+    log: silentLog(),
+    workers: () => [],
+    onCrash: () => undefined,
+    onCounted: () => undefined,
+  });
+  return {tracker, clock};
+}
+
+/** Creates a worker at an address of its own that runs one task. */
+function createWorker(number: number, clock: ManualClock): WorkerState {
+  const address = `127.0.0.1:${number + 1}`;
+  const worker = new WorkerState(simpleWorker(`w${number}`, {address}));
+  worker.bornMs = 1;
+  const job = new JobState(simpleJob(`job${number}`), 0);
+  const [task] = job.occurrence(0).steps[0]!.tasks;
+  for (const event of ['assigned', 'committed', 'confirmed'] as const) {
+    task!.apply(event);
+  }
+  task!.startedMs = clock.nowMs();
+  worker.addTask(task!);
+  return worker;
+}
+
+function taskOn(worker: WorkerState): TaskState {
+  return [...worker.tasks][0]!;
+}
+
+test('a crash that is noticed in several ways counts once', () => {
+  // Guards against a task that is given up because its only crash was counted
+  // at the end of the lease, by another incarnation, and by its report.
+  const {tracker, clock} = createTracker();
+  const worker = createWorker(0, clock);
+  const task = taskOn(worker);
+  tracker.recordSilence(worker);
+  tracker.recordLeaseEnd(worker);
+  tracker.recordCrash(worker, 'replaced');
+  const address = {address: worker.registration.address};
+  const successor = new WorkerState(simpleWorker('next', address));
+  tracker.settleLosses(successor);
+  tracker.settleLosses(successor);
+  const {caused, suspected, beside} = task.crashes.toRecord();
+  assert.equal(caused + suspected + beside, 1);
+});
+
+test('losses of jobs that have ended are not kept', () => {
+  // Guards against memory that grows with each worker that never returns.
+  const {tracker, clock} = createTracker();
+  for (let number = 0; number < 50; number++) {
+    const worker = createWorker(number, clock);
+    const {job} = taskOn(worker);
+    tracker.recordSilence(worker);
+    tracker.recordLeaseEnd(worker);
+    job.phase = JobPhase.CANCELLED;
+    clock.advance(10_000);
+  }
+  assert.ok(tracker.openLossCount <= 1);
+});
--- a/src/orchestrator/loss_history.ts
+++ b/src/orchestrator/loss_history.ts
@@ -64,6 +64,9 @@
 
   /** Records a crash for which no single task is the likely cause. */
   recordUnexplained(address: string, crash: UnexplainedCrash): void {
+    for (const [known, {atMs}] of this.unexplained) {
+      if (crash.atMs - atMs >= UNRELIABLE_MS) this.unexplained.delete(known);
+    }
     this.unexplained.set(address, crash);
   }
 
@@ -73,10 +76,8 @@
    */
   isUnreliable(address: string, nowMs: number): boolean {
     const crash = this.unexplained.get(address);
-    if (!crash) return false;
-    if (nowMs - crash.atMs >= UNRELIABLE_MS) this.unexplained.delete(address);
-    else return !crash.suspects.some(({crashes}) => crashes.isRepeated);
-    return false;
+    if (!crash || nowMs - crash.atMs >= UNRELIABLE_MS) return false;
+    return !crash.suspects.some(({crashes}) => crashes.isRepeated);
   }
 
   /**
