Bound the time that a suspect waits for a quiet worker

Found by reading: at a high rate of starts there may be no worker on which nothing was assigned within 350 ms, so that an innocent suspect would wait for ever. After two seconds it is placed as soon as there is room.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -389,6 +389,7 @@
 
   private registerTask(task: TaskState): void {
     this.tasksByName.set(task.name, task);
+    task.waitingSinceMs = this.options.clock.nowMs();
     for (const loss of task.losses.splice(0)) {
       this.crashes.restoreLoss(task, loss);
     }
@@ -421,6 +422,7 @@
       failures: task.failures,
     });
     this.clearAssignment(task);
+    task.waitingSinceMs = this.options.clock.nowMs();
     if (!task.apply('ended')) task.apply('withdrawn');
     this.markDirty(task.job);
   }
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -49,6 +49,12 @@
  */
 const SUSPECT_DISTANCE_MS = 350;
 
+/**
+ * Time in ms after which a suspect no longer waits for a worker on which nothing
+ * has just started; there may be none at a high rate of starts.
+ */
+const SUSPECT_PATIENCE_MS = 2000;
+
 /** Weight of a latency-critical neighbor in addition to that of each task. */
 const LATENCY_CRITICAL_NEIGHBORS = 2;
 
@@ -176,6 +182,7 @@
   const suspect = worker.unprovenSuspect();
   if (suspect) return !(task.step.isGang && suspect.job === task.job);
   if (!task.isSuspect || task.step.isGang) return false;
+  if (nowMs - task.waitingSinceMs >= SUSPECT_PATIENCE_MS) return false;
   return nowMs - worker.lastStartMs < SUSPECT_DISTANCE_MS;
 }
 
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -44,6 +44,8 @@
   absentAfterMs = Infinity;
   /** Time in ms of the latest stop command; -Infinity if none. */
   stopSentMs = -Infinity;
+  /** Time in ms at which its latest run ended or this owner added it. */
+  waitingSinceMs = -Infinity;
   /** Time in ms at which the current run was assigned. */
   assignedMs = -Infinity;
   /** Time in ms at which the start command was sent. */
