--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -19,6 +19,18 @@
 /** One of the values of {@link CrashEvidence}. */
 export type CrashEvidence = (typeof CrashEvidence)[keyof typeof CrashEvidence];
 
+/**
+ * Time in ms after the start of a run of a suspect task after which a report
+ * shows that the start did not crash the worker.
+ */
+const PROOF_MS = 500;
+
+/**
+ * Time in ms for which a task has to run before crashes under its earlier runs
+ * are forgotten; bounds how often a task that crashes later does so.
+ */
+const CLEAR_CRASHES_AFTER_MS = 30_000;
+
 /** Options of {@link CrashTracker}. */
 export interface CrashTrackerOptions {
   clock: Clock;
@@ -140,8 +152,25 @@
     }
   }
 
-  /** Forgets the crashes of a task that has run long enough. */
-  clear(task: TaskState): void {
+  /**
+   * Updates which suspects on a worker have run long enough, by its latest
+   * report, not to be blamed for a crash.
+   */
+  recordProgress(worker: WorkerState): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const task of [...worker.suspects]) {
+      if (!task.isSuspect || task.state !== 'running') continue;
+      const ranMs = nowMs - task.runningSinceMs;
+      if (ranMs >= CLEAR_CRASHES_AFTER_MS) this.clear(task);
+      else if (ranMs >= PROOF_MS && !task.isProven) {
+        task.isProven = true;
+        worker.version += 1;
+      }
+    }
+  }
+
+  /** Forgets the crashes of a task. */
+  private clear(task: TaskState): void {
     task.crashes.clear();
     task.losses.length = 0;
     this.options.log.logDecision('crash-suspicion-cleared', {task: task.name});
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -77,18 +77,6 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
-/**
- * Time in ms after the start of a run of a suspect task after which a report
- * shows that the start did not crash the worker.
- */
-const PROOF_MS = 500;
-
-/**
- * Time in ms for which a task has to run before crashes under its earlier runs
- * are forgotten; bounds how often a task that crashes later does so.
- */
-const CLEAR_CRASHES_AFTER_MS = 30_000;
-
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -250,7 +238,7 @@
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
     this.stopStuck(worker, nowMs);
-    this.proveRuns(worker, nowMs);
+    this.crashes.recordProgress(worker);
     if (worker.registration.isDraining) this.drain(worker);
   }
 
@@ -498,19 +486,6 @@
     this.endJob(job, JobPhase.FAILED);
   }
 
-  /** Updates which tasks have run long enough not to be blamed for a crash. */
-  private proveRuns(worker: WorkerState, nowMs: number): void {
-    for (const task of [...worker.suspects]) {
-      if (!task.isSuspect || task.state !== 'running') continue;
-      const ranMs = nowMs - task.runningSinceMs;
-      if (ranMs >= CLEAR_CRASHES_AFTER_MS) this.crashes.clear(task);
-      else if (ranMs >= PROOF_MS && !task.isProven) {
-        task.isProven = true;
-        worker.version += 1;
-      }
-    }
-  }
-
   private endJob(job: JobState, phase: JobPhase): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
