--- a/src/result_codes/result_code.ts
+++ b/src/result_codes/result_code.ts
@@ -192,7 +192,8 @@
     outcome: RAN,
     httpStatus: 500,
     exitStatus: 8,
-    meaning: 'The job ran and failed on several workers.',
+    meaning:
+      'The job ran and failed on several workers, or crashed them right after its start.',
   }),
   REVISION_CONFLICT: defineResultCode(5000, 'REVISION_CONFLICT', {
     outcome: DID_NOT_RUN,
