--- a/src/orchestrator/crash_tracker_test.ts
+++ b/src/orchestrator/crash_tracker_test.ts
@@ -76,3 +76,45 @@
   }
   assert.ok(tracker.openLossCount <= 1);
 });
+
+test('a worker that leaves as planned has not crashed', () => {
+  // Guards against work that is given up because its workers are drained and
+  // replaced one after another.
+  const {tracker, clock} = createTracker();
+  const worker = createWorker(0, clock);
+  worker.register({...worker.registration, isDraining: true});
+  tracker.recordCrash(worker, 'replaced');
+  assert.ok(taskOn(worker).crashes.isEmpty);
+});
+
+test('a task that runs for long is no suspect any more', () => {
+  // Guards against long-running tasks that collect crashes over days until
+  // they are given up.
+  const {tracker, clock} = createTracker();
+  const task = taskOn(createWorker(0, clock));
+  task.crashes.add({role: 'suspect', isImmediate: false});
+  const worker = new WorkerState(simpleWorker('next'));
+  worker.addTask(task);
+  task.runningSinceMs = clock.nowMs();
+  clock.advance(1000);
+  tracker.recordProgress(worker);
+  assert.ok(task.isProven && task.isSuspect);
+  clock.advance(30_000);
+  tracker.recordProgress(worker);
+  assert.ok(!task.isSuspect && task.crashes.isEmpty);
+});
+
+test('a worker that answers again with its runs has not crashed', () => {
+  // Guards against work that is counted as crashing because its worker was cut
+  // off until its lease had ended.
+  const {tracker, clock} = createTracker();
+  const worker = createWorker(0, clock);
+  const task = taskOn(worker);
+  tracker.recordSilence(worker);
+  tracker.recordLeaseEnd(worker);
+  assert.equal(task.losses.length, 1);
+  tracker.recordAnswer(worker);
+  tracker.settleLosses(worker);
+  assert.equal(task.losses.length, 0);
+  assert.ok(task.crashes.isEmpty);
+});
