--- a/src/orchestrator/gang_start_test.ts
+++ b/src/orchestrator/gang_start_test.ts
@@ -2,37 +2,26 @@
 import {test} from 'node:test';
 
 import {applyPending} from '../../testing/apply_pending.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {idleEffects} from '../../testing/idle_effects.js';
-import {silentLog} from '../../testing/silent_log.js';
 import {
-  simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
 } from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
 import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
 
 test('no member of a gang keeps its place when another cannot be sent', () => {
   // A worker begins to drain between the assignment of a gang and its commit.
   // Guards against members that occupy workers until the gang times out.
   const started: string[] = [];
   const stopped: string[] = [];
-  const orchestrator = new Orchestrator({
-    clock: new ManualClock(),
-    log: silentLog(),
-    keys: new PartitionKeys('main'),
-    longestLeaseMs: 6000,
-    keepFinishedMs: 1000,
-    previousTermLeaseMs: 0,
+  const orchestrator = createOrchestrator({
     effects: idleEffects({
       start: ({name}) => started.push(name),
       stop: ({name}) => stopped.push(name),
     }),
   });
-  orchestrator.configure(simpleConfiguration());
   for (const id of ['w0', 'w1', 'w2']) {
     orchestrator.upsertWorker(simpleWorker(id));
     const worker = orchestrator.workers.get(id)!;
--- a/src/orchestrator/start_refusal_test.ts
+++ b/src/orchestrator/start_refusal_test.ts
@@ -2,17 +2,11 @@
 import {test} from 'node:test';
 
 import {applyPending} from '../../testing/apply_pending.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {idleEffects} from '../../testing/idle_effects.js';
-import {silentLog} from '../../testing/silent_log.js';
-import {
-  simpleConfiguration,
-  simpleJob,
-  simpleWorker,
-} from '../../testing/simple_definitions.js';
+import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
 import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
 import {TaskState} from './task_state.js';
 import {RefusalReason} from './worker_port.js';
 
@@ -23,16 +17,10 @@
 function countStarts(durationMs: number, reason: RefusalReason): number {
   const clock = new ManualClock({startMs: 0, wallStartMs: 0});
   const sent: TaskState[] = [];
-  const orchestrator = new Orchestrator({
+  const orchestrator = createOrchestrator({
     clock,
-    log: silentLog(),
-    keys: new PartitionKeys('main'),
-    longestLeaseMs: 6000,
-    keepFinishedMs: 1000,
-    previousTermLeaseMs: 0,
     effects: idleEffects({start: (task) => sent.push(task)}),
   });
-  orchestrator.configure(simpleConfiguration());
   for (let number = 0; number < WORKERS; number++) {
     orchestrator.upsertWorker(simpleWorker(`w${number}`));
   }
--- a/src/orchestrator/worker_capacity_test.ts
+++ b/src/orchestrator/worker_capacity_test.ts
@@ -2,19 +2,15 @@
 import {test} from 'node:test';
 
 import {applyPending} from '../../testing/apply_pending.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {idleEffects} from '../../testing/idle_effects.js';
-import {silentLog} from '../../testing/silent_log.js';
 import {
-  simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
 } from '../../testing/simple_definitions.js';
 import {SimulatedPartition} from '../../testing/simulated_partition.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
 import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 200);
 
@@ -45,16 +41,9 @@
   // Guards against a start that waited for a slow commit and exceeds the
   // capacity of a worker that does not guard it.
   const started: string[] = [];
-  const orchestrator = new Orchestrator({
-    clock: new ManualClock(),
-    log: silentLog(),
-    keys: new PartitionKeys('main'),
-    longestLeaseMs: 6000,
-    keepFinishedMs: 1000,
-    previousTermLeaseMs: 0,
+  const orchestrator = createOrchestrator({
     effects: idleEffects({start: ({name}) => started.push(name)}),
   });
-  orchestrator.configure(simpleConfiguration());
   orchestrator.upsertWorker(simpleWorker('w'));
   const worker = orchestrator.workers.get('w')!;
   const report = {clockMs: 0, bornMs: 1, running: [], ended: []};
