Give requests with an unknown expectation or no host a result code

The other answers that node:http gives by itself: 400 without a Host header (shown by a bare server; also answered here now), 503 over a limit of requests per connection (not set), errors of the parser and timeouts (clientError, had a result code), CONNECT without a listener (closes the connection).

Before: the property test and the new cases fail ("unknown expectation: HTTP/1.1 417 Expectation Failed"); after: 4 passed (run_tests.js entry_http_server).

--- a/src/entry/entry_http_server.ts
+++ b/src/entry/entry_http_server.ts
@@ -31,6 +31,9 @@
 // otherwise the caller might see a connection reset instead of the response.
 const DRAIN_TIMEOUT_MS = 2000;
 
+/** HTTP status of a response to an expectation that is not supported. */
+const EXPECTATION_FAILED = 417;
+
 interface OpenRequest {
   message: IncomingMessage;
   response: ServerResponse;
@@ -63,6 +66,8 @@
       headersTimeout: limits.headerTimeoutMs,
       // Handlers limit each wait for the next bytes of a body instead.
       requestTimeout: 0,
+      // Node.js would refuse such a request without a result code.
+      requireHostHeader: false,
       keepAliveTimeout: limits.idleMs,
       connectionsCheckingInterval: Math.min(1000, limits.headerTimeoutMs),
       noDelay: true,
@@ -70,18 +75,14 @@
     this.server.maxConnections = limits.connections;
     const listener = app.handler.bind(app) as unknown as RequestListener;
     this.server.on('request', (message, response) => {
-      this.openRequests.set(message.socket, {message, response});
-      response.on('close', () => this.openRequests.delete(message.socket));
-      drainUnreadBody(message, response);
-      if (!hasValidUrl(message.url ?? '')) {
-        refuse(
-          response,
-          ResultCodes.BAD_REQUEST,
-          'Cannot read request: the URL is malformed',
-        );
-        return;
-      }
-      listener(message, response);
+      this.trackRequest(message, response);
+      const problem = findRequestProblem(message);
+      if (problem) refuse(response, ResultCodes.BAD_REQUEST, problem);
+      else listener(message, response);
+    });
+    this.server.on('checkExpectation', (message, response) => {
+      this.trackRequest(message, response);
+      refuseExpectation(message, response);
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
       const socket = stream as Socket;
@@ -91,6 +92,15 @@
     });
   }
 
+  private trackRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    this.openRequests.set(message.socket, {message, response});
+    response.on('close', () => this.openRequests.delete(message.socket));
+    drainUnreadBody(message, response);
+  }
+
   /** Starts listening; returns the port. */
   listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -126,6 +136,29 @@
   writeResult(response, randomUUID(), {code, text});
 }
 
+/** Returns why the head of a request is invalid; undefined if it is valid. */
+function findRequestProblem(message: IncomingMessage): string | undefined {
+  const {headers, httpVersion, url = ''} = message;
+  if (httpVersion === '1.1' && headers.host === undefined) {
+    return 'Cannot read request: the Host header is missing';
+  }
+  if (!hasValidUrl(url)) return 'Cannot read request: the URL is malformed';
+  return undefined;
+}
+
+/** Refuses a request with an `Expect` header other than `100-continue`. */
+function refuseExpectation(
+  message: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const {expect} = message.headers;
+  writeResult(response, randomUUID(), {
+    code: ResultCodes.BAD_REQUEST,
+    status: EXPECTATION_FAILED,
+    text: `Cannot accept request: the expectation "${expect}" is not supported`,
+  });
+}
+
 function hasValidUrl(url: string): boolean {
   if (!url.startsWith('/')) return false;
   try {
--- a/src/entry/entry_http_server_test.ts
+++ b/src/entry/entry_http_server_test.ts
@@ -83,6 +83,19 @@
         400,
         2000,
       ],
+      [
+        'unknown expectation',
+        `GET ${PATH} HTTP/1.1\r\n${HOST}${close}${KEY}expect: tea\r\n\r\n`,
+        417,
+        2000,
+      ],
+      [
+        'empty expectation',
+        `GET ${PATH} HTTP/1.1\r\n${HOST}${close}${KEY}expect: \r\n\r\n`,
+        417,
+        2000,
+      ],
+      ['no host', `GET ${PATH} HTTP/1.1\r\n${close}${KEY}\r\n`, 400, 2000],
       ['no key', `GET ${PATH} HTTP/1.1\r\n${HOST}${close}\r\n`, 401, 2001],
       [
         'other service',
--- a/src/entry/result_headers.ts
+++ b/src/entry/result_headers.ts
@@ -21,6 +21,8 @@
 export interface CallerResult {
   code: ResultCode;
   text: string;
+  /** HTTP status. @default the status of the result code */
+  status?: number;
   /** Recommended delay in ms before a retry. @default none */
   retryAfterMs?: number;
 }
@@ -47,7 +49,7 @@
     response.destroy();
     return;
   }
-  const {code, text, retryAfterMs} = result;
+  const {code, text, retryAfterMs, status = code.httpStatus} = result;
   const headers: Record<string, string> = {
     ...resultHeaders(code, requestId),
     'content-type': 'application/json',
@@ -66,6 +68,6 @@
     retryAfterMs,
   });
   headers['content-length'] = String(Buffer.byteLength(body));
-  response.writeHead(code.httpStatus, headers);
+  response.writeHead(status, headers);
   response.end(body);
 }
