Log why a ready step does not run, and for how long

Once a second the owner looks for jobs with a ready step of which nothing has run for 2 s. At most 8 of them a second, and each at most every 5 s, get a line job-waiting: since when, the state of the tasks, what holds the step back, how many workers each reason excludes, how many could accept the task and how many have room. Jobs for which a worker has room come first.

JobExplainer asks the code that decides: StepHold is what the scheduler checks before it searches, TaskPlacement.evaluate what it asks for each worker. The contexts of a placement move to StepContexts, which both use. Decisions do not change.

--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -6,6 +6,8 @@
 export interface StepState {
   tasks: TaskState[];
   doneCount: number;
+  /** Time in ms at which this owner last saw a task end; else -Infinity. */
+  lastDoneMs: number;
 }
 
 /** State of one occurrence of a job, in which each step runs once. */
@@ -78,10 +80,35 @@
     });
   }
 
-  /** Counts a task as done and updates whether its occurrence is done. */
-  recordTaskDone(task: TaskState): void {
+  /**
+   * Returns the time in ms since which no task of a step is known to run;
+   * undefined if one runs, or if the step is done or not ready.
+   */
+  idleSinceMs(occurrence: OccurrenceState, number: number): number | undefined {
+    const step = occurrence.steps[number]!;
+    if (step.doneCount === step.tasks.length) return undefined;
+    if (!this.isStepReady(occurrence, number)) return undefined;
+    let sinceMs = step.lastDoneMs;
+    for (const {state, lastActiveMs} of step.tasks) {
+      if (state === 'running') return undefined;
+      sinceMs = Math.max(sinceMs, lastActiveMs);
+    }
+    for (const earlier of this.definition.steps[number]!.after) {
+      sinceMs = Math.max(sinceMs, occurrence.steps[earlier]!.lastDoneMs);
+    }
+    return sinceMs;
+  }
+
+  /**
+   * Counts a task as done and updates whether its occurrence is done.
+   *
+   * @param doneMs - Time in ms; -Infinity if it was done in an earlier term.
+   */
+  recordTaskDone(task: TaskState, doneMs = -Infinity): void {
     const occurrence = this.occurrence(task.position.occurrence);
-    occurrence.steps[task.position.step]!.doneCount += 1;
+    const step = occurrence.steps[task.position.step]!;
+    step.doneCount += 1;
+    step.lastDoneMs = Math.max(step.lastDoneMs, doneMs);
     occurrence.isDone = occurrence.steps.every(
       ({tasks, doneCount}) => doneCount === tasks.length,
     );
@@ -127,6 +154,7 @@
   private createOccurrence(number: number): OccurrenceState {
     const steps = this.definition.steps.map((step, stepNumber) => ({
       doneCount: 0,
+      lastDoneMs: -Infinity,
       tasks: Array.from(
         {length: step.taskCount},
         (_, index) =>
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -9,6 +9,8 @@
 import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
+import {JobExplainer} from './job_explainer.js';
+import {JobExplanation} from './job_explanation.js';
 import {JobState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
@@ -16,10 +18,13 @@
 import {restartDelayMs} from './restart_delay.js';
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
+import {SchedulingTime} from './scheduling_time.js';
 import {StepAdvice} from './step_advice.js';
+import {StepContexts} from './step_contexts.js';
 import {InterferenceAwarePlacement, TaskPlacement} from './task_placement.js';
 import {stepOf, TaskScheduler} from './task_scheduler.js';
 import {TaskState} from './task_state.js';
+import {WaitMonitor, WaitSummary} from './wait_monitor.js';
 import {
   CommandOutcome,
   EndKind,
@@ -99,6 +104,8 @@
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
   private readonly scheduler: TaskScheduler;
+  private readonly explainer: JobExplainer;
+  private readonly waits: WaitMonitor;
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
   private configuration: Configuration | undefined;
@@ -124,13 +131,16 @@
       onStart: (task) => this.sendStart(task),
       onPhases: (phases) => options.effects.publishPhases(phases),
     });
-    this.scheduler = new TaskScheduler({
+    const decisions = {
       workers: this.workers,
-      order: options.order ?? new DeadlineOrder(),
       placement:
         options.placement ?? new InterferenceAwarePlacement(this.bestEffort),
       advice: this.advice,
-      queueOf: (job) => this.queueOf(job),
+      queueOf: (job: JobState) => this.queueOf(job),
+    };
+    this.scheduler = new TaskScheduler({
+      ...decisions,
+      order: options.order ?? new DeadlineOrder(),
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
       onMove: (task) => this.requestStop(task, 'slowed-down'),
@@ -140,6 +150,18 @@
           reason: message,
         }),
     });
+    const contexts = new StepContexts(decisions);
+    this.explainer = new JobExplainer({
+      ...decisions,
+      contexts,
+      isRemembered: (job, step) => this.scheduler.isRemembered(job, step),
+    });
+    this.waits = new WaitMonitor({
+      ...decisions,
+      log: options.log,
+      contexts,
+      explainer: this.explainer,
+    });
     this.reportProcessor = new ReportProcessor({
       taskOf: (name) => this.tasksByName.get(name),
       onConfirmed: (task) => this.confirm(task),
@@ -314,10 +336,9 @@
   /** Runs a scheduling pass and requests advice for steps that need it. */
   schedule(): void {
     if (!this.configuration) return;
-    const nowMs = this.options.clock.nowMs();
-    const wallMs = this.options.clock.wallMs();
-    this.scheduler.schedule(this.jobs.values(), {nowMs, wallMs});
-    this.requestAdvice(nowMs);
+    const time = this.schedulingTime;
+    this.scheduler.schedule(this.jobs.values(), time);
+    this.requestAdvice(time.nowMs);
   }
 
   /** Handles the outcome of the advice request in progress. */
@@ -350,6 +371,17 @@
     return pending;
   }
 
+  /** Explains why a job runs or waits; undefined if it is not known. */
+  explain(jobId: string): JobExplanation | undefined {
+    const job = this.jobs.get(jobId);
+    return job && this.explainer.explain(job, this.schedulingTime);
+  }
+
+  /** Jobs that could run and do not, as of the latest summary. */
+  get waitSummary(): WaitSummary {
+    return this.waits.summary;
+  }
+
   /** Returns the queue that accepted a job; undefined if it was removed. */
   queueOf(job: JobState): Queue | undefined {
     return this.queuesByName.get(job.definition.queue);
@@ -362,11 +394,17 @@
     return Math.round(objectiveMs(job, queue));
   }
 
-  /** Logs the load and, less often, the interference model. */
+  private get schedulingTime(): SchedulingTime {
+    const {clock} = this.options;
+    return {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
+  }
+
+  /** Logs the load, jobs that wait and, less often, the interference model. */
   private logSummaries(nowMs: number): void {
     this.summaryMs = nowMs;
     const summary = summarizeLoad(this.jobs.values(), this.workers.values());
-    this.options.log.logSummary('load', {...summary});
+    const waits = this.waits.check(this.jobs.values(), this.schedulingTime);
+    this.options.log.logSummary('load', {...summary, ...waits});
     if (nowMs - this.interferenceLogMs < INTERFERENCE_LOG_INTERVAL_MS) {
       return;
     }
@@ -376,8 +414,10 @@
   }
 
   private registerTask(task: TaskState): void {
+    const nowMs = this.options.clock.nowMs();
     this.tasksByName.set(task.name, task);
-    task.waitingSinceMs = this.options.clock.nowMs();
+    task.waitingSinceMs = nowMs;
+    if (task.lastActiveMs === -Infinity) task.lastActiveMs = nowMs;
     for (const loss of task.losses.splice(0)) {
       this.crashes.restoreLoss(task, loss);
     }
@@ -410,7 +450,9 @@
       failures: task.failures,
     });
     this.clearAssignment(task);
-    task.waitingSinceMs = this.options.clock.nowMs();
+    const nowMs = this.options.clock.nowMs();
+    if (task.state === 'running') task.lastActiveMs = nowMs;
+    task.waitingSinceMs = nowMs;
     if (!task.apply('ended')) task.apply('withdrawn');
     this.markDirty(task.job);
   }
@@ -439,7 +481,7 @@
   private markDone(task: TaskState): void {
     if (!task.apply('done')) return;
     this.clearAssignment(task);
-    task.job.recordTaskDone(task);
+    task.job.recordTaskDone(task, this.options.clock.nowMs());
   }
 
   private finishGang(task: TaskState): void {
@@ -506,6 +548,7 @@
   private requestStop(task: TaskState, reason: string): void {
     if (!task.apply('stopRequested')) return;
     task.absentAfterMs = Infinity;
+    task.lastActiveMs = this.options.clock.nowMs();
     if (!task.job.isFinal) task.job.history.stoppedRuns += 1;
     this.options.log.logDetail('stop', {
       task: task.name,
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -4,7 +4,10 @@
 import {JobOrder} from './job_order.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
+import {SchedulingTime} from './scheduling_time.js';
 import {StepAdvice} from './step_advice.js';
+import {StepContext, StepContexts} from './step_contexts.js';
+import {holdOf, isDue} from './step_hold.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
 import {TaskState} from './task_state.js';
 import {WorkerChanges} from './worker_changes.js';
@@ -28,17 +31,6 @@
   onJobError: (job: JobState, error: Error) => void;
 }
 
-/** Time of one scheduling pass. */
-export interface SchedulingTime {
-  /** Monotonic time in ms. */
-  nowMs: number;
-  /** Unix time in ms. */
-  wallMs: number;
-}
-
-/** Context of the placement of one step; the counts change as it proceeds. */
-type StepContext = PlacementContext & {siblings: Map<string, number>};
-
 /** Minimum time in ms between two searches for tasks to move. */
 const MOVE_CHECK_MS = 150;
 
@@ -58,9 +50,12 @@
 export class TaskScheduler {
   private readonly changes = new WorkerChanges();
   private readonly unplaceable = new UnplaceableSteps();
+  private readonly contexts: StepContexts;
   private lastMoveCheckMs = -Infinity;
 
-  constructor(private readonly options: TaskSchedulerOptions) {}
+  constructor(private readonly options: TaskSchedulerOptions) {
+    this.contexts = new StepContexts(options);
+  }
 
   /** Runs one pass: assigns waiting tasks and moves throttled tasks. */
   schedule(jobs: Iterable<JobState>, {nowMs, wallMs}: SchedulingTime): void {
@@ -83,6 +78,27 @@
     this.moveThrottled(nowMs);
   }
 
+  /**
+   * Returns whether no worker was found for a step like this one, so that only
+   * workers that change are evaluated for it until the next full search.
+   */
+  isRemembered(job: JobState, {tasks}: StepState): boolean {
+    const {step} = tasks[0]!;
+    const origin = this.originOf(job);
+    return (
+      this.unplaceable.includes(step, origin) ||
+      this.unplaceable.failedPassOf(step, origin) !== undefined
+    );
+  }
+
+  private originOf(job: JobState): Required<StepOrigin> {
+    return {
+      service: this.contexts.serviceOf(job),
+      jobId: job.definition.id,
+      needsAdvice: this.contexts.needsAdvice(job),
+    };
+  }
+
   private scheduleJob(job: JobState, nowMs: number): void {
     for (const occurrence of job.occurrences.values()) {
       if (!occurrence.isDone) this.scheduleSteps(job, occurrence, nowMs);
@@ -95,38 +111,28 @@
     nowMs: number,
   ): void {
     occurrence.steps.forEach((step, number) => {
-      if (step.doneCount === step.tasks.length) return;
-      const waiting = step.tasks.filter(
-        ({state, notBeforeMs}) => state === 'waiting' && notBeforeMs <= nowMs,
-      );
-      if (waiting.length === 0 || !job.isStepReady(occurrence, number)) return;
+      if (holdOf(job, {occurrence, step: number}, nowMs)) return;
       if (step.tasks[0]!.step.isGang) this.assignGang(job, step, nowMs);
-      else this.assignTasks(job, step, waiting, nowMs);
+      else this.assignTasks(job, step, nowMs);
     });
   }
 
-  private assignTasks(
-    job: JobState,
-    step: StepState,
-    waiting: readonly TaskState[],
-    nowMs: number,
-  ): void {
+  private assignTasks(job: JobState, step: StepState, nowMs: number): void {
     const {unplaceable} = this;
     const {step: definition} = step.tasks[0]!;
-    const needsAdvice = this.needsAdvice(job);
-    const service = this.serviceOf(job);
-    const origin = {service, jobId: job.definition.id, needsAdvice};
+    const origin = this.originOf(job);
     if (unplaceable.includes(definition, origin)) return;
-    const context = this.createContext(job, step, nowMs);
+    const context = this.contexts.create(job, step, nowMs);
     const workers = this.workersWorthSearching(definition, origin);
     const assigner = new StepAssigner(this.options, context, workers);
-    for (const task of suspectsLast(waiting)) {
-      const preferredRack = this.preferredRackOf(step);
+    const due = step.tasks.filter((task) => isDue(task, nowMs));
+    for (const task of suspectsLast(due)) {
+      const preferredRack = this.contexts.preferredRackOf(step);
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
       // A suspect is placed on fewer workers than other tasks of its step.
       if (task.isSuspect) continue;
       unplaceable.add(definition, origin);
-      if (needsAdvice) this.requestAdvice(task, context);
+      if (origin.needsAdvice) this.requestAdvice(task, context);
       return;
     }
   }
@@ -145,19 +151,18 @@
   }
 
   private assignGang(job: JobState, step: StepState, nowMs: number): void {
-    if (step.tasks.some(({state}) => state !== 'waiting')) return;
     const {workers, onWithdraw} = this.options;
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
-    const context = this.createContext(job, step, nowMs);
+    const context = this.contexts.create(job, step, nowMs);
     const assigner = new StepAssigner(this.options, context, [
       ...workers.values(),
     ]);
     const placed: TaskState[] = [];
     for (const task of step.tasks) {
-      const preferredRack = this.preferredRackOf(step);
+      const preferredRack = this.contexts.preferredRackOf(step);
       if (!assigner.assign(task, run, preferredRack)) {
         for (const member of placed) onWithdraw(member);
-        if (this.needsAdvice(job)) this.requestAdvice(task, context);
+        if (this.contexts.needsAdvice(job)) this.requestAdvice(task, context);
         return;
       }
       placed.push(task);
@@ -190,7 +195,7 @@
     nowMs: number,
   ): WorkerState | undefined {
     const {workers, placement} = this.options;
-    const context = this.createContext(task.job, stepOf(task), nowMs);
+    const context = this.contexts.create(task.job, stepOf(task), nowMs);
     return new CandidateSet({
       task,
       workers: workers.values(),
@@ -199,23 +204,6 @@
     }).best();
   }
 
-  private createContext(
-    job: JobState,
-    step: StepState,
-    nowMs: number,
-  ): StepContext {
-    const {advice} = this.options;
-    const context = {
-      nowMs,
-      service: this.serviceOf(job),
-      siblings: siblingsOf(step),
-    };
-    if (!this.needsAdvice(job)) return context;
-    const isAllowed = (worker: WorkerState): boolean =>
-      advice.ticketFor(step, worker, nowMs) !== undefined;
-    return {...context, isAllowed};
-  }
-
   /** Requests advice about the workers that have capacity for a task. */
   private requestAdvice(task: TaskState, context: PlacementContext): void {
     const {advice, placement, workers} = this.options;
@@ -226,22 +214,6 @@
     );
     advice.enqueue(stepOf(task), suitable);
   }
-
-  private needsAdvice(job: JobState): boolean {
-    return this.options.queueOf(job)?.needsAdvice ?? false;
-  }
-
-  private serviceOf(job: JobState): string {
-    return this.options.queueOf(job)?.service ?? job.definition.service;
-  }
-
-  /** Returns the rack that a rack-sensitive step already uses, if any. */
-  private preferredRackOf(step: StepState): string | undefined {
-    if (!step.tasks[0]!.step.isRackSensitive) return undefined;
-    const placed = step.tasks.find(({isPlaced}) => isPlaced);
-    const id = placed?.assignment?.workerId;
-    return id === undefined ? undefined : this.options.workers.get(id)?.rack;
-  }
 }
 
 /** Returns the state of the step that a task belongs to. */
@@ -317,13 +289,3 @@
   if (nowMs - task.lastMoveCheckMs < MOVE_RETRY_MS) return false;
   return step.isCheckpointed || task.percent < MAX_LOST_PERCENT;
 }
-
-function siblingsOf(step: StepState): Map<string, number> {
-  const siblings = new Map<string, number>();
-  for (const {assignment} of step.tasks) {
-    if (!assignment) continue;
-    const {workerId} = assignment;
-    siblings.set(workerId, (siblings.get(workerId) ?? 0) + 1);
-  }
-  return siblings;
-}
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -46,6 +46,11 @@
   stopSentMs = -Infinity;
   /** Time in ms at which its latest run ended or this owner added it. */
   waitingSinceMs = -Infinity;
+  /**
+   * Time in ms at which a run of it, now ended or told to stop, was last known to
+   * be active, or this owner added the task. A refused start does not count.
+   */
+  lastActiveMs = -Infinity;
   /** Time in ms at which the current run was assigned. */
   assignedMs = -Infinity;
   /** Time in ms at which the start command was sent. */
