Answer why a job waits on the metrics address of each node

GET /why/ID on the metrics address of any node returns the explanation of the owner, relayed over the owner link: state by step, how long nothing has run, how many workers each reason excludes now. Without an answer of the owner the node says so, with the owner's name and the phase that it knows.

Three gauges show that something waits: banyanmux_idle_jobs, banyanmux_idle_jobs_with_room and banyanmux_longest_idle_seconds.

--- a/src/node/gateway_result.ts
+++ b/src/node/gateway_result.ts
@@ -1,4 +1,5 @@
 import {NodeLog} from '../logging/node_log.js';
+import {JobExplanation} from '../orchestrator/job_explanation.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
 import {JobPhase} from '../work/job_definition.js';
@@ -12,6 +13,8 @@
   phase?: JobPhase;
   /** Number of jobs in a queue of which no task has started. @default none */
   pending?: number;
+  /** Why the requested job runs or waits. @default none */
+  explanation?: JobExplanation;
 }
 
 /** Retry-after time in ms while the store is unreachable. */
--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -168,6 +168,11 @@
     return this.lookUp.getPhase(jobId);
   }
 
+  /** Explains why a job runs or waits; see {@link JobLookUp.explain}. */
+  explain(jobId: string): Promise<GatewayResult> {
+    return this.lookUp.explain(jobId);
+  }
+
   /** Returns the number of jobs in a queue of which no task has started. */
   getPendingCount(queue: Queue): Promise<GatewayResult> {
     return this.lookUp.getPendingCount(queue.name);
--- a/src/node/job_look_up.ts
+++ b/src/node/job_look_up.ts
@@ -36,6 +36,9 @@
  */
 const LOOK_UP_TIMEOUT_MS = 700;
 
+/** Timeout in ms of a request for an explanation, which has no deadline. */
+const EXPLAIN_TIMEOUT_MS = 3000;
+
 /**
  * Answers questions about jobs: from the local state on the owner, elsewhere by
  * the owner or, if it does not answer, from the store.
@@ -93,6 +96,35 @@
     return {code: ResultCodes.NO_OWNER, retryAfterMs};
   }
 
+  /**
+   * Explains why a job runs or waits. Only the owner knows it: NOT_FOUND if it
+   * does not schedule the job, NO_OWNER if it does not answer; with the phase
+   * that this node knows.
+   */
+  async explain(jobId: string): Promise<GatewayResult> {
+    const {owner, ownedJobs, table} = this.options;
+    const phase = table.phaseOf(jobId);
+    const owned = ownedJobs();
+    if (owned) {
+      const explanation = owned.explain(jobId);
+      const code = explanation ? ResultCodes.OK : ResultCodes.NOT_FOUND;
+      return {code, phase, explanation};
+    }
+    if (!owner.isOpen) return {code: ResultCodes.NO_OWNER, phase};
+    try {
+      const body = {jobId};
+      const timeoutMs = EXPLAIN_TIMEOUT_MS;
+      return await owner.request(OwnerMessage.EXPLAIN, body, timeoutMs);
+    } catch (error) {
+      const {message} = error as Error;
+      this.options.log.logDecision('explanation-unanswered', {
+        job: jobId,
+        reason: message,
+      });
+      return {code: ResultCodes.NO_OWNER, phase};
+    }
+  }
+
   private async askOwnerForPending(queue: string): Promise<number | undefined> {
     const {owner, log} = this.options;
     const timeoutMs = LOOK_UP_TIMEOUT_MS;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -14,6 +14,7 @@
 import {Configuration} from '../work/configuration.js';
 import {JobTable} from '../work/job_table.js';
 import {JobGateway} from './job_gateway.js';
+import {createMetricsListener} from './metrics_listener.js';
 import {NodeHttpServer} from './node_http_server.js';
 import {NodeMetrics} from './node_metrics.js';
 import {NodeMirrors} from './node_mirrors.js';
@@ -198,10 +199,12 @@
       }),
       metrics: new NodeHttpServer({
         address: splitAddress(settings.metrics),
-        listener: (_request, response) => {
-          response.setHeader('content-type', 'text/plain');
-          response.end(this.metrics.toPrometheusText());
-        },
+        listener: createMetricsListener({
+          metrics: this.metrics,
+          gateway: this.gateway,
+          node: settings.node,
+          ownerName: () => this.ownerLink.ownerName,
+        }),
       }),
     };
   }
@@ -332,6 +335,17 @@
       configuration_version: this.gateway.configuration?.version ?? 0,
       store_reachable: this.mirrors.isStoreReachable ? 1 : 0,
       resident_memory_bytes: process.memoryUsage.rss(),
+      ...this.readWaitGauges(),
+    };
+  }
+
+  /** Returns what waits on the owner; on other nodes nothing does. */
+  private readWaitGauges(): Record<string, number> {
+    const waits = this.runtime?.waitSummary;
+    return {
+      idle_jobs: waits?.idleJobs ?? 0,
+      idle_jobs_with_room: waits?.idleJobsWithRoom ?? 0,
+      longest_idle_seconds: (waits?.longestIdleMs ?? 0) / MS_PER_SECOND,
     };
   }
 }
--- a/src/node/owner_client.ts
+++ b/src/node/owner_client.ts
@@ -1,3 +1,4 @@
+import {JobExplanation} from '../orchestrator/job_explanation.js';
 import {GatewayResult} from './gateway_result.js';
 import {
   JobMessage,
@@ -24,4 +25,6 @@
 export interface OwnedJobs {
   /** Returns the number of jobs in a queue of which no task has started. */
   countPending(queue: string): number;
+  /** Explains why a job runs or waits; undefined if it is not known. */
+  explain(jobId: string): JobExplanation | undefined;
 }
--- a/src/node/owner_link.ts
+++ b/src/node/owner_link.ts
@@ -103,6 +103,11 @@
     this.wasConnected = false;
   }
 
+  /** Name of the node that owns the partition, if it is known. */
+  get ownerName(): string | undefined {
+    return this.owner?.node;
+  }
+
   /** Whether the link to the owner is established. */
   get isOpen(): boolean {
     return this.client?.isOpen ?? false;
--- a/src/node/owner_link_server.ts
+++ b/src/node/owner_link_server.ts
@@ -133,6 +133,9 @@
     if (name === OwnerMessage.PHASE) {
       return toRelayedResponse(await gateway.getPhase(jobId));
     }
+    if (name === OwnerMessage.EXPLAIN) {
+      return toRelayedResponse(await gateway.explain(jobId));
+    }
     if (name === OwnerMessage.PENDING) {
       return this.countPending((body as QueueMessage).queue);
     }
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -94,7 +94,7 @@
     gateway: node.gateway,
     ownedJobs: () => node.state.ownedJobs,
   });
-  node.state.ownedJobs = {countPending: () => 7};
+  node.state.ownedJobs = {countPending: () => 7, explain: () => undefined};
   await server.listen();
   cleanups.push(() => server.stop());
   return {owner, server, node};
--- a/src/node/owner_messages.ts
+++ b/src/node/owner_messages.ts
@@ -1,4 +1,5 @@
 import {Link} from '../links/link.js';
+import {JobExplanation} from '../orchestrator/job_explanation.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {JobPhase} from '../work/job_definition.js';
 import {GatewayResult} from './gateway_result.js';
@@ -19,6 +20,8 @@
   PHASE: 'phase',
   /** Request to the owner: count waiting jobs; {@link QueueMessage}. */
   PENDING: 'pending',
+  /** Request to the owner: explain a job; {@link JobMessage}. */
+  EXPLAIN: 'explain',
 } as const;
 
 /** Message about one job. */
@@ -57,18 +60,21 @@
   retryAfterMs?: number;
   phase?: JobPhase;
   pending?: number;
+  explanation?: JobExplanation;
 }
 
 /** Converts a gateway result to its wire form. */
 export function toRelayedResponse(result: GatewayResult): RelayedResponse {
-  const {code, retryAfterMs, phase, pending} = result;
-  return {codeNumber: code.number, retryAfterMs, phase, pending};
+  const {code, retryAfterMs, phase, pending, explanation} = result;
+  const codeNumber = code.number;
+  return {codeNumber, retryAfterMs, phase, pending, explanation};
 }
 
 /** Converts a received response to a gateway result. */
 export function fromRelayedResponse(response: RelayedResponse): GatewayResult {
-  const {codeNumber, retryAfterMs, phase, pending} = response;
-  return {code: findResultCode(codeNumber), retryAfterMs, phase, pending};
+  const {codeNumber, retryAfterMs, phase, pending, explanation} = response;
+  const code = findResultCode(codeNumber);
+  return {code, retryAfterMs, phase, pending, explanation};
 }
 
 /** Options of links between nodes; a silent peer is detected within 2 s. */
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -11,11 +11,13 @@
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdvicePort, AdviceRequest} from './advice_port.js';
 import {CommitLoop} from './commit_loop.js';
+import {JobExplanation} from './job_explanation.js';
 import {restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {CommandSender} from './command_sender.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
+import {WaitSummary} from './wait_monitor.js';
 import {WorkerPort} from './worker_port.js';
 import {WorkerSession} from './worker_session.js';
 import {WorkerState} from './worker_state.js';
@@ -101,6 +103,16 @@
     return this.orchestrator.countPending(queue);
   }
 
+  /** Explains why a job runs or waits; undefined if it is not known. */
+  explain(jobId: string): JobExplanation | undefined {
+    return this.orchestrator.explain(jobId);
+  }
+
+  /** Jobs that could run and do not, as of the latest summary. */
+  get waitSummary(): WaitSummary {
+    return this.orchestrator.waitSummary;
+  }
+
   /** Replaces the configuration. */
   configure(configuration: Configuration): void {
     this.orchestrator.configure(configuration);
