Check in the simulation that no task waits beside idle capacity

The rule in its own words: for 3 s nothing of a job runs while a task's turn has come, there is capacity for it twice over and under half of the capacity is in use; for long-running tasks it holds for each of them, from 6 s after its last run; only where no fault was in effect in the 4 s before. IdleCapacityCheck and dueTasks hold it, by what the workers run and what they were acknowledged, not by what the owner believes.

The simulated workers now differ in capacity, labels and racks, shrink in memory as well as in CPU, and report progress, tail latencies and CPU use; there is an advice service; in calm phases no command is lost or late.

checkCapacity no longer counts the CPU of best-effort tasks, which does not count against a worker's capacity; no earlier test starts such a task there.

--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -6,16 +6,28 @@
 import {Orchestrator} from '../src/orchestrator/orchestrator.js';
 import {PendingCommit} from '../src/orchestrator/orchestrator_effects.js';
 import {TaskState} from '../src/orchestrator/task_state.js';
-import {EndKind, CommandOutcome} from '../src/orchestrator/worker_port.js';
+import {
+  EndKind,
+  CommandOutcome,
+  RunningReport,
+} from '../src/orchestrator/worker_port.js';
 import {WorkerState} from '../src/orchestrator/worker_state.js';
 import {NodeLog} from '../src/logging/node_log.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
-import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
+import {
+  JobDefinition,
+  StepDefinition,
+  TaskResources,
+} from '../src/work/job_definition.js';
+import {Configuration} from '../src/work/configuration.js';
+import {AdviceRequest} from '../src/orchestrator/advice_port.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeProgress} from '../src/work/job_records.js';
 import {CapacityHistory} from './capacity_history.js';
 import {CrashLimit} from './crash_limit.js';
+import {dueTasks} from './due_tasks.js';
+import {IdleCapacityCheck, SampledWorker} from './idle_capacity_check.js';
 import {silentLog} from './silent_log.js';
 import {simpleConfiguration, simpleWorker} from './simple_definitions.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
@@ -49,6 +61,23 @@
    * @default 0
    */
   capacityChangeRate?: number;
+  /** Returns what distinguishes a worker. @default nothing */
+  workerFields?: (machine: number) => Partial<WorkerRegistration>;
+  /**
+   * Returns whether a step may run on a worker, which its advice service tells.
+   *
+   * @default there is no advice service
+   */
+  isAllowed?: (step: string, workerId: string) => boolean;
+  /**
+   * Returns the progress and the gauge that a run reports.
+   *
+   * @default neither changes
+   */
+  measure?: (
+    step: StepDefinition,
+    ageMs: number,
+  ) => Pick<RunningReport, 'percent' | 'gauge'>;
   /** Log of the owners. @default none */
   log?: NodeLog;
 }
@@ -74,6 +103,12 @@
 /** Fractions of its full capacity that a worker changes to. */
 const CAPACITY_FRACTIONS = [0, 0.25, 0.5, 1] as const;
 
+/** Response time in ms of the advice service. */
+const ADVICE_MS = 200;
+
+/** Validity in ms of the tickets of the advice service. */
+const TICKET_VALIDITY_MS = 3000;
+
 /** A crash of a worker under one of its runs. */
 interface WorkerCrash {
   worker: string;
@@ -107,6 +142,7 @@
  * clock. A seeded random source loses, delays and reorders commands and their
  * responses. Violations of the execution guarantees are collected: a task never
  * runs on two workers at once and never starts again after it has succeeded.
+ * While no fault is in effect, no task waits beside idle capacity.
  */
 export class SimulatedPartition {
   /** Descriptions of the violations found so far. */
@@ -132,11 +168,18 @@
   private readonly latestStartedRuns = new Map<string, number>();
   /** Tokens of the owners that cannot reach a worker, by worker id. */
   private readonly disconnectedWorkers = new Map<string, Set<number>>();
+  /** Capacities of the workers before any change. */
+  private readonly fullCapacities = new Map<string, TaskResources>();
   /** Capacities that owners may still believe in. */
   private readonly capacities = new CapacityHistory();
   /** Time in ms since which a gang lacks members, by the name of its step. */
   private readonly incompleteGangs = new Map<string, number>();
   private readonly crashLimit = new CrashLimit();
+  private readonly idleCapacity = new IdleCapacityCheck();
+  /** Whether commands and their responses are neither lost nor delayed. */
+  private areCommandsReliable = false;
+  /** Time in ms until which an injected fault is in effect. */
+  private faultsUntilMs = 0;
   /** Crashes of workers so far. */
   readonly crashes: WorkerCrash[] = [];
   /** Ids of workers whose registration has not lapsed, by address. */
@@ -172,6 +215,7 @@
    */
   takeOver(): void {
     const token = this.nextToken++;
+    this.recordFault(TERM_LEASE_MS);
     const term: Term = {
       token,
       orchestrator: this.createOrchestrator(token),
@@ -187,7 +231,7 @@
     }
     this.terms.push(term);
     const {orchestrator} = term;
-    orchestrator.configure(simpleConfiguration(this.options.maxAttempts));
+    orchestrator.configure(this.createConfiguration());
     for (const registration of this.registered.values()) {
       orchestrator.upsertWorker(registration);
     }
@@ -227,11 +271,14 @@
       this.deliverDueMessages();
       this.endIncompleteGangs();
       for (const term of this.terms) this.runTerm(term);
+      this.checkIdleCapacity();
     }
   }
 
   /** Advances the time while injecting random faults. */
   runWithFaults(durationMs: number): void {
+    this.areCommandsReliable = false;
+    this.recordFault(durationMs);
     for (let passed = 0; passed < durationMs; passed += STEP_MS) {
       this.injectRandomFault();
       this.advance(STEP_MS);
@@ -247,6 +294,19 @@
     }
   }
 
+  /**
+   * Reconnects all workers and advances the time while tasks finish and no
+   * command is lost or delayed.
+   */
+  runCalm(durationMs: number): void {
+    this.areCommandsReliable = true;
+    this.disconnectedWorkers.clear();
+    for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+      this.finishRandomTasks(0.02);
+      this.advance(STEP_MS);
+    }
+  }
+
   /** Number of crashes that a task has caused or has been lost in. */
   countCrashes(task: string): number {
     return this.crashes.filter(({tasks}) => tasks.includes(task)).length;
@@ -257,6 +317,9 @@
     const worker = this.workers.get(id)!;
     if (worker.isDown) return;
     const tasks = worker.running;
+    this.recordFault(
+      Math.max(this.options.crashDownMs ?? 3000, REGISTRATION_LAPSE_MS),
+    );
     this.crashes.push({worker: id, atMs: this.clock.nowMs(), tasks});
     worker.crash();
     this.breakGangs(tasks);
@@ -283,13 +346,18 @@
 
   private addWorker(id: string, machine = id): WorkerRegistration {
     const number = Number(machine.slice(1));
-    const registration = simpleWorker(id, {address: `127.0.0.1:${number + 1}`});
+    const registration = simpleWorker(id, {
+      address: `127.0.0.1:${number + 1}`,
+      ...this.options.workerFields?.(number),
+    });
+    this.fullCapacities.set(id, registration.capacity);
     this.registered.set(id, registration);
     const worker = new SimulatedTaskWorker({
       registration,
       longestLeaseMs: MAX_LEASE_MS,
       stopMs: this.options.capacityChangeRate ? STOP_MS : 0,
       clockRate: 0.98 + this.random.next() * 0.02,
+      measure: (task, ageMs) => this.measure(task, ageMs),
       onStarted: (task, run) => this.recordStart(id, task, run),
       onRemoved: (task) => this.workersByTask.get(task)?.delete(id),
       onCompleted: (task, run) => this.recordCompletion(task, run),
@@ -326,10 +394,10 @@
   /** Checks that the runs on a worker fit a capacity it lately had. */
   private checkCapacity(workerId: string, task: string): void {
     const runs = this.workers.get(workerId)!.running;
-    const cpu = runs.reduce(
-      (sum, name) => sum + this.stepOf(name).cpuMillicores,
-      0,
-    );
+    const cpu = runs
+      .map((name) => this.stepOf(name))
+      .filter(({usesLeftoverCpu}) => !usesLeftoverCpu)
+      .reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
     const {capacity} = this.registered.get(workerId)!;
     const nowMs = this.clock.nowMs();
     const known = this.capacities.largestKnown(workerId, {capacity, nowMs});
@@ -339,15 +407,16 @@
     );
   }
 
-  private changeCapacity(id: string): void {
+  /** Changes the capacity of a worker to a fraction of its full one. */
+  resize(id: string, fraction: number): void {
     const registration = this.registered.get(id);
     if (!registration) return;
-    const position = this.random.nextInteger(CAPACITY_FRACTIONS.length);
-    const fraction = CAPACITY_FRACTIONS[position]!;
-    const full = simpleWorker(id).capacity;
+    this.recordFault(REGISTRATION_DELAY_MS);
+    const full = this.fullCapacities.get(id)!;
     const capacity = {
       ...full,
       cpuMillicores: full.cpuMillicores * fraction,
+      memoryMb: full.memoryMb * fraction,
     };
     this.capacities.recordReplaced(id, {
       capacity: registration.capacity,
@@ -361,6 +430,11 @@
     });
   }
 
+  private resizeRandomly(id: string): void {
+    const position = this.random.nextInteger(CAPACITY_FRACTIONS.length);
+    this.resize(id, CAPACITY_FRACTIONS[position]!);
+  }
+
   private cancelRandomJob(): void {
     const {id} = this.jobs[this.random.nextInteger(this.jobs.length)]!;
     for (const {orchestrator} of this.terms) orchestrator.cancel(id);
@@ -403,7 +477,7 @@
           simulatedWorker?.stop({task, run, fencingToken: token});
         },
         setSpeedLimit: () => undefined,
-        requestAdvice: () => undefined,
+        requestAdvice: (request) => this.answerAdvice(token, request),
         publishPhases: () => undefined,
         requestCommit: () => undefined,
       },
@@ -451,7 +525,7 @@
     const simulatedWorker = this.findReachableWorker(token, workerId);
     const executeIfUp = (worker: SimulatedTaskWorker): CommandOutcome =>
       worker.isDown ? unknown : execute(worker);
-    const roll = this.random.next();
+    const roll = this.areCommandsReliable ? 1 : this.random.next();
     const isDelayed = simulatedWorker !== undefined && roll < 0.06;
     const isLost = !simulatedWorker || (roll >= 0.06 && roll < 0.1);
     const delayMs = STEP_MS * (1 + this.random.nextInteger(4));
@@ -473,7 +547,8 @@
     }
     this.scheduleMessage(delayMs, () => {
       const outcome = executeIfUp(simulatedWorker);
-      const isAnswerLost = this.random.next() < 0.05;
+      const isAnswerLost =
+        !this.areCommandsReliable && this.random.next() < 0.05;
       this.scheduleMessage(delayMs, () =>
         onOutcome(isAnswerLost ? unknown : outcome),
       );
@@ -493,6 +568,76 @@
     for (const {deliver} of due) deliver();
   }
 
+  private createConfiguration(): Configuration {
+    const configuration = simpleConfiguration(this.options.maxAttempts);
+    const needsAdvice = this.options.isAllowed !== undefined;
+    const queues = configuration.queues.map((queue) => ({
+      ...queue,
+      needsAdvice,
+    }));
+    return {...configuration, queues};
+  }
+
+  private answerAdvice(token: number, {step, workers}: AdviceRequest): void {
+    const sentMs = this.clock.nowMs();
+    const allowed = workers.filter((id) => this.options.isAllowed?.(step, id));
+    const outcome = {
+      kind: 'advice',
+      tickets: new Map(allowed.map((id) => [id, 'ticket'])),
+      validForMs: TICKET_VALIDITY_MS,
+    } as const;
+    this.scheduleMessage(ADVICE_MS, () =>
+      this.findOrchestrator(token)?.handleAdvice(outcome, sentMs),
+    );
+  }
+
+  private measure(
+    task: string,
+    ageMs: number,
+  ): Pick<RunningReport, 'percent' | 'gauge'> {
+    const {measure} = this.options;
+    if (!measure) return {percent: 50, gauge: undefined};
+    return measure(this.stepOf(task), ageMs);
+  }
+
+  /** Records a fault that is in effect from now on for a time in ms. */
+  private recordFault(durationMs: number): void {
+    const untilMs = this.clock.nowMs() + durationMs;
+    this.faultsUntilMs = Math.max(this.faultsUntilMs, untilMs);
+  }
+
+  private checkIdleCapacity(): void {
+    if (!this.areCommandsReliable) return;
+    const nowMs = this.clock.nowMs();
+    const isCalm =
+      this.disconnectedWorkers.size === 0 && nowMs > this.faultsUntilMs;
+    const workers = [...this.registered.keys()]
+      .filter((id) => !this.isCrashed(id))
+      .map((id) => this.sampleWorker(id));
+    const progress = {
+      wallMs: this.clock.wallMs(),
+      isDone: (task: string) => this.completedRuns.has(task),
+    };
+    const due = this.jobs
+      .filter(({id}) => !this.cancelled.has(id) && !this.hasEnded(id))
+      .flatMap((job) => dueTasks(job, progress));
+    const {isAllowed} = this.options;
+    const sample = {nowMs, isCalm, workers, dueTasks: due, isAllowed};
+    this.violations.push(...this.idleCapacity.observe(sample));
+  }
+
+  private hasEnded(jobId: string): boolean {
+    return this.owner.jobs.get(jobId)?.isFinal ?? false;
+  }
+
+  private sampleWorker(id: string): SampledWorker {
+    const {capacity, labels} = this.registered.get(id)!;
+    const running = this.workers
+      .get(id)!
+      .running.map((name) => ({name, step: this.stepOf(name)}));
+    return {id, capacity, labels, running};
+  }
+
   private findReachableWorker(
     token: number,
     workerId: string,
@@ -548,7 +693,8 @@
       acknowledgedSequence: sequenceToAcknowledge,
       leaseUntilMs,
     });
-    if (outcome?.kind !== 'report' || this.random.next() < 0.05) return;
+    if (outcome?.kind !== 'report') return;
+    if (!this.areCommandsReliable && this.random.next() < 0.05) return;
     this.scheduleMessage(STEP_MS, () => {
       if (this.terms.includes(term)) {
         term.reportConnections.set(worker, connection);
@@ -608,7 +754,7 @@
     else if (roll < 0.033 + (this.options.crashRate ?? 0)) this.crash(id);
     const changeRate = this.options.capacityChangeRate ?? 0;
     if (changeRate > 0 && this.random.next() < changeRate) {
-      this.changeCapacity(id);
+      this.resizeRandomly(id);
     }
     if (changeRate > 0 && this.random.next() < changeRate / 4) {
       this.cancelRandomJob();
@@ -619,6 +765,7 @@
   private restartWorker(id: string): void {
     const worker = this.workers.get(id)!;
     if (worker.isDown) return;
+    this.recordFault(0);
     worker.restart(worker.bornMs + 1);
   }
 
--- a/testing/simulated_task_worker.ts
+++ b/testing/simulated_task_worker.ts
@@ -15,6 +15,8 @@
   fencingToken: number;
   /** Clock reading in ms at which a stop ends it. @default not stopped */
   stopsMs?: number;
+  /** Clock reading in ms at which it started. */
+  startedMs: number;
 }
 
 /** Options of {@link SimulatedTaskWorker}. */
@@ -27,6 +29,15 @@
   clockRate?: number;
   /** Time in ms from a stop command to the end of the run. @default 0 */
   stopMs?: number;
+  /**
+   * Returns the progress in percent and the gauge that a run reports.
+   *
+   * @default 50 percent and no gauge
+   */
+  measure?: (
+    task: string,
+    ageMs: number,
+  ) => Pick<RunningReport, 'percent' | 'gauge'>;
   /** Called when a run starts. */
   onStarted: (task: string, run: number) => void;
   /** Called when a run no longer executes, for whatever reason. */
@@ -124,7 +135,8 @@
     if (current || command.run <= highest) {
       return {kind: 'refused', reason: RefusalReason.OLD_RUN};
     }
-    this.runs.set(command.task, {...command});
+    const startedMs = this.clockMs;
+    this.runs.set(command.task, {...command, startedMs});
     this.options.onStarted(command.task, command.run);
     return {kind: 'done', clockMs: this.clockMs};
   }
@@ -162,15 +174,7 @@
     }
     this.acknowledge(query.acknowledgedSequence);
     if (query.leaseUntilMs !== undefined) this.extendLease(query.leaseUntilMs);
-    const running: RunningReport[] = [...this.runs.values()].map(
-      ({task, run}) => ({
-        task,
-        run,
-        checkpoint: '',
-        percent: 50,
-        gauge: undefined,
-      }),
-    );
+    const running = [...this.runs.values()].map((run) => this.reportOf(run));
     const {clockMs, bornMs} = this;
     return {
       kind: 'report',
@@ -178,6 +182,12 @@
     };
   }
 
+  private reportOf({task, run, startedMs}: Run): RunningReport {
+    const {measure = () => ({percent: 50, gauge: undefined})} = this.options;
+    const {percent, gauge} = measure(task, this.clockMs - startedMs);
+    return {task, run, checkpoint: '', percent, gauge};
+  }
+
   private acknowledge(acknowledgedSequence: number): void {
     for (const {sequence, task, run, kind} of this.unacknowledgedEnds) {
       const isValid =
