Wait until all slots are in use before judging the limit of slots

Cause: the load of the test, not the limit. A trace of six runs shows some 2,300 calls in 2.5 s, of which 2,000 are refused with code 2005, since they give 100 ms while slots are in use; about 200 run. When all 8 are first in use depends on chance and on the speed of the machine (0.15 s to 0.9 s in the trace at load 15).

The test goes on until all 8 slots have been in use, at most 8 s, and then for 2.5 s more.

--- a/src/entry/target_limits_test.ts
+++ b/src/entry/target_limits_test.ts
@@ -11,7 +11,8 @@
   // runs.
   withBench({}, async (bench) => {
     const random = new SeededRandom(3);
-    const endMs = performance.now() + 2500;
+    const [target] = bench.targets;
+    let endMs = Infinity;
     const work = async (): Promise<void> => {
       while (performance.now() < endMs) {
         await bench.entry.caller.call({
@@ -20,8 +21,15 @@
         });
       }
     };
-    await Promise.all(Array.from({length: 20}, work));
-    const [target] = bench.targets;
+    const load = Promise.all(Array.from({length: 20}, work));
+    // Most requests are refused while slots are in use, so that it depends on
+    // the speed of the machine when all slots are first in use.
+    try {
+      await bench.waitUntil(() => target!.maxInUse === 8);
+    } finally {
+      endMs = performance.now() + 2500;
+      await load;
+    }
     assert.ok(target!.requests > 20, `${target!.requests} requests ran`);
     assert.equal(target!.maxInUse, 8);
     assert.equal(bench.violations(), 0);
--- a/testing/requests_under_failure_test.ts
+++ b/testing/requests_under_failure_test.ts
@@ -55,6 +55,11 @@
   );
 }
 
+/** Returns the results that show that a request was not served. */
+function unserved(results: readonly CallerResult[]): CallerResult[] {
+  return results.filter(({outcome}) => outcome !== 'ran');
+}
+
 async function assertNoViolation(): Promise<void> {
   assert.equal(
     await fleet.violations(),
@@ -68,7 +73,7 @@
   // concurrent request on an executor that several entries use.
   const results = await burst(300, {workMs: 20});
   assert.ok(results.every(({isCorrect}) => isCorrect));
-  assert.ok(results.every(({outcome}) => outcome === 'ran'));
+  assert.deepEqual(unserved(results), []);
   await assertNoViolation();
 });
 
@@ -128,7 +133,6 @@
     await sleep(100);
   }
   await fleet.setPlatformFaults({});
-  const failed = results.filter(({outcome}) => outcome !== 'ran');
-  assert.deepEqual(failed, []);
+  assert.deepEqual(unserved(results), []);
   await assertNoViolation();
 });
