--- a/src/node/banyanmux_node.ts
+++ b/src/node/banyanmux_node.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {runDaemon} from '../settings/run_daemon.js';
+import {whyCommand} from '../why/why_command.js';
 import {runNode} from './node_program.js';
 import {nodeSettingsSchema} from './node_settings.js';
 
@@ -8,4 +9,7 @@
   description: 'Node of a scheduler for jobs on the workers of a platform',
   schema: nodeSettingsSchema,
   run: runNode,
+  commands: {
+    why: whyCommand({write: (text) => process.stdout.write(text)}),
+  },
 });
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {after, test} from 'node:test';
 
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {freePorts} from '../../testing/free_ports.js';
 import {MemoryStore} from '../../testing/memory_store.js';
 import {silentLog} from '../../testing/silent_log.js';
@@ -13,6 +14,7 @@
 import {OwnerRecord} from '../leadership/owner_record.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {SeededRandom} from '../random/seeded_random.js';
+import {JobState} from '../orchestrator/job_state.js';
 import {JobPhase} from '../work/job_definition.js';
 import {JobTable} from '../work/job_table.js';
 import {JobGateway} from './job_gateway.js';
@@ -174,6 +176,26 @@
   assert.equal((await node.gateway.getPendingCount(queue!)).pending, 7);
 });
 
+test('a node explains a job by the answer of the owner', async () => {
+  // Guards against an explanation that only the owner itself gives, since an
+  // engineer does not know which node that is.
+  const store = new MemoryStore();
+  const {owner, node: ownerNode} = await createOwner(store);
+  const orchestrator = createOrchestrator();
+  orchestrator.addJob(new JobState(simpleJob(ID), 0));
+  ownerNode.state.ownedJobs = orchestrator;
+  const node = createNode('other', store);
+  assert.equal((await node.gateway.explain(ID)).code.name, 'NO_OWNER');
+  node.link.setOwner(owner);
+  await waitFor(() => node.link.isOpen);
+  const {code, explanation} = await node.gateway.explain(ID);
+  assert.equal(code.name, 'OK');
+  assert.equal(explanation?.job, ID);
+  assert.equal(explanation.steps[0]?.search?.suitable, 0);
+  const unknown = await node.gateway.explain('0000000000000001');
+  assert.equal(unknown.code.name, 'NOT_FOUND');
+});
+
 test('an owner that cannot reach the store requests replacement by a linked node', async () => {
   // Guards against seconds without an owner when the store is unreachable for
   // the owner only.
--- a/src/settings/run_daemon.ts
+++ b/src/settings/run_daemon.ts
@@ -1,6 +1,6 @@
 import {readFileSync} from 'node:fs';
 
-import {defineCommand, runMain} from 'citty';
+import {CommandDef, defineCommand, runMain} from 'citty';
 import {z} from 'zod';
 
 import {ResultCodes} from '../result_codes/result_code.js';
@@ -17,6 +17,8 @@
   schema: z.ZodType<T>;
   /** Runs the program with validated settings. */
   run: (settings: T) => Promise<void>;
+  /** Further commands by name. @default none */
+  commands?: Readonly<Record<string, CommandDef>>;
 }
 
 const {version} = JSON.parse(
@@ -47,9 +49,26 @@
   }
 }
 
+/** Returns commands that exit with the exit status of their error. */
+function withExitStatus(
+  commands: Readonly<Record<string, CommandDef>>,
+): Record<string, CommandDef> {
+  const wrapped = Object.entries(commands).map(([name, command]) => [
+    name,
+    defineCommand({
+      ...command,
+      run: (context) =>
+        exitOnError(async () => {
+          await command.run?.(context);
+        }),
+    }),
+  ]);
+  return Object.fromEntries(wrapped) as Record<string, CommandDef>;
+}
+
 /**
- * Runs the command line of a daemon, with the commands `run` (the default) and
- * `check-settings`.
+ * Runs the command line of a daemon, with the commands `run` (the default),
+ * `check-settings` and those of the options.
  */
 export async function runDaemon<T>(options: DaemonOptions<T>): Promise<void> {
   const {name, description, schema} = options;
@@ -75,7 +94,11 @@
       // Allows --settings without a command, which selects the default command.
       args: {settings: {...settingsArgument.settings, required: false}},
       default: 'run',
-      subCommands: {run, 'check-settings': checkSettings},
+      subCommands: {
+        ...withExitStatus(options.commands ?? {}),
+        run,
+        'check-settings': checkSettings,
+      },
     }),
   );
 }
