Log each long-running task that does not run

A step of long-running tasks now counts as idle while one of them does not run. The test fails without the change, as no line is written.

--- a/src/orchestrator/job_explanation.ts
+++ b/src/orchestrator/job_explanation.ts
@@ -29,8 +29,8 @@
   /** Why no worker is searched for it. @default one is searched */
   hold?: StepHold;
   /**
-   * Time in ms for which no task of the step is known to run. @default a task
-   * runs, or the step is done or not ready
+   * Time in ms for which no task of the step is known to run, or not all of them
+   * if they are long-running. @default the step is not idle, done or not ready
    */
   idleMs?: number;
   /** Runs that are or may be active; at most the first 32. */
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -81,22 +81,21 @@
   }
 
   /**
-   * Returns the time in ms since which no task of a step is known to run;
-   * undefined if one runs, or if the step is done or not ready.
+   * Returns the time in ms since which a step is idle: no task of it is known to
+   * run, or not all of them if they are long-running, since each of these serves
+   * users of its own. Undefined if it is not idle, done or not ready.
    */
   idleSinceMs(occurrence: OccurrenceState, number: number): number | undefined {
     const step = occurrence.steps[number]!;
     if (step.doneCount === step.tasks.length) return undefined;
     if (!this.isStepReady(occurrence, number)) return undefined;
-    let sinceMs = step.lastDoneMs;
-    for (const {state, lastActiveMs} of step.tasks) {
-      if (state === 'running') return undefined;
-      sinceMs = Math.max(sinceMs, lastActiveMs);
-    }
-    for (const earlier of this.definition.steps[number]!.after) {
-      sinceMs = Math.max(sinceMs, occurrence.steps[earlier]!.lastDoneMs);
-    }
-    return sinceMs;
+    const {after, isLongRunning} = this.definition.steps[number]!;
+    const idleMs = isLongRunning ? longestIdleTaskMs(step) : idleStepMs(step);
+    if (idleMs === undefined) return undefined;
+    const doneMs = after.map(
+      (earlier) => occurrence.steps[earlier]!.lastDoneMs,
+    );
+    return Math.max(idleMs, ...doneMs);
   }
 
   /**
@@ -168,3 +167,23 @@
     return {number, steps, isDone: false};
   }
 }
+
+/** Returns the time in ms since which a task does not run, the longest such. */
+function longestIdleTaskMs({tasks}: StepState): number | undefined {
+  let sinceMs: number | undefined;
+  for (const {state, lastActiveMs} of tasks) {
+    if (state === 'running') continue;
+    sinceMs = Math.min(sinceMs ?? Infinity, lastActiveMs);
+  }
+  return sinceMs;
+}
+
+/** Returns the time in ms since which no task of a step runs, if none does. */
+function idleStepMs({tasks, lastDoneMs}: StepState): number | undefined {
+  let sinceMs = lastDoneMs;
+  for (const {state, lastActiveMs} of tasks) {
+    if (state === 'running') return undefined;
+    sinceMs = Math.max(sinceMs, lastActiveMs);
+  }
+  return sinceMs;
+}
--- a/src/orchestrator/wait_monitor.ts
+++ b/src/orchestrator/wait_monitor.ts
@@ -16,15 +16,15 @@
 
 /** Jobs of which a step could run and does not, for logs and metrics. */
 export interface WaitSummary {
-  /** Jobs with a ready step of which nothing has run for 2 s. */
+  /** Jobs with a ready step that has been idle for 2 s. */
   idleJobs: number;
   /** Idle jobs for which at least one worker has room. */
   idleJobsWithRoom: number;
-  /** Longest time in ms for which nothing of a ready step has run. */
+  /** Longest time in ms for which a ready step has been idle. */
   longestIdleMs: number;
 }
 
-/** A job with the ready step of which nothing has run for the longest time. */
+/** A job with the ready step that has been idle for the longest time. */
 interface IdleJob {
   job: JobState;
   position: StepPosition;
@@ -33,7 +33,7 @@
   hasRoom: boolean;
 }
 
-/** Time in ms without a run of a ready step after which its job is idle. */
+/** Time in ms after which the job of an idle step counts as idle. */
 const IDLE_AFTER_MS = 2000;
 
 /** Minimum time in ms between two log lines about one job. */
@@ -147,7 +147,7 @@
   return [service, requiredLabel, step.usesLeftoverCpu, ...amounts].join();
 }
 
-/** Returns the ready step of which nothing has run for the longest time. */
+/** Returns the ready step that has been idle for the longest time. */
 function findIdleStep(
   job: JobState,
   nowMs: number,
--- a/src/orchestrator/wait_monitor_test.ts
+++ b/src/orchestrator/wait_monitor_test.ts
@@ -148,6 +148,19 @@
   assert.ok((line['idleMs'] as number) <= 3000);
 });
 
+test('a long-running task that does not run is logged although others do', () => {
+  // Guards against users of one task who wait unnoticed, since other tasks of
+  // its step serve theirs.
+  const fixture = new Fixture(1);
+  fixture.run(STEP_MS);
+  const step = {taskCount: 3, cpuMillicores: 4000, isLongRunning: true};
+  fixture.submit('job', [step]);
+  fixture.run(4000);
+  const [line] = fixture.waits();
+  assert.deepEqual(line?.['tasks'], {running: 2, waiting: 1});
+  assert.deepEqual(line['excluded'], {cpu: 1});
+});
+
 test('a job whose starts are refused again and again is logged', () => {
   // Guards against a wait that seems to begin anew with each refused start.
   const fixture = new Fixture(2);
--- a/src/why/format_explanation.ts
+++ b/src/why/format_explanation.ts
@@ -32,9 +32,7 @@
 
 function formatStep(step: StepExplanation): string[] {
   const idle =
-    step.idleMs === undefined
-      ? ''
-      : `; nothing has run for ${formatSeconds(step.idleMs)}`;
+    step.idleMs === undefined ? '' : `; idle for ${formatSeconds(step.idleMs)}`;
   const lines = [`step ${step.step}: ${formatCounts(step.tasks)}${idle}`];
   if (step.hold) lines.push(`  held back: ${step.hold}`);
   for (const {task, run, state, worker, assignedMs} of step.runs) {
--- a/src/why/why_command_test.ts
+++ b/src/why/why_command_test.ts
@@ -63,7 +63,7 @@
   );
   const output = await runWhy('job', '--address', address);
   assert.match(output, /job job: queued, queue queue, service service/);
-  assert.match(output, /step 0\.0: waiting 1; nothing has run for 0\.0 s/);
+  assert.match(output, /step 0\.0: waiting 1; idle for 0\.0 s/);
   assert.match(output, /workers: suitable 0, withRoom 1/);
   assert.match(output, /excluded: other-service 2, not-reported 1/);
   const json = JSON.parse(
