--- a/src/why/job_life.ts
+++ b/src/why/job_life.ts
@@ -64,7 +64,7 @@
   for (const line of lines) {
     if (!line.namesJob && !openRuns.isWorkerEvent(line)) continue;
     if (previous) life.push(...describeGap(previous, line, lines, openRuns));
-    if (line.namesJob) openRuns.apply(line, jobId);
+    openRuns.apply(line, jobId);
     life.push(toEntry(line));
     previous = line;
   }
@@ -80,13 +80,31 @@
   private readonly workers = new Map<string, string>();
 
   apply({event, fields}: LogLine, jobId: string): void {
+    const {task, worker, step, workers} = fields;
     if (event === 'job-ended') this.workers.clear();
-    const {task, worker} = fields;
+    if (event === 'worker-crashed') this.endOnWorker(worker);
+    if (event === 'job-waiting' && workers === undefined) {
+      this.endOfStep(`${jobId}.${String(step)}.`);
+    }
     if (typeof task !== 'string' || !task.startsWith(jobId)) return;
     if (event === 'place') this.workers.set(task, String(worker));
     if (RUN_ENDS.has(event)) this.workers.delete(task);
   }
 
+  /** Ends the runs on a worker that has crashed. */
+  private endOnWorker(lost: unknown): void {
+    for (const [task, worker] of this.workers) {
+      if (worker === lost) this.workers.delete(task);
+    }
+  }
+
+  /** Ends the runs of a step of which no run is active any more. */
+  private endOfStep(prefix: string): void {
+    for (const task of this.workers.keys()) {
+      if (task.startsWith(prefix)) this.workers.delete(task);
+    }
+  }
+
   /** Returns whether a line tells of the loss of a worker with such a run. */
   isWorkerEvent({event, fields}: LogLine): boolean {
     if (!event.startsWith('worker-')) return false;
@@ -125,7 +143,10 @@
   }
   const omitted = countOmitted(lines, fromMs, toMs);
   if (omitted > 0) {
-    add(LifeGap.EVIDENCE_MISSING, `${omitted} lines left out (lines-omitted)`);
+    add(
+      LifeGap.EVIDENCE_MISSING,
+      `up to ${omitted} lines left out (lines-omitted)`,
+    );
   }
   return entries;
 }
--- a/testing/node_fleet_test.ts
+++ b/testing/node_fleet_test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
 import {after, before, test} from 'node:test';
+import {promisify} from 'node:util';
 
 import {FleetNode, NodeFleet} from './node_fleet.js';
 
@@ -18,6 +20,14 @@
 let nextId = 1;
 const newId = (): string => (nextId++).toString(16).padStart(16, '0');
 
+/** Runs `banyanmux-node why` and returns its output. */
+async function runWhy(...commandLine: string[]): Promise<string> {
+  const script = 'build/src/node/banyanmux_node.js';
+  const run = promisify(execFile);
+  const {stdout} = await run(process.execPath, [script, 'why', ...commandLine]);
+  return stdout;
+}
+
 async function waitForState(
   node: FleetNode,
   id: string,
@@ -58,6 +68,32 @@
   assert.deepEqual(fleet.violations, []);
 });
 
+test('a job that no worker can run is explained by any node and by the logs', async () => {
+  // Guards against a waiting job that an engineer cannot explain from the node
+  // that is at hand, or from metrics and logs alone.
+  const id = newId();
+  const steps = [{...JOB.steps[0], cpu: 99_000}];
+  const [first] = fleet.nodes;
+  const body = {...JOB, steps};
+  assert.equal((await fleet.call(first!, 'POST', {id, body})).status, 200);
+  await new Promise((resolve) => setTimeout(resolve, 4000));
+  for (const {metricsPort} of fleet.nodes) {
+    const address = `127.0.0.1:${metricsPort}`;
+    const output = await runWhy(id, '--address', address);
+    assert.match(output, /step 0\.0: waiting 4; idle for [3-9]/);
+    assert.match(output, /excluded: cpu 4\n/);
+  }
+  const logs = fleet.nodes.map(({logFile}) => logFile);
+  const life = await runWhy(id, '--logs', ...logs);
+  assert.match(life, /accept how=stored/);
+  assert.match(life, /job-waiting .*excluded=\{"cpu":4\}/);
+  const metrics = await fetch(
+    `http://127.0.0.1:${fleet.owner.metricsPort}/metrics`,
+  );
+  assert.match(await metrics.text(), /^banyanmux_idle_jobs 1$/m);
+  await fleet.call(first!, 'DELETE', {id});
+});
+
 test('a stopping node serves requests that still arrive', async () => {
   // Guards against requests aborted by a planned stop.
   const node = fleet.nodes.find((other) => other !== fleet.owner)!;
