Show that tasks without progress keep others from idle workers

A run without progress is stopped after 1.8 s and blocks its worker for 6 s for all tasks. It is not counted and starts again elsewhere, so that a job with as many such tasks as there are workers blocks the whole fleet for most of the time:

job1.0.0.0 submitted at 12500 ms, not started by 15500 ms; three more alike

--- a/testing/steady_workers.ts
+++ b/testing/steady_workers.ts
@@ -25,6 +25,8 @@
    * @default no gauges
    */
   gaugeOf?: (task: TaskState) => number | undefined;
+  /** Returns whether a running task makes no progress. @default none does */
+  isStuck?: (task: TaskState) => boolean;
   /**
    * Returns the tickets for an advice request by worker id.
    *
@@ -55,6 +57,8 @@
   readonly orchestrator: Orchestrator;
   /** Names of the tasks of which a start was sent, in order. */
   readonly starts: string[] = [];
+  /** Time in ms of the first start of each task. */
+  readonly startedMs = new Map<string, number>();
   /** Speed limits sent, in order. */
   readonly speedLimits: Array<{task: string; percent: number}> = [];
   private readonly running = new Map<string, Set<TaskState>>();
@@ -129,13 +133,22 @@
 
   private reportOf(task: TaskState): RunningReport {
     const gauge = this.options.gaugeOf?.(task);
-    // Progress in small steps, so that no task counts as stuck.
-    const percent = task.step.isLongRunning ? 100 : (task.percent + 1) % 100;
+    const percent = this.percentOf(task);
     return {task: task.name, run: task.run, checkpoint: '', percent, gauge};
   }
 
+  private percentOf(task: TaskState): number {
+    if (task.step.isLongRunning) return 100;
+    if (this.options.isStuck?.(task)) return 0;
+    // Progress in small steps, so that the task does not count as stuck.
+    return (task.percent + 1) % 100;
+  }
+
   private confirm(task: TaskState): void {
     this.starts.push(task.name);
+    if (!this.startedMs.has(task.name)) {
+      this.startedMs.set(task.name, this.clock.nowMs());
+    }
     const id = task.assignment!.workerId;
     this.running.get(id)!.add(task);
     const outcome = {kind: 'done', clockMs: this.clock.nowMs()} as const;
