Name the cause of a failed job in the line about its end

A job that is wrongly shown as failed has to lead to its cause. The lines about single runs may be left out, and job-ended told only how many runs had failed: it now has the cause (attempts or crashes), the task, and the workers of up to eight failed runs, by which a fault of the job can be told from that of a worker. The first test of orchestrator_log_test.ts checks the same as before, on a fixture that both tests use.

The name of the other node in node-linked and node-unlinked stood in a second field node, which hid the node that wrote the line; it is peer now.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -108,7 +108,6 @@
       Object.values(this.servers).map((server) => server.listen()),
     );
     log.logDecision('start', {
-      node: settings.node,
       dataCentre: settings.dataCentre,
       partition: settings.partition,
     });
--- a/src/node/owner_link_server.ts
+++ b/src/node/owner_link_server.ts
@@ -97,14 +97,14 @@
 
   onOpen(link: Link): void {
     this.links.add(link);
-    this.options.log.logDecision('node-linked', {node: link.peer?.member});
+    this.options.log.logDecision('node-linked', {peer: link.peer?.member});
   }
 
   onClose(link: Link, reason: string): void {
     this.requestedLinks.delete(link);
     if (!this.links.delete(link)) return;
     this.options.log.logDecision('node-unlinked', {
-      node: link.peer?.member,
+      peer: link.peer?.member,
       reason,
     });
   }
--- a/src/orchestrator/job_history.ts
+++ b/src/orchestrator/job_history.ts
@@ -5,16 +5,21 @@
   lostRuns: number;
   stoppedRuns: number;
   firstStartMs: number | undefined;
+  /** Workers of the failed runs; left out if none has failed. */
+  failedOn?: readonly string[];
 }
 
+/** Maximum number of workers of failed runs that are kept. */
+const KEPT_WORKERS = 8;
+
 /** What happened to the runs of a job in the term of this owner, for logs. */
 export class JobHistory {
-  /** Number of runs that ended as failed. */
-  failedRuns = 0;
   /** Number of runs that ended with their worker or its lease. */
   lostRuns = 0;
   /** Number of runs that this owner stopped before the job ended. */
   stoppedRuns = 0;
+  private failedRuns = 0;
+  private readonly failedOn: string[] = [];
   private startedRuns = 0;
   private firstStartMs: number | undefined;
 
@@ -28,10 +33,18 @@
     this.firstStartMs ??= Math.round(ageMs);
   }
 
+  /** Records that a run ended as failed on a worker. */
+  recordFailure(workerId: string | undefined): void {
+    this.failedRuns += 1;
+    if (workerId === undefined || this.failedOn.length === KEPT_WORKERS) return;
+    this.failedOn.push(workerId);
+  }
+
   /** Returns the counts for a log line. */
   summary(): JobHistorySummary {
     const {startedRuns: runs, failedRuns, lostRuns, stoppedRuns} = this;
     const {firstStartMs} = this;
-    return {runs, failedRuns, lostRuns, stoppedRuns, firstStartMs};
+    const failedOn = failedRuns > 0 ? [...this.failedOn] : undefined;
+    return {runs, failedRuns, lostRuns, stoppedRuns, firstStartMs, failedOn};
   }
 }
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -495,7 +495,7 @@
 
   private failRun(task: TaskState): void {
     task.failures += 1;
-    task.job.history.failedRuns += 1;
+    task.job.history.recordFailure(task.assignment?.workerId);
     task.job.hasStarted = true;
     const nowMs = this.options.clock.nowMs();
     task.failedWorkerId = task.assignment?.workerId;
@@ -504,7 +504,8 @@
     if (task.step.isLongRunning || task.job.isFinal) return;
     const maxAttempts = this.queueOf(task.job)?.maxAttempts ?? Infinity;
     if (task.failures >= maxAttempts) {
-      this.endJob(task.job, JobPhase.FAILED);
+      const cause = {cause: 'attempts', task: task.name};
+      this.endJob(task.job, JobPhase.FAILED, cause);
     }
   }
 
@@ -525,15 +526,21 @@
       run,
       ...task.crashes.toRecord(),
     });
-    this.endJob(job, JobPhase.FAILED);
+    this.endJob(job, JobPhase.FAILED, {cause: 'crashes', task: name});
   }
 
-  private endJob(job: JobState, phase: JobPhase): void {
+  /** @param cause - Why the job has failed, for the log. */
+  private endJob(
+    job: JobState,
+    phase: JobPhase,
+    cause: {cause?: string; task?: string} = {},
+  ): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
     this.options.log.logDecision('job-ended', {
       job: job.definition.id,
       phase,
+      ...cause,
       queue: job.definition.queue,
       ageMs: Math.round(this.options.clock.wallMs() - job.acceptedWallMs),
       objectiveMs: this.objectiveMsOf(job),
--- a/src/orchestrator/orchestrator_log_test.ts
+++ b/src/orchestrator/orchestrator_log_test.ts
@@ -1,73 +1,82 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {pino} from 'pino';
-
 import {applyPending} from '../../testing/apply_pending.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {
-  simpleConfiguration,
-  simpleJob,
-  simpleWorker,
-} from '../../testing/simple_definitions.js';
+import {CapturedLine, createCapturedLog} from '../../testing/captured_log.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
+import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {NodeLog} from '../logging/node_log.js';
 import {JobState} from './job_state.js';
 import {Orchestrator} from './orchestrator.js';
 import {EndKind} from './worker_port.js';
 
-interface Line {
-  msg: string;
-  runs?: number;
-  failedRuns?: number;
-  firstStartMs?: number;
-}
+/** An owner of one worker, and the lines that it has logged. */
+class Fixture {
+  readonly lines: readonly CapturedLine[];
+  readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  private readonly orchestrator: Orchestrator;
 
-test('the line about the end of a job tells what happened to its runs', () => {
-  // The lines about single runs are left out at thousands of starts a second.
-  // Guards against a late job that the log cannot explain.
-  const lines: Line[] = [];
-  const clock = new ManualClock({startMs: 0, wallStartMs: 0});
-  const write = (text: string): void => {
-    lines.push(JSON.parse(text) as Line);
-  };
-  const orchestrator = new Orchestrator({
-    clock,
-    log: new NodeLog({logger: pino({}, {write}), clock, linesPerSecond: 1000}),
-    keys: new PartitionKeys('main'),
-    longestLeaseMs: 6000,
-    keepFinishedMs: 1000,
-    previousTermLeaseMs: 0,
-    effects: idleEffects(),
-  });
-  orchestrator.configure(simpleConfiguration());
-  orchestrator.upsertWorker(simpleWorker('w'));
-  const worker = orchestrator.workers.get('w')!;
-  const report = (kind?: EndKind): void => {
+  constructor() {
+    const {clock} = this;
+    const {log, lines} = createCapturedLog(clock);
+    this.lines = lines;
+    this.orchestrator = createOrchestrator({clock, log});
+    this.orchestrator.upsertWorker(simpleWorker('w'));
+    this.orchestrator.addJob(new JobState(simpleJob('job'), 0));
+  }
+
+  /** Sends a report in which the run on the worker has ended, if `kind` is set. */
+  report(kind?: EndKind): void {
+    const worker = this.orchestrator.workers.get('w')!;
     const [task] = [...worker.tasks];
     const sequence = worker.processedSequence + 1;
     const ended =
       task && kind
         ? [{sequence, task: task.name, run: task.run, kind, checkpoint: ''}]
         : [];
-    const nowMs = clock.nowMs();
+    const nowMs = this.clock.nowMs();
     const content = {clockMs: nowMs, bornMs: 1, running: [], ended};
-    orchestrator.processReport(worker, content, nowMs);
-  };
-  const runPass = (): void => {
-    orchestrator.schedule();
-    applyPending(orchestrator.takePending());
-  };
-  orchestrator.addJob(new JobState(simpleJob('job'), 0));
-  clock.advance(400);
-  report();
-  runPass();
-  report(EndKind.FAILED);
-  runPass();
-  report(EndKind.DONE);
-  const end = lines.find(({msg}) => msg === 'job-ended');
-  assert.equal(end?.runs, 2);
-  assert.equal(end?.failedRuns, 1);
-  assert.equal(end?.firstStartMs, 400);
+    this.orchestrator.processReport(worker, content, nowMs);
+  }
+
+  runPass(): void {
+    this.orchestrator.schedule();
+    applyPending(this.orchestrator.takePending());
+  }
+
+  /** Line about the end of the job. */
+  get end(): CapturedLine | undefined {
+    return this.lines.find(({msg}) => msg === 'job-ended');
+  }
+}
+
+test('the line about the end of a job tells what happened to its runs', () => {
+  // The lines about single runs are left out at thousands of starts a second.
+  // Guards against a late job that the log cannot explain.
+  const fixture = new Fixture();
+  fixture.clock.advance(400);
+  fixture.report();
+  fixture.runPass();
+  fixture.report(EndKind.FAILED);
+  fixture.runPass();
+  fixture.report(EndKind.DONE);
+  assert.equal(fixture.end?.['runs'], 2);
+  assert.equal(fixture.end['failedRuns'], 1);
+  assert.equal(fixture.end['firstStartMs'], 400);
+  assert.equal(fixture.end['cause'], undefined);
+});
+
+test('the line about a failed job names its cause, the task and the workers', () => {
+  // Guards against a job that is wrongly shown as failed, and of which the log
+  // does not tell which task failed, and where.
+  const fixture = new Fixture();
+  fixture.report();
+  for (let attempt = 0; attempt < 3; attempt++) {
+    fixture.runPass();
+    fixture.report(EndKind.FAILED);
+  }
+  assert.equal(fixture.end?.['phase'], 'failed');
+  assert.equal(fixture.end['cause'], 'attempts');
+  assert.equal(fixture.end['task'], 'job.0.0.0');
+  assert.deepEqual(fixture.end['failedOn'], ['w', 'w', 'w']);
 });
--- a/src/why/format_explanation.ts
+++ b/src/why/format_explanation.ts
@@ -20,12 +20,17 @@
 }
 
 function formatJob(job: JobExplanation, owner: string | undefined): string[] {
-  const {history} = job;
+  const {failedOn, firstStartMs, ...counts} = job.history;
+  const failures = failedOn ? `; failed on ${failedOn.join(', ')}` : '';
+  const firstStart =
+    firstStartMs === undefined
+      ? 'none started'
+      : `first started after ${formatSeconds(firstStartMs)}`;
   const known = formatSeconds(job.knownMs);
   return [
     `job ${job.job}: ${job.phase}, queue ${job.queue}, service ${job.service}`,
     `accepted ${formatSeconds(job.ageMs)} ago; owner ${owner ?? 'unknown'} knows it for ${known}`,
-    `runs of this owner: ${formatCounts({...history, firstStartMs: undefined})}`,
+    `runs of this owner: ${formatCounts(counts)}; ${firstStart}${failures}`,
     ...job.steps.flatMap(formatStep),
   ];
 }
--- a/src/why/job_life.ts
+++ b/src/why/job_life.ts
@@ -61,15 +61,19 @@
   const life: LifeEntry[] = [];
   const openRuns = new OpenRuns();
   let previous: LogLine | undefined;
+  let hasEnded = false;
   for (const line of lines) {
     if (!line.namesJob && !openRuns.isWorkerEvent(line)) continue;
-    if (previous) life.push(...describeGap(previous, line, lines, openRuns));
+    if (previous && !hasEnded) {
+      life.push(...describeGap(previous, line, lines, openRuns));
+    }
     openRuns.apply(line, jobId);
     life.push(toEntry(line));
     previous = line;
+    hasEnded ||= line.event === 'job-ended';
   }
   const last = lines.at(-1);
-  if (previous && last) {
+  if (previous && last && !hasEnded) {
     life.push(...describeGap(previous, last, lines, openRuns));
   }
   return life;
@@ -130,7 +134,7 @@
   openRuns: OpenRuns,
 ): LifeEntry[] {
   const [fromMs, toMs] = [previous.timeMs, next.timeMs];
-  if (toMs - fromMs < MIN_GAP_MS || previous.event === 'job-ended') return [];
+  if (toMs - fromMs < MIN_GAP_MS) return [];
   const seconds = ((toMs - fromMs) / MS_PER_SECOND).toFixed(1);
   const entries: LifeEntry[] = [];
   const add = (event: string, text: string): void => {
--- a/src/why/job_life_test.ts
+++ b/src/why/job_life_test.ts
@@ -117,6 +117,7 @@
       line('n1', 3, 'place', {task: TASK, worker: 'w1'}),
       line('n1', 3.2, 'run-done', {task: TASK, worker: 'w1'}),
       line('n1', 3.3, 'job-ended', {job: JOB}),
+      line('n1', 3.4, 'run-ended', {task: TASK}),
       line('n1', 9, 'lines-omitted', {omitted: 7}),
     ]),
   );
