Start best-effort tasks on workers that shrank under other tasks

Each pass assigns, commits and withdraws again.

Evidence: in the test the run number rises by 20 a second, a pass each 50 ms, and no start is sent. It failed with

assert.ok(bench.runningOn('w').includes('fill.0.0.0')) actual: false

The check now wants what the start counts against: memory and accelerators for a best-effort task, whose CPU is not counted against a worker's capacity. Ruled out: other reasons of a withdrawal (draining, ended, gone) keep the worker out of the placement as well, so that none of them repeats.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -607,7 +607,7 @@
       worker &&
       !worker.hasEnded &&
       !worker.registration.isDraining &&
-      worker.isWithinCapacity;
+      worker.isWithinCapacityFor(task.step);
     if (task.job.isFinal || !canStart) {
       this.endRun(task, 'withdrawn');
       if (task.step.isGang) this.abandonGangRun(task);
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -223,10 +223,15 @@
     return this.orphanSteps.length > 0 || this.hasUnknownRuns;
   }
 
-  /** Whether all that is or may be active on this worker fits its capacity. */
-  get isWithinCapacity(): boolean {
+  /**
+   * Returns whether all that is or may be active on this worker fits its
+   * capacity, in those resources that a task of a step counts against.
+   */
+  isWithinCapacityFor({usesLeftoverCpu}: StepDefinition): boolean {
     return (
-      this.freeCpu >= 0 && this.freeMemoryMb >= 0 && this.freeAccelerators >= 0
+      (usesLeftoverCpu || this.freeCpu >= 0) &&
+      this.freeMemoryMb >= 0 &&
+      this.freeAccelerators >= 0
     );
   }
 
