Compare memory before skipping best-effort steps behind one that waits

Cause: what UnplaceableSteps remembers of a best-effort step left its memory out ("rarely decides"), so each pass skipped all steps of the image and label with as much CPU, and the order of jobs keeps the first one in front. Workers that shrink make such steps.

Requests that did not fit are now kept by CPU and memory, the smallest ones only, and a step is skipped if it needs as much of both. Keying by memory, as for other tasks, was ruled out: jobs of one image differ in it, so that each would search all workers in an overload.

--- a/src/orchestrator/unplaceable_steps.ts
+++ b/src/orchestrator/unplaceable_steps.ts
@@ -15,10 +15,11 @@
   nowMs: number;
 }
 
-interface FailedShape {
-  /** Smallest CPU request in millicores that did not fit. */
-  minCpu: number;
-  /** Pass in which no worker had capacity for `minCpu`. */
+/** What a task requests of a worker. */
+type Request = Pick<StepDefinition, 'cpuMillicores' | 'memoryMb'>;
+
+interface FailedRequest extends Request {
+  /** Latest pass in which no worker had capacity for it. */
   pass: number;
   /** Time in ms at which all workers were last evaluated. */
   fullSearchMs: number;
@@ -38,35 +39,30 @@
  */
 export class UnplaceableSteps {
   private time: PassTime = {pass: 0, nowMs: -Infinity};
-  /** Smallest CPU request that did not fit in the current pass, by shape. */
-  private readonly minCpuByShape = new Map<string, number>();
-  private readonly failedShapes = new Map<string, FailedShape>();
+  /** Requests that did not fit in the current pass, by shape. */
+  private readonly failedInPass = new Map<string, Request[]>();
+  /** Requests that did not fit lately, by shape; none covers another. */
+  private readonly failedRequests = new Map<string, FailedRequest[]>();
 
   /** Begins a scheduling pass. */
   beginPass(time: PassTime): void {
     this.time = time;
-    this.minCpuByShape.clear();
-    for (const [shape, {fullSearchMs}] of this.failedShapes) {
-      if (time.nowMs - fullSearchMs < FULL_SEARCH_INTERVAL_MS) continue;
-      this.failedShapes.delete(shape);
+    this.failedInPass.clear();
+    for (const [shape, failed] of this.failedRequests) {
+      const recent = failed.filter(
+        ({fullSearchMs}) => time.nowMs - fullSearchMs < FULL_SEARCH_INTERVAL_MS,
+      );
+      if (recent.length > 0) this.failedRequests.set(shape, recent);
+      else this.failedRequests.delete(shape);
     }
   }
 
   /** Records that no worker can accept a task of a step. */
   add(step: StepDefinition, origin: StepOrigin): void {
     const shape = shapeKeyOf(step, origin);
-    const {cpuMillicores} = step;
-    const known = this.minCpuByShape.get(shape) ?? Infinity;
-    this.minCpuByShape.set(shape, Math.min(known, cpuMillicores));
-    if (isJobSpecific(step, origin)) return;
-    const failed = this.failedShapes.get(shape);
-    if (failed && cpuMillicores > failed.minCpu) return;
-    const wasPartialSearch = failed && cpuMillicores === failed.minCpu;
-    this.failedShapes.set(shape, {
-      minCpu: cpuMillicores,
-      pass: this.time.pass,
-      fullSearchMs: wasPartialSearch ? failed.fullSearchMs : this.time.nowMs,
-    });
+    const inPass = this.failedInPass.get(shape) ?? [];
+    this.failedInPass.set(shape, [...withoutLarger(inPass, step), step]);
+    if (!isJobSpecific(step, origin)) this.addFailed(shape, step);
   }
 
   /**
@@ -74,8 +70,8 @@
    * pass.
    */
   includes(step: StepDefinition, origin: StepOrigin): boolean {
-    const minCpu = this.minCpuByShape.get(shapeKeyOf(step, origin));
-    return minCpu !== undefined && step.cpuMillicores >= minCpu;
+    const failed = this.failedInPass.get(shapeKeyOf(step, origin)) ?? [];
+    return failed.some((request) => needsAsMuch(step, request));
   }
 
   /**
@@ -83,22 +79,51 @@
    * that have not changed since still cannot. Undefined if there is none.
    */
   failedPassOf(step: StepDefinition, origin: StepOrigin): number | undefined {
-    const failed = this.failedShapes.get(shapeKeyOf(step, origin));
-    if (!failed || step.cpuMillicores < failed.minCpu) return undefined;
-    return failed.pass;
+    const failed = this.failedRequests.get(shapeKeyOf(step, origin)) ?? [];
+    return failed.find((request) => needsAsMuch(step, request))?.pass;
+  }
+
+  private addFailed(shape: string, step: StepDefinition): void {
+    const {pass, nowMs} = this.time;
+    const {cpuMillicores, memoryMb} = step;
+    const failed = this.failedRequests.get(shape) ?? [];
+    const covering = failed.find((request) => needsAsMuch(step, request));
+    if (!covering) {
+      const added = {cpuMillicores, memoryMb, pass, fullSearchMs: nowMs};
+      this.failedRequests.set(shape, [...withoutLarger(failed, step), added]);
+      return;
+    }
+    // The search was restricted to the workers that changed after `pass`. That
+    // says nothing about smaller requests.
+    if (needsAsMuch(covering, step)) covering.pass = pass;
   }
 }
 
+function needsAsMuch(left: Request, right: Request): boolean {
+  return (
+    left.cpuMillicores >= right.cpuMillicores && left.memoryMb >= right.memoryMb
+  );
+}
+
+/** Returns the requests that do not need as much as `limit`. */
+function withoutLarger<T extends Request>(
+  requests: readonly T[],
+  limit: Request,
+): T[] {
+  return requests.filter((request) => !needsAsMuch(request, limit));
+}
+
 function isJobSpecific(step: StepDefinition, origin: StepOrigin): boolean {
   return step.mostPerWorker > 0 || origin.needsAdvice === true;
 }
 
-/** Steps with the same key differ at most in the CPU that they request. */
+/** Steps with the same key differ at most in the CPU and memory they request. */
 function shapeKeyOf(step: StepDefinition, origin: StepOrigin): string {
   const {memoryMb, acceleratorCount, requiredLabel, image} = step;
   const jobScope = isJobSpecific(step, origin) ? origin.jobId : '';
-  const common = [origin.service, requiredLabel, jobScope];
-  // Memory rarely decides where a best-effort task fits, so CPU alone counts.
+  const common = [origin.service, acceleratorCount, requiredLabel, jobScope];
+  // Few requests for memory decide where a best-effort task fits, so they are
+  // compared. Other tasks are told apart by it.
   if (step.usesLeftoverCpu) return ['fill', image, ...common].join();
-  return ['', memoryMb, acceleratorCount, ...common].join();
+  return ['', memoryMb, ...common].join();
 }
--- a/src/orchestrator/unplaceable_steps_test.ts
+++ b/src/orchestrator/unplaceable_steps_test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 
 import {simpleStep} from '../../testing/simple_definitions.js';
+import {StepDefinition} from '../work/job_definition.js';
 import {UnplaceableSteps} from './unplaceable_steps.js';
 
 const ORIGIN = {service: 'service', jobId: 'job'};
@@ -20,6 +21,26 @@
   assert.ok(!includes(2000));
 });
 
+test('a best-effort task that lacks memory does not block those that need less', () => {
+  // Guards against tasks that wait for as long as one with more memory and as
+  // little CPU does not fit, in the same pass and in later ones.
+  const unplaceable = new UnplaceableSteps();
+  const fill = (cpuMillicores: number, memoryMb: number): StepDefinition =>
+    simpleStep({usesLeftoverCpu: true, cpuMillicores, memoryMb});
+  unplaceable.beginPass({pass: 1, nowMs: 0});
+  unplaceable.add(fill(2000, 8000), ORIGIN);
+  unplaceable.add(fill(4000, 1000), ORIGIN);
+  assert.ok(!unplaceable.includes(fill(3000, 1000), ORIGIN));
+  assert.ok(unplaceable.includes(fill(4000, 1000), ORIGIN));
+  assert.ok(unplaceable.includes(fill(3000, 9000), ORIGIN));
+  unplaceable.beginPass({pass: 2, nowMs: 10});
+  assert.equal(unplaceable.failedPassOf(fill(3000, 1000), ORIGIN), undefined);
+  assert.equal(unplaceable.failedPassOf(fill(2000, 8000), ORIGIN), 1);
+  unplaceable.add(fill(1000, 500), ORIGIN);
+  unplaceable.beginPass({pass: 3, nowMs: 20});
+  assert.equal(unplaceable.failedPassOf(fill(2000, 8000), ORIGIN), 2);
+});
+
 test('an unplaceable step of one image does not block another image', () => {
   // Guards against images that wait behind one with more interference.
   const unplaceable = new UnplaceableSteps();
