Let a step that cannot be placed hold back no other step of its job

Cause: UnplaceableSteps keyed such steps by job, although limit and advice belong to a step of an occurrence. They are keyed by the step's name now, which StepState holds; StepAdvice uses the same name.

The test of the key by job is replaced by one of the key by step that also demands that another job is not blocked.

--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -4,6 +4,8 @@
 
 /** Tasks of one step in one occurrence. */
 export interface StepState {
+  /** Job, occurrence and number, for example "5c0e7a21d94b36f8.0.1". */
+  name: string;
   tasks: TaskState[];
   doneCount: number;
   /** Time in ms at which this owner last saw a task end; else -Infinity. */
@@ -153,6 +155,7 @@
 
   private createOccurrence(number: number): OccurrenceState {
     const steps = this.definition.steps.map((step, stepNumber) => ({
+      name: `${this.definition.id}.${number}.${stepNumber}`,
       doneCount: 0,
       lastDoneMs: -Infinity,
       tasks: Array.from(
--- a/src/orchestrator/step_advice.ts
+++ b/src/orchestrator/step_advice.ts
@@ -38,9 +38,7 @@
     worker: WorkerState,
     nowMs: number,
   ): string | undefined {
-    const advice = this.steps
-      .get(stepNameOf(step))
-      ?.get(worker.registration.id);
+    const advice = this.steps.get(step.name)?.get(worker.registration.id);
     if (!advice || advice.incarnation !== worker.incarnation) return undefined;
     if (nowMs >= advice.validUntilMs - TICKET_MARGIN_MS) return undefined;
     return advice.ticket;
@@ -53,7 +51,7 @@
    *     denied in their current incarnation are left out.
    */
   enqueue(step: StepState, workers: Iterable<WorkerState>): void {
-    const known = this.steps.get(stepNameOf(step));
+    const known = this.steps.get(step.name);
     const unknown: string[] = [];
     for (const {registration, incarnation} of workers) {
       const advice = known?.get(registration.id);
@@ -62,7 +60,7 @@
       if (!isDenied) unknown.push(registration.id);
       if (unknown.length === MAX_WORKERS_PER_REQUEST) break;
     }
-    if (unknown.length > 0) this.pendingByStep.set(stepNameOf(step), unknown);
+    if (unknown.length > 0) this.pendingByStep.set(step.name, unknown);
   }
 
   /**
@@ -106,17 +104,12 @@
 
   /** Discards the ticket of a worker that has rejected it. */
   invalidate(step: StepState, workerId: string): void {
-    this.steps.get(stepNameOf(step))?.delete(workerId);
+    this.steps.get(step.name)?.delete(workerId);
   }
 
   /** Removes the state of a step whose job has ended. */
   removeStep(step: StepState): void {
-    this.steps.delete(stepNameOf(step));
-    this.pendingByStep.delete(stepNameOf(step));
+    this.steps.delete(step.name);
+    this.pendingByStep.delete(step.name);
   }
 }
-
-function stepNameOf({tasks}: StepState): string {
-  const {job, position} = tasks[0]!;
-  return `${job.definition.id}.${position.occurrence}.${position.step}`;
-}
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -82,19 +82,19 @@
    * Returns whether no worker was found for a step like this one, so that only
    * workers that change are evaluated for it until the next full search.
    */
-  isRemembered(job: JobState, {tasks}: StepState): boolean {
-    const {step} = tasks[0]!;
-    const origin = this.originOf(job);
+  isRemembered(job: JobState, step: StepState): boolean {
+    const {step: definition} = step.tasks[0]!;
+    const origin = this.originOf(job, step);
     return (
-      this.unplaceable.includes(step, origin) ||
-      this.unplaceable.failedPassOf(step, origin) !== undefined
+      this.unplaceable.includes(definition, origin) ||
+      this.unplaceable.failedPassOf(definition, origin) !== undefined
     );
   }
 
-  private originOf(job: JobState): Required<StepOrigin> {
+  private originOf(job: JobState, step: StepState): Required<StepOrigin> {
     return {
       service: this.contexts.serviceOf(job),
-      jobId: job.definition.id,
+      stepName: step.name,
       needsAdvice: this.contexts.needsAdvice(job),
     };
   }
@@ -120,7 +120,7 @@
   private assignTasks(job: JobState, step: StepState, nowMs: number): void {
     const {unplaceable} = this;
     const {step: definition} = step.tasks[0]!;
-    const origin = this.originOf(job);
+    const origin = this.originOf(job, step);
     if (unplaceable.includes(definition, origin)) return;
     const context = this.contexts.create(job, step, nowMs);
     const workers = this.workersWorthSearching(definition, origin);
--- a/src/orchestrator/unplaceable_steps.ts
+++ b/src/orchestrator/unplaceable_steps.ts
@@ -1,9 +1,10 @@
 import {StepDefinition} from '../work/job_definition.js';
 
-/** Service and job that a step belongs to. */
+/** Service and name of a step. */
 export interface StepOrigin {
   service: string;
-  jobId: string;
+  /** Name of the step in its job and occurrence. */
+  stepName: string;
   /** Whether the advice service restricts the workers. @default false */
   needsAdvice?: boolean;
 }
@@ -62,7 +63,7 @@
     const shape = shapeKeyOf(step, origin);
     const inPass = this.failedInPass.get(shape) ?? [];
     this.failedInPass.set(shape, [...withoutLarger(inPass, step), step]);
-    if (!isJobSpecific(step, origin)) this.addFailed(shape, step);
+    if (!isStepSpecific(step, origin)) this.addFailed(shape, step);
   }
 
   /**
@@ -113,15 +114,16 @@
   return requests.filter((request) => !needsAsMuch(request, limit));
 }
 
-function isJobSpecific(step: StepDefinition, origin: StepOrigin): boolean {
+/** Whether the workers that a step may use depend on its other tasks. */
+function isStepSpecific(step: StepDefinition, origin: StepOrigin): boolean {
   return step.mostPerWorker > 0 || origin.needsAdvice === true;
 }
 
 /** Steps with the same key differ at most in the CPU and memory they request. */
 function shapeKeyOf(step: StepDefinition, origin: StepOrigin): string {
   const {memoryMb, acceleratorCount, requiredLabel, image} = step;
-  const jobScope = isJobSpecific(step, origin) ? origin.jobId : '';
-  const common = [origin.service, acceleratorCount, requiredLabel, jobScope];
+  const scope = isStepSpecific(step, origin) ? origin.stepName : '';
+  const common = [origin.service, acceleratorCount, requiredLabel, scope];
   // Few requests for memory decide where a best-effort task fits, so they are
   // compared. Other tasks are told apart by it.
   if (step.usesLeftoverCpu) return ['fill', image, ...common].join();
--- a/src/orchestrator/unplaceable_steps_test.ts
+++ b/src/orchestrator/unplaceable_steps_test.ts
@@ -5,7 +5,7 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {UnplaceableSteps} from './unplaceable_steps.js';
 
-const ORIGIN = {service: 'service', jobId: 'job'};
+const ORIGIN = {service: 'service', stepName: 'job.0.0'};
 
 test('a large task that does not fit does not block smaller ones', () => {
   // Best-effort tasks of one image request CPU that differs by a factor of
@@ -49,13 +49,16 @@
   assert.ok(!unplaceable.includes(other, ORIGIN));
 });
 
-test('a step with a limit per worker blocks only its own job', () => {
-  // Guards against jobs that wait because another job has reached its limit.
+test('a step with a limit per worker blocks no other step', () => {
+  // Guards against jobs, or steps of a job, that wait because another one has
+  // reached its limit.
   const unplaceable = new UnplaceableSteps();
   const step = simpleStep({mostPerWorker: 1});
   unplaceable.add(step, ORIGIN);
   assert.ok(unplaceable.includes(step, ORIGIN));
-  assert.ok(!unplaceable.includes(step, {...ORIGIN, jobId: 'other'}));
+  for (const stepName of ['other.0.0', 'job.0.1', 'job.1.0']) {
+    assert.ok(!unplaceable.includes(step, {...ORIGIN, stepName}));
+  }
 });
 
 test('a step that did not fit is searched among changed workers only', () => {
