Place best-effort tasks that starve beside latency-critical ones

Each worker has latency-critical tasks, and the estimate leaves them no headroom at full speed (an image with a pressure of 4.5 on a ninth of a worker takes 0.49 of a free load of about 0.35), or each worker has less CPU left over than the task requests, though its request counts against no capacity. Nothing is placed, so nothing is learned, and no worker without latency-critical tasks comes free.

A best-effort step of a job of which nothing has run for 1.5 s, while at most 60% of the capacity of its service is requested, now gets one task on the worker that it disturbs least, at 10% of its speed. The controller raises or pauses it by what it measures, as for any best-effort task, so that tail latencies are protected as before; another worker with headroom takes it over by a move. Above 60% tasks wait as before: the room belongs to others then. Ruled out: aging estimates towards the prior, which would let tasks in at full speed and does not help an image that fits nowhere.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -434,8 +434,9 @@
     task.refusals = 0;
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
-    task.speedLimitPercent = 100;
+    task.speedLimitPercent = task.startSpeedPercent;
     if (task.job.isFinal) this.requestStop(task, 'job-ended');
+    else if (task.speedLimitPercent < 100) this.sendSpeedLimit(task);
   }
 
   private endRun(task: TaskState, how: string): void {
@@ -558,6 +559,11 @@
     this.sendStop(task);
   }
 
+  private sendSpeedLimit(task: TaskState): void {
+    const worker = this.workerOf(task);
+    if (worker) this.options.effects.setSpeedLimit(task, worker);
+  }
+
   private sendStop(task: TaskState): void {
     const worker = this.workerOf(task);
     if (!worker) return;
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -15,6 +15,13 @@
   preferredRack?: string;
   /** Returns whether a worker may run the task. @default all workers may */
   isAllowed?: (worker: WorkerState) => boolean;
+  /**
+   * Whether a best-effort task may take headroom of latency-critical tasks and
+   * CPU that others request; it then starts at a reduced speed.
+   *
+   * @default false
+   */
+  acceptsInterference?: boolean;
 }
 
 /** Strategy for choosing the worker of a task. */
@@ -100,7 +107,7 @@
       stateExclusion(worker, context) ??
       suspicionExclusion(task, worker, context.nowMs) ??
       siblingExclusion(task.step, worker, context) ??
-      roomExclusion(task.step, worker);
+      roomExclusion(task.step, worker, context);
     if (exclusion !== undefined) return exclusion;
     const headroomScore = this.headroomScore(task, worker, context);
     if (headroomScore === undefined) return WorkerExclusion.INTERFERENCE;
@@ -129,14 +136,14 @@
       step,
       context.nowMs,
     );
-    if (headroom <= 0) return undefined;
+    if (headroom <= 0 && !context.acceptsInterference) return undefined;
     return headroom / 2 + leftover / 2 - pressure * PRESSURE_WEIGHT;
   }
 }
 
 /** Returns whether a worker has room for a task of a step by its capacity. */
 export function hasRoomFor(step: StepDefinition, worker: WorkerState): boolean {
-  return roomExclusion(step, worker) === undefined;
+  return roomExclusion(step, worker, {}) === undefined;
 }
 
 function colocationScore(
@@ -221,6 +228,7 @@
 function roomExclusion(
   step: StepDefinition,
   worker: WorkerState,
+  {acceptsInterference}: Pick<PlacementContext, 'acceptsInterference'>,
 ): WorkerExclusion | undefined {
   const {requiredLabel} = step;
   if (requiredLabel && !worker.registration.labels.includes(requiredLabel)) {
@@ -231,9 +239,11 @@
     return WorkerExclusion.ACCELERATORS;
   }
   if (step.usesLeftoverCpu) {
-    return worker.leftoverCpu >= step.cpuMillicores
-      ? undefined
-      : WorkerExclusion.LEFTOVER_CPU;
+    const {cpuMillicores} = worker.registration.capacity;
+    const isEnough = acceptsInterference
+      ? cpuMillicores > 0
+      : worker.leftoverCpu >= step.cpuMillicores;
+    return isEnough ? undefined : WorkerExclusion.LEFTOVER_CPU;
   }
   return worker.freeCpu >= step.cpuMillicores ? undefined : WorkerExclusion.CPU;
 }
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -5,6 +5,7 @@
 import {JobState, OccurrenceState, StepState} from './job_state.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {StarvedSteps} from './starved_steps.js';
 import {StepAdvice} from './step_advice.js';
 import {StepContext, StepContexts} from './step_contexts.js';
 import {holdOf, isDue} from './step_hold.js';
@@ -46,15 +47,28 @@
  */
 const MAX_LOST_PERCENT = 30;
 
+/** Minimum time in ms between two searches for starved best-effort steps. */
+const STARVED_CHECK_MS = 150;
+
+/**
+ * Speed limit in percent at which a best-effort task starts that may take the
+ * headroom of latency-critical tasks. It is raised as far as these allow.
+ */
+const STARVED_SPEED_PERCENT = 10;
+
 /** Assigns the waiting tasks of ready steps to workers. */
 export class TaskScheduler {
   private readonly changes = new WorkerChanges();
   private readonly unplaceable = new UnplaceableSteps();
   private readonly contexts: StepContexts;
+  private readonly starved: StarvedSteps;
   private lastMoveCheckMs = -Infinity;
+  private lastStarvedCheckMs = -Infinity;
 
   constructor(private readonly options: TaskSchedulerOptions) {
     this.contexts = new StepContexts(options);
+    const {workers} = options;
+    this.starved = new StarvedSteps({workers, contexts: this.contexts});
   }
 
   /** Runs one pass: assigns waiting tasks and moves throttled tasks. */
@@ -65,7 +79,8 @@
     );
     this.changes.beginPass(this.options.workers.values());
     this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
-    for (const job of order.sort(waiting, {wallMs, queueOf})) {
+    const sorted = order.sort(waiting, {wallMs, queueOf});
+    for (const job of sorted) {
       try {
         this.scheduleJob(job, nowMs);
       } catch (error) {
@@ -73,6 +88,7 @@
         this.options.onJobError(job, error as Error);
       }
     }
+    this.assignStarved(sorted, nowMs);
     if (nowMs - this.lastMoveCheckMs < MOVE_CHECK_MS) return;
     this.lastMoveCheckMs = nowMs;
     this.moveThrottled(nowMs);
@@ -112,8 +128,12 @@
   ): void {
     occurrence.steps.forEach((step, number) => {
       if (holdOf(job, {occurrence, step: number}, nowMs)) return;
-      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, nowMs);
-      else this.assignTasks(job, step, nowMs);
+      if (step.tasks[0]!.step.isGang) {
+        const context = this.contexts.create(job, step, nowMs);
+        this.assignGang(job, step, context);
+        return;
+      }
+      this.assignTasks(job, step, nowMs);
     });
   }
 
@@ -150,10 +170,13 @@
     return changed ?? [...this.options.workers.values()];
   }
 
-  private assignGang(job: JobState, step: StepState, nowMs: number): void {
+  private assignGang(
+    job: JobState,
+    step: StepState,
+    context: StepContext,
+  ): void {
     const {workers, onWithdraw} = this.options;
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
-    const context = this.contexts.create(job, step, nowMs);
     const assigner = new StepAssigner(this.options, context, [
       ...workers.values(),
     ]);
@@ -169,6 +192,33 @@
     }
   }
 
+  /** Assigns a task of each best-effort step that has waited too long. */
+  private assignStarved(jobs: readonly JobState[], nowMs: number): void {
+    if (nowMs - this.lastStarvedCheckMs < STARVED_CHECK_MS) return;
+    this.lastStarvedCheckMs = nowMs;
+    for (const {job, step} of this.starved.find(jobs, nowMs)) {
+      const context = {
+        ...this.contexts.create(job, step, nowMs),
+        acceptsInterference: true,
+      };
+      if (step.tasks[0]!.step.isGang) this.assignGang(job, step, context);
+      else this.assignOne(job, step, context);
+    }
+  }
+
+  private assignOne(
+    job: JobState,
+    step: StepState,
+    context: StepContext,
+  ): void {
+    const task = step.tasks.find((waiting) => isDue(waiting, context.nowMs))!;
+    const workers = [...this.options.workers.values()];
+    const assigner = new StepAssigner(this.options, context, workers);
+    const preferredRack = this.contexts.preferredRackOf(step);
+    if (assigner.assign(task, task.run + 1, preferredRack)) return;
+    if (this.contexts.needsAdvice(job)) this.requestAdvice(task, context);
+  }
+
   /**
    * Stops best-effort tasks that are throttled if another worker can run them
    * at full speed. Tasks with checkpoints keep their progress; other tasks are
@@ -246,6 +296,9 @@
     if (!worker) return false;
     const {siblings} = this.context;
     const {id} = worker.registration;
+    task.startSpeedPercent = this.context.acceptsInterference
+      ? STARVED_SPEED_PERCENT
+      : 100;
     this.options.onAssign(task, worker, run);
     siblings.set(id, (siblings.get(id) ?? 0) + 1);
     candidates.update(worker);
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -33,6 +33,8 @@
   lastProgressMs = 0;
   /** Percentage of full speed at which the task may run. */
   speedLimitPercent = 100;
+  /** Percentage of full speed to which its current run is limited at first. */
+  startSpeedPercent = 100;
   /** Time in ms since which its tail latency exceeds its limit, or Infinity. */
   overLimitSinceMs = Infinity;
   /** Latest reported tail latency in ms or CPU use; see RunningReport. */
--- a/src/orchestrator/waiting_task_test.ts
+++ b/src/orchestrator/waiting_task_test.ts
@@ -115,6 +115,27 @@
   bench.submit(simpleJob('fill', {steps: [fill]}));
   bench.advance(LONGEST_WAIT_MS);
   assert.ok(bench.starts.includes('fill.0.0.0'));
+  assert.deepEqual(bench.speedLimits[0], {task: 'fill.0.0.0', percent: 10});
+});
+
+test('a best-effort task waits for headroom while its service is busy', () => {
+  // Guards against best-effort tasks that press on latency-critical ones although
+  // these need most of the capacity.
+  const bench = new SteadyWorkers({
+    workers: [simpleWorker('w')],
+    gaugeOf: ({step}) => (step.tailTargetMs > 0 ? 30 : step.cpuMillicores),
+  });
+  const serving = simpleStep({...SERVING, cpuMillicores: 6000});
+  bench.submit(simpleJob('serving', {steps: [serving]}));
+  bench.advance(2000);
+  const fill = simpleStep({
+    usesLeftoverCpu: true,
+    image: 'fill',
+    cpuMillicores: 4000,
+  });
+  bench.submit(simpleJob('fill', {steps: [fill]}));
+  bench.advance(3 * LONGEST_WAIT_MS);
+  assert.deepEqual(bench.starts, ['serving.0.0.0']);
 });
 
 test('a best-effort task with a larger request than is left over does not wait for ever', () => {
