--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -434,8 +434,9 @@
     task.refusals = 0;
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
-    task.speedLimitPercent = 100;
+    task.speedLimitPercent = task.startSpeedPercent;
     if (task.job.isFinal) this.requestStop(task, 'job-ended');
+    else if (task.speedLimitPercent < 100) this.sendSpeedLimit(task);
   }
 
   private endRun(task: TaskState, how: string): void {
@@ -565,6 +566,11 @@
     this.sendStop(task);
   }
 
+  private sendSpeedLimit(task: TaskState): void {
+    const worker = this.workerOf(task);
+    if (worker) this.options.effects.setSpeedLimit(task, worker);
+  }
+
   private sendStop(task: TaskState): void {
     const worker = this.workerOf(task);
     if (!worker) return;
@@ -614,7 +620,7 @@
       worker &&
       !worker.hasEnded &&
       !worker.registration.isDraining &&
-      worker.isWithinCapacity;
+      worker.isWithinCapacityFor(task.step);
     if (task.job.isFinal || !canStart) {
       this.endRun(task, 'withdrawn');
       if (task.step.isGang) this.abandonGangRun(task);
--- a/src/orchestrator/unplaceable_steps_test.ts
+++ b/src/orchestrator/unplaceable_steps_test.ts
@@ -2,9 +2,10 @@
 import {test} from 'node:test';
 
 import {simpleStep} from '../../testing/simple_definitions.js';
+import {StepDefinition} from '../work/job_definition.js';
 import {UnplaceableSteps} from './unplaceable_steps.js';
 
-const ORIGIN = {service: 'service', jobId: 'job'};
+const ORIGIN = {service: 'service', stepName: 'job.0.0'};
 
 test('a large task that does not fit does not block smaller ones', () => {
   // Best-effort tasks of one image request CPU that differs by a factor of
@@ -20,6 +21,26 @@
   assert.ok(!includes(2000));
 });
 
+test('a best-effort task that lacks memory does not block those that need less', () => {
+  // Guards against tasks that wait for as long as one with more memory and as
+  // little CPU does not fit, in the same pass and in later ones.
+  const unplaceable = new UnplaceableSteps();
+  const fill = (cpuMillicores: number, memoryMb: number): StepDefinition =>
+    simpleStep({usesLeftoverCpu: true, cpuMillicores, memoryMb});
+  unplaceable.beginPass({pass: 1, nowMs: 0});
+  unplaceable.add(fill(2000, 8000), ORIGIN);
+  unplaceable.add(fill(4000, 1000), ORIGIN);
+  assert.ok(!unplaceable.includes(fill(3000, 1000), ORIGIN));
+  assert.ok(unplaceable.includes(fill(4000, 1000), ORIGIN));
+  assert.ok(unplaceable.includes(fill(3000, 9000), ORIGIN));
+  unplaceable.beginPass({pass: 2, nowMs: 10});
+  assert.equal(unplaceable.failedPassOf(fill(3000, 1000), ORIGIN), undefined);
+  assert.equal(unplaceable.failedPassOf(fill(2000, 8000), ORIGIN), 1);
+  unplaceable.add(fill(1000, 500), ORIGIN);
+  unplaceable.beginPass({pass: 3, nowMs: 20});
+  assert.equal(unplaceable.failedPassOf(fill(2000, 8000), ORIGIN), 2);
+});
+
 test('an unplaceable step of one image does not block another image', () => {
   // Guards against images that wait behind one with more interference.
   const unplaceable = new UnplaceableSteps();
@@ -28,13 +49,16 @@
   assert.ok(!unplaceable.includes(other, ORIGIN));
 });
 
-test('a step with a limit per worker blocks only its own job', () => {
-  // Guards against jobs that wait because another job has reached its limit.
+test('a step with a limit per worker blocks no other step', () => {
+  // Guards against jobs, or steps of a job, that wait because another one has
+  // reached its limit.
   const unplaceable = new UnplaceableSteps();
   const step = simpleStep({mostPerWorker: 1});
   unplaceable.add(step, ORIGIN);
   assert.ok(unplaceable.includes(step, ORIGIN));
-  assert.ok(!unplaceable.includes(step, {...ORIGIN, jobId: 'other'}));
+  for (const stepName of ['other.0.0', 'job.0.1', 'job.1.0']) {
+    assert.ok(!unplaceable.includes(step, {...ORIGIN, stepName}));
+  }
 });
 
 test('a step that did not fit is searched among changed workers only', () => {
