Log how far the owner is behind with its events

The owner now writes 'owner-load' once a second: the largest lateness of a timer, and the time in scheduling passes, ticks and the preparation of commits. No logic changes.

--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -15,6 +15,7 @@
 import {restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {CommandSender} from './command_sender.js';
+import {EventLoopDelay} from './event_loop_delay.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
 import {WaitSummary} from './wait_monitor.js';
@@ -54,12 +55,19 @@
 /** Interval in ms between ticks. */
 const TICK_MS = 150;
 
+/** Interval in ms between log lines about the load of this process. */
+const LOAD_LOG_INTERVAL_MS = 1000;
+
 /** Connects an {@link Orchestrator} to store, workers and clock for one term. */
 export class OrchestratorRuntime {
   private readonly orchestrator: Orchestrator;
   private readonly commands: CommandSender;
   private readonly commitLoop: CommitLoop;
   private readonly sessions = new Map<WorkerState, WorkerSession>();
+  private readonly delay = new EventLoopDelay();
+  /** Time in ms spent in each operation since the last log line. */
+  private readonly spentMs = new Map<string, number>();
+  private loadLogMs = -Infinity;
   private tickTimer: NodeJS.Timeout | undefined;
   private scheduleTimer: NodeJS.Timeout | undefined;
 
@@ -170,7 +178,8 @@
         headRevision: term.token,
       }),
       hasPending: () => this.orchestrator.hasPending,
-      takePending: () => this.orchestrator.takePending(),
+      takePending: () =>
+        this.timed('take', () => this.orchestrator.takePending()),
       onFenced: (error) => void term.abandon(error.message),
     });
   }
@@ -225,8 +234,10 @@
 
   private requestScheduling(): void {
     if (this.options.term.isOver) return;
+    const dueMs = this.options.clock.nowMs() + SCHEDULE_DELAY_MS;
     this.scheduleTimer ??= setTimeout(() => {
       this.scheduleTimer = undefined;
+      this.delay.record(dueMs, this.options.clock.nowMs());
       this.runLogged('schedule', () => this.orchestrator.schedule());
     }, SCHEDULE_DELAY_MS);
   }
@@ -235,6 +246,32 @@
     this.runLogged('tick', () => this.orchestrator.tick());
     this.syncSessions();
     this.requestScheduling();
+    this.logLoad();
+  }
+
+  /** Logs how far this process is behind, and where its time went. */
+  private logLoad(): void {
+    const nowMs = this.options.clock.nowMs();
+    if (nowMs - this.loadLogMs < LOAD_LOG_INTERVAL_MS) return;
+    this.loadLogMs = nowMs;
+    this.options.log.logSummary('owner-load', {
+      delayMs: Math.round(this.delay.delayMs(nowMs)),
+      spentMs: Object.fromEntries(
+        [...this.spentMs].map(([name, spent]) => [name, Math.round(spent)]),
+      ),
+    });
+    this.spentMs.clear();
+  }
+
+  private timed<T>(operation: string, action: () => T): T {
+    const {clock} = this.options;
+    const startMs = clock.nowMs();
+    try {
+      return action();
+    } finally {
+      const spent = this.spentMs.get(operation) ?? 0;
+      this.spentMs.set(operation, spent + clock.nowMs() - startMs);
+    }
   }
 
   /**
@@ -243,7 +280,7 @@
    */
   private runLogged(operation: string, action: () => void): void {
     try {
-      action();
+      this.timed(operation, action);
     } catch (error) {
       const failure = error as Error;
       this.options.log.logError('orchestrator-failed', failure, {operation});
