Commit through eight chains of transactions at once

Cause: each transaction expected the head that the last one wrote, so that it waited for that response. With up to 30 changes each, and responses read 200 to 600 ms late (owner-load), no more than 50 to 150 changes a second could be stored, whatever the processor had left. Each start, end and acknowledgement waited for several responses in a row.

The batches of one round change different jobs and now go through eight chains with a head each, which a takeover fences together in its transaction (18 keys). A round still begins only once the last one is stored, so that the states of one job are written in order and ends are acknowledged after all batches.

Weighed: larger transactions are not possible (32 keys); a thread for commits would end the delay, and costs memory on each VM and a protocol; records that hold several jobs rewrite more bytes.

--- a/src/leadership/owner_election.ts
+++ b/src/leadership/owner_election.ts
@@ -147,6 +147,13 @@
     return {owner: owner?.revision ?? 0, head: head?.revision ?? 0};
   }
 
+  /** Reads the revisions of the heads that exist. */
+  private async readHeads(): Promise<ReadonlyMap<string, number>> {
+    const {store, keys} = this.options;
+    const {items} = await store.list(keys.head);
+    return new Map(items.map(({key, revision}) => [key, revision]));
+  }
+
   private async checkPeriodically(): Promise<void> {
     while (!this.stopped) {
       await this.check();
@@ -162,16 +169,19 @@
     const {store, clock, keys, termLeaseMs, log} = this.options;
     const grantedAt = {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
     const {lease} = await store.grantLease(termLeaseMs);
-    const head = await store.read(keys.head);
+    const heads = await this.readHeads();
     const owner = this.options.createRecord();
     const revision = await this.commitOwner(owner, {
       expect: [
         {key: keys.owner, revision: ownerRevision},
-        {key: keys.head, revision: head?.revision ?? 0},
+        ...keys.heads.map((key) => ({key, revision: heads.get(key) ?? 0})),
       ],
       write: [
         {key: keys.owner, value: encodeOwner(owner), lease},
-        {key: keys.head, value: encodeHead({token: 0, sequence: 0})},
+        ...keys.heads.map((key) => ({
+          key,
+          value: encodeHead({token: 0, sequence: 0}),
+        })),
       ],
     });
     if (revision === undefined) {
--- a/src/leadership/owner_election_test.ts
+++ b/src/leadership/owner_election_test.ts
@@ -5,7 +5,7 @@
 import {silentLog} from '../../testing/silent_log.js';
 import {SystemClock} from '../clock/system_clock.js';
 import {SeededRandom} from '../random/seeded_random.js';
-import {encodeHead} from './commit_log.js';
+import {CommitLog, encodeHead} from './commit_log.js';
 import {OwnerElection} from './owner_election.js';
 import {decodeOwner} from './owner_record.js';
 import {OwnerTerm} from './owner_term.js';
@@ -84,6 +84,31 @@
   await first.election.stop();
 });
 
+test('a takeover fences every chain of transactions of the last owner', async () => {
+  // Guards against an owner that is replaced and still assigns tasks through a
+  // chain which its successor has not taken over.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first');
+  const second = createCandidate(store, 'second');
+  await first.election.check();
+  const term = first.terms[0]!;
+  await second.election.replaceOwner(term.token);
+  for (const headKey of keys.heads) {
+    const {token} = term;
+    const log = new CommitLog({
+      store,
+      log: silentLog(),
+      headKey,
+      token,
+      headRevision: token,
+    });
+    const change = {key: 'a', value: Buffer.from('')};
+    await assert.rejects(log.commit([change]), /another node owns/);
+  }
+  term.end('test');
+  await second.election.stop();
+});
+
 test('an owner that requests replacement is replaced at once, and no other', async () => {
   // Guards against a delayed request that replaces the next owner.
   const store = new MemoryStore();
--- a/src/leadership/partition_keys.ts
+++ b/src/leadership/partition_keys.ts
@@ -1,3 +1,9 @@
+/**
+ * Number of chains of transactions. The owner sends that many transactions at
+ * once, so that a process that reads each response late commits no less.
+ */
+const CHAIN_COUNT = 8;
+
 /** Store keys that hold the state of a partition. */
 export class PartitionKeys {
   /** Prefix of the keys that every node mirrors. */
@@ -6,8 +12,13 @@
   readonly progressPrefix: string;
   /** Key of the owner record; attached to the lease of the owner. */
   readonly owner: string;
-  /** Key that each transaction of the owner rewrites, for fencing. */
+  /** Head of the first chain of transactions, which every commit uses. */
   readonly head: string;
+  /**
+   * Heads of all chains. Each transaction of the owner rewrites the head of its
+   * chain, for fencing.
+   */
+  readonly heads: readonly string[];
 
   /** @param partition - Name of the partition. */
   constructor(partition: string) {
@@ -15,6 +26,9 @@
     this.progressPrefix = `banyanmux-progress/${partition}/`;
     this.owner = `${this.prefix}owner`;
     this.head = `${this.prefix}head`;
+    this.heads = Array.from({length: CHAIN_COUNT}, (_, number) =>
+      number === 0 ? this.head : `${this.head}-${number}`,
+    );
   }
 
   /** Key of the submission of a job, written once by a gateway. */
--- a/src/orchestrator/commit_loop.ts
+++ b/src/orchestrator/commit_loop.ts
@@ -1,9 +1,10 @@
 import {CommitLog} from '../leadership/commit_log.js';
-import {PendingCommit} from './orchestrator_effects.js';
+import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
 
 /** Options of {@link CommitLoop}. */
 export interface CommitLoopOptions {
-  commitLog: CommitLog;
+  /** Chains of transactions, which are written at the same time. */
+  commitLogs: readonly CommitLog[];
   /** Returns whether there are changes to commit. */
   hasPending: () => boolean;
   /** Removes and returns all pending changes. */
@@ -15,7 +16,11 @@
 /** Delay in ms to batch changes before they are committed. */
 const BATCH_DELAY_MS = 8;
 
-/** Commits changes in batches, one batch at a time. */
+/**
+ * Commits changes in batches. The batches of one round change different jobs, so
+ * that they can be committed in any order: each chain takes the next batch as
+ * soon as its last one is stored. A round ends before the next one begins.
+ */
 export class CommitLoop {
   private timer: NodeJS.Timeout | undefined;
   private isCommitting = false;
@@ -43,7 +48,7 @@
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
-    this.options.commitLog.stop();
+    for (const commitLog of this.options.commitLogs) commitLog.stop();
   }
 
   private async run(): Promise<void> {
@@ -64,11 +69,25 @@
     const waiters = this.waiters;
     this.waiters = [];
     const pending = this.options.takePending();
-    for (const {changes, onStored} of pending.batches) {
-      await this.options.commitLog.commit(changes);
-      onStored();
-    }
+    const batches = pending.batches[Symbol.iterator]();
+    await Promise.all(
+      this.options.commitLogs.map((commitLog) =>
+        commitBatches(commitLog, batches),
+      ),
+    );
     pending.onStored();
     for (const resolve of waiters) resolve();
   }
 }
+
+/** Commits batches, in the order in which the chains get to them. */
+async function commitBatches(
+  commitLog: CommitLog,
+  batches: IterableIterator<CommitBatch>,
+): Promise<void> {
+  for (let next = batches.next(); next.done !== true; next = batches.next()) {
+    const {changes, onStored} = next.value;
+    await commitLog.commit(changes);
+    onStored();
+  }
+}
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -170,13 +170,16 @@
   private createCommitLoop(): CommitLoop {
     const {store, log, keys, term} = this.options;
     return new CommitLoop({
-      commitLog: new CommitLog({
-        store,
-        log,
-        headKey: keys.head,
-        token: term.token,
-        headRevision: term.token,
-      }),
+      commitLogs: keys.heads.map(
+        (headKey) =>
+          new CommitLog({
+            store,
+            log,
+            headKey,
+            token: term.token,
+            headRevision: term.token,
+          }),
+      ),
       hasPending: () => this.orchestrator.hasPending,
       takePending: () =>
         this.timed('take', () => this.orchestrator.takePending()),
--- a/src/orchestrator/owner_overload_test.ts
+++ b/src/orchestrator/owner_overload_test.ts
@@ -61,3 +61,25 @@
   assert.equal(owner.startedRuns, owner.startedTasks);
   assert.equal(owner.endedJobs, 2000);
 });
+
+/** Keeps the process of the owner busy, so that it reads each message late. */
+function delayMessages({loop}: BusyOwner, delayMs: number): void {
+  const block = (): void => {
+    loop.charge(delayMs);
+    setTimeout(block, 1);
+  };
+  setTimeout(block, 1);
+}
+
+test('an owner that reads each message 200 ms late commits what it starts', async (context) => {
+  // The load pattern: 400 starts and as many ends a second of 100 short jobs a
+  // second. Guards against commits that wait for each other, so that a delay of
+  // one message becomes one of seconds for each start and each end.
+  const owner = createOwner(context, 0);
+  await owner.loop.runUntil(WARM_UP_MS);
+  delayMessages(owner, 200);
+  submitSteadily(owner, {jobsPerSecond: 100, forMs: 20_000});
+  await owner.loop.runUntil(WARM_UP_MS + 20_000);
+  assert.ok(owner.endedJobs > 1500, `${owner.endedJobs} jobs ended`);
+  assert.equal(owner.startedRuns, owner.startedTasks);
+});
