--- a/src/orchestrator/command_sender_test.ts
+++ b/src/orchestrator/command_sender_test.ts
@@ -15,13 +15,20 @@
   sender: CommandSender;
   task: TaskState;
   worker: WorkerState;
-  term: {isOver: boolean; isLeaseValid: boolean; token: number};
+  term: Pick<OwnerTerm, 'isOver' | 'token' | 'renewIfDue'> & {
+    isLeaseValid: boolean;
+  };
   sent: StartCommand[];
   outcomes: CommandOutcome[];
 }
 
 function createFixture(): Fixture {
-  const term = {isOver: false, isLeaseValid: true, token: 3};
+  const term = {
+    isOver: false,
+    isLeaseValid: true,
+    token: 3,
+    renewIfDue: () => undefined,
+  };
   const sent: StartCommand[] = [];
   const outcomes: CommandOutcome[] = [];
   const port = {
