--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -538,6 +538,9 @@
   ): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
+    if (phase === JobPhase.FAILED) {
+      this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
+    }
     this.options.log.logDecision('job-ended', {
       job: job.definition.id,
       phase,
--- a/src/orchestrator/orchestrator_log_test.ts
+++ b/src/orchestrator/orchestrator_log_test.ts
@@ -8,19 +8,26 @@
 import {ManualClock} from '../clock/manual_clock.js';
 import {JobState} from './job_state.js';
 import {Orchestrator} from './orchestrator.js';
+import {OrchestratorEvent} from './orchestrator_event.js';
 import {EndKind} from './worker_port.js';
 
 /** An owner of one worker, and the lines that it has logged. */
 class Fixture {
   readonly lines: readonly CapturedLine[];
   readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  /** Events counted in the metrics. */
+  readonly events: OrchestratorEvent[] = [];
   private readonly orchestrator: Orchestrator;
 
   constructor() {
     const {clock} = this;
     const {log, lines} = createCapturedLog(clock);
     this.lines = lines;
-    this.orchestrator = createOrchestrator({clock, log});
+    this.orchestrator = createOrchestrator({
+      clock,
+      log,
+      countEvent: (event) => this.events.push(event),
+    });
     this.orchestrator.upsertWorker(simpleWorker('w'));
     this.orchestrator.addJob(new JobState(simpleJob('job'), 0));
   }
@@ -79,4 +86,5 @@
   assert.equal(fixture.end['cause'], 'attempts');
   assert.equal(fixture.end['task'], 'job.0.0.0');
   assert.deepEqual(fixture.end['failedOn'], ['w', 'w', 'w']);
+  assert.deepEqual(fixture.events, [OrchestratorEvent.JOB_FAILED]);
 });
