Block a worker for runs without progress of different jobs only

Cause: each run without progress blocked its worker for 6 s for all work and was started again on another worker, so that a job with as many such tasks as there are workers blocked the fleet for most of the time, without end. Evidence: the test failed with

job1.0.0.0 submitted at 12500 ms, not started by 15500 ms; three more alike

A run without progress now counts against the health of its worker, which comes last while there are others, and is not started there again. It blocks the worker unless a run of the same job was stuck on another one before: then the job is the likely cause. A worker that hangs is still blocked by the first run of any other job, which the second test guards (it passed before as well).

--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -30,6 +30,8 @@
   hasStarted = false;
   readonly history = new JobHistory();
   readonly occurrences = new Map<number, OccurrenceState>();
+  /** First worker on which a run of the job made no progress. */
+  stuckWorkerId: string | undefined;
   /** Time in ms at which this owner added the job. */
   knownSinceMs = 0;
   /** Time in ms at which the phase became final. */
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -702,11 +702,29 @@
       const limitMs =
         STUCK_AFTER_MS + task.step.estimatedMs * STUCK_ESTIMATE_FRACTION;
       if (nowMs - task.lastProgressMs < limitMs) continue;
-      worker.health.block(nowMs, STUCK_BLOCK_MS);
-      this.requestStop(task, 'no-progress');
+      this.stopStuckRun(task, worker, nowMs);
     }
   }
 
+  /**
+   * Stops a run that makes no progress. Its worker is blocked unless a run of the
+   * same job was stuck on another worker before: then the job is the likely
+   * cause, and would block one worker after the other for the work of others.
+   */
+  private stopStuckRun(
+    task: TaskState,
+    worker: WorkerState,
+    nowMs: number,
+  ): void {
+    const {job} = task;
+    const {id} = worker.registration;
+    task.failedWorkerId = id;
+    worker.health.recordFailure(nowMs);
+    job.stuckWorkerId ??= id;
+    if (job.stuckWorkerId === id) worker.health.block(nowMs, STUCK_BLOCK_MS);
+    this.requestStop(task, 'no-progress');
+  }
+
   private removeFinishedJob(job: JobState, nowMs: number): void {
     if (nowMs - job.finalSinceMs < this.options.keepFinishedMs) return;
     for (const task of job.tasks()) if (task.isPlaced) return;
--- a/src/orchestrator/stuck_task_test.ts
+++ b/src/orchestrator/stuck_task_test.ts
@@ -16,6 +16,9 @@
 
 const WORKERS = 4;
 
+/** Time in ms in which a run without progress is noticed. */
+const NOTICE_MS = 2500;
+
 /** Number of jobs of which each takes a core of a worker. */
 const SUBMISSIONS = 10;
 
@@ -46,3 +49,23 @@
   });
   assert.deepEqual(late, []);
 });
+
+test('a worker on which a run makes no progress gets no task for a time', () => {
+  // Guards against a worker that hangs and attracts the tasks of all jobs, since
+  // it looks idle after each of them was stopped.
+  const bench = new SteadyWorkers({
+    workers: [simpleWorker('w0'), simpleWorker('w1')],
+    isStuck: ({assignment}) => assignment?.workerId === 'w0',
+  });
+  const steps = [simpleStep({cpuMillicores: 2000})];
+  bench.submit(simpleJob('first', {steps}));
+  bench.submit(simpleJob('second', {steps}));
+  bench.advance(NOTICE_MS);
+  const runningLater = ['third', 'fourth'].map((id) => {
+    bench.submit(simpleJob(id, {steps}));
+    bench.advance(1000);
+    return bench.runningOn('w0');
+  });
+  assert.deepEqual(runningLater, [[], []]);
+  assert.equal(bench.runningOn('w1').length, 4);
+});
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -78,7 +78,7 @@
    * show that the start did not crash it.
    */
   isProven = false;
-  /** Worker on which the latest run failed. */
+  /** Worker on which the latest run failed or made no progress. */
   failedWorkerId: string | undefined;
 
   constructor(
