Give a task that was stopped without progress more time in its next run

A task that works but shows progress less often than each 1.8 s and a tenth of its estimate was stopped and started again without end, and lost its progress each time. The time doubles with each such run of a task, at most five times.

The test fails without the change: in 120 s the task was started more than 7 times.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -82,6 +82,12 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
+/**
+ * Maximum number of times that the time without progress is doubled for a task,
+ * once for each of its runs that was stopped for it: it may just be slow.
+ */
+const MAX_STUCK_DOUBLINGS = 5;
+
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -701,7 +707,8 @@
       if (task.speedLimitPercent < 100 || task.step.isGang) continue;
       const limitMs =
         STUCK_AFTER_MS + task.step.estimatedMs * STUCK_ESTIMATE_FRACTION;
-      if (nowMs - task.lastProgressMs < limitMs) continue;
+      const patience = 2 ** Math.min(task.stuckRuns, MAX_STUCK_DOUBLINGS);
+      if (nowMs - task.lastProgressMs < limitMs * patience) continue;
       this.stopStuckRun(task, worker, nowMs);
     }
   }
@@ -718,6 +725,7 @@
   ): void {
     const {job} = task;
     const {id} = worker.registration;
+    task.stuckRuns += 1;
     task.failedWorkerId = id;
     worker.health.recordFailure(nowMs);
     job.stuckWorkerId ??= id;
--- a/src/orchestrator/stuck_task_test.ts
+++ b/src/orchestrator/stuck_task_test.ts
@@ -69,3 +69,16 @@
   assert.deepEqual(runningLater, [[], []]);
   assert.equal(bench.runningOn('w1').length, 4);
 });
+
+test('a task that is only slow is given more time with each run', () => {
+  // Guards against a task that makes progress too rarely, and is stopped and
+  // started again without end.
+  const bench = new SteadyWorkers({
+    workers: [simpleWorker('w0'), simpleWorker('w1')],
+    isStuck: ({name}) => name.startsWith('slow'),
+  });
+  bench.submit(simpleJob('slow'));
+  bench.advance(120_000);
+  assert.ok(bench.starts.length >= 4);
+  assert.ok(bench.starts.length <= 7);
+});
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -78,6 +78,8 @@
    * show that the start did not crash it.
    */
   isProven = false;
+  /** Number of runs that were stopped because they made no progress. */
+  stuckRuns = 0;
   /** Worker on which the latest run failed or made no progress. */
   failedWorkerId: string | undefined;
 
