--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -82,6 +82,12 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
+/**
+ * Maximum number of times that the time without progress is doubled for a task,
+ * once for each of its runs that was stopped for it: it may just be slow.
+ */
+const MAX_STUCK_DOUBLINGS = 5;
+
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -538,6 +544,9 @@
   ): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
+    if (phase === JobPhase.FAILED) {
+      this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
+    }
     this.options.log.logDecision('job-ended', {
       job: job.definition.id,
       phase,
@@ -698,12 +707,32 @@
       if (task.speedLimitPercent < 100 || task.step.isGang) continue;
       const limitMs =
         STUCK_AFTER_MS + task.step.estimatedMs * STUCK_ESTIMATE_FRACTION;
-      if (nowMs - task.lastProgressMs < limitMs) continue;
-      worker.health.block(nowMs, STUCK_BLOCK_MS);
-      this.requestStop(task, 'no-progress');
+      const patience = 2 ** Math.min(task.stuckRuns, MAX_STUCK_DOUBLINGS);
+      if (nowMs - task.lastProgressMs < limitMs * patience) continue;
+      this.stopStuckRun(task, worker, nowMs);
     }
   }
 
+  /**
+   * Stops a run that makes no progress. Its worker is blocked unless a run of the
+   * same job was stuck on another worker before: then the job is the likely
+   * cause, and would block one worker after the other for the work of others.
+   */
+  private stopStuckRun(
+    task: TaskState,
+    worker: WorkerState,
+    nowMs: number,
+  ): void {
+    const {job} = task;
+    const {id} = worker.registration;
+    task.stuckRuns += 1;
+    task.failedWorkerId = id;
+    worker.health.recordFailure(nowMs);
+    job.stuckWorkerId ??= id;
+    if (job.stuckWorkerId === id) worker.health.block(nowMs, STUCK_BLOCK_MS);
+    this.requestStop(task, 'no-progress');
+  }
+
   private removeFinishedJob(job: JobState, nowMs: number): void {
     if (nowMs - job.finalSinceMs < this.options.keepFinishedMs) return;
     for (const task of job.tasks()) if (task.isPlaced) return;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -78,7 +78,9 @@
    * show that the start did not crash it.
    */
   isProven = false;
-  /** Worker on which the latest run failed. */
+  /** Number of runs that were stopped because they made no progress. */
+  stuckRuns = 0;
+  /** Worker on which the latest run failed or made no progress. */
   failedWorkerId: string | undefined;
 
   constructor(
