Request advice also for tasks that may crash their worker

Cause: a task that may have crashed the worker is a suspect, and a suspect that finds no worker was left out before advice is requested; once the tickets of its step have expired, and no other task of the step waits, none is requested again.

The random jobs of the test move to testing/simulate_calm_phases.ts.

--- a/src/orchestrator/idle_capacity_test.ts
+++ b/src/orchestrator/idle_capacity_test.ts
@@ -1,159 +1,18 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {
-  simpleJob,
-  simpleStep,
-  simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {
-  SimulatedPartition,
-  SimulatedPartitionOptions,
-} from '../../testing/simulated_partition.js';
-import {RandomSource} from '../random/random_source.js';
-import {SeededRandom} from '../random/seeded_random.js';
-import {JobDefinition, StepDefinition} from '../work/job_definition.js';
-import {WorkerRegistration} from '../work/worker_registration.js';
-import {RunningReport} from './worker_port.js';
+import {simulateCalmPhases} from '../../testing/simulate_calm_phases.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 40);
 const FIRST_SEED = Number(process.env['BANYANMUX_TEST_FIRST_SEED'] ?? 1);
 
-/** Fractions of their full capacity to which many workers shrink at once. */
-const SHRUNKEN_FRACTIONS = [0, 0.1, 0.3, 0.55] as const;
-
-/** Tail latencies in ms by image; the target is 50 ms. */
-const TAILS_MS: Readonly<Record<string, number | undefined>> = {
-  light: 12,
-  busy: 40,
-  overloaded: 70,
-};
-
-/** Time in ms of one phase with faults, and of the calm phase after it. */
-const FAULTS_MS = 4000;
-const CALM_MS = 14_000;
-
-function pick<T>(random: RandomSource, values: readonly T[]): T {
-  return values[random.nextInteger(values.length)]!;
-}
-
-function measure(
-  step: StepDefinition,
-  ageMs: number,
-): Pick<RunningReport, 'percent' | 'gauge'> {
-  const percent = step.isLongRunning ? 100 : Math.floor(ageMs / 100) % 100;
-  const isServing = step.tailTargetMs > 0;
-  const gauge = isServing ? TAILS_MS[step.image!] : step.cpuMillicores;
-  return {percent, gauge};
-}
-
-/** Returns steps of the kinds for which a worker may be left out. */
-function randomSteps(random: RandomSource): StepDefinition[] {
-  const taskCount = 1 + random.nextInteger(4);
-  const cpuMillicores = 500 * (1 + random.nextInteger(8));
-  const memoryMb = 500 * (1 + random.nextInteger(16));
-  const small = {taskCount, cpuMillicores: 500, memoryMb: 500};
-  const sized = {taskCount, cpuMillicores, memoryMb};
-  const image = pick(random, Object.keys(TAILS_MS));
-  const serving = {isLongRunning: true, tailTargetMs: 50, image};
-  const bestEffort = {
-    usesLeftoverCpu: true,
-    image: pick(random, ['fill0', 'fill1']),
-  };
-  return pick<Array<Partial<StepDefinition>>>(random, [
-    [small, {...sized, after: [0]}],
-    [sized, {...small, mostPerWorker: 1}],
-    [{...sized, mostPerWorker: 1}, sized],
-    [{...sized, ...bestEffort}],
-    [
-      {...sized, ...bestEffort},
-      {...small, ...bestEffort, after: [0]},
-    ],
-    [{...small, ...serving}],
-    [
-      {...sized, ...serving, mostPerWorker: 1},
-      {...small, ...serving},
-    ],
-    [{...sized, isLongRunning: true}],
-    [
-      {...small, isGang: true},
-      {...sized, after: [0]},
-    ],
-    [{...small, requiredLabel: 'a'}, sized],
-    [
-      {...small, affinityRack: 'r1'},
-      {...small, isRackSensitive: true},
-    ],
-  ]).map((fields) => simpleStep(fields));
-}
-
-function randomJob(id: string, random: RandomSource): JobDefinition {
-  const isRepeated = random.next() < 0.15;
-  const repetition = {
-    repetitions: 4,
-    firstRunMs: 1_000_000,
-    intervalMs: 3000,
-  };
-  return simpleJob(id, {
-    steps: randomSteps(random),
-    ...(isRepeated ? repetition : {}),
-  });
-}
-
-function randomWorker(random: RandomSource): Partial<WorkerRegistration> {
-  const {capacity} = simpleWorker('w');
-  const scale = pick(random, [0.25, 1, 1, 2]);
-  return {
-    capacity: {
-      ...capacity,
-      cpuMillicores: capacity.cpuMillicores * scale,
-      memoryMb: capacity.memoryMb * scale,
-    },
-    labels: [pick(random, ['a', 'b']), pick(random, ['r1', 'r2'])],
-  };
-}
-
-/** Runs phases with faults, each followed by a calm one. */
-function simulate(
-  seed: number,
-  options: Partial<SimulatedPartitionOptions> = {},
-): SimulatedPartition {
-  const random = new SeededRandom(seed * 7919);
-  const workers = 2 + random.nextInteger(7);
-  const fields = Array.from({length: workers}, () => randomWorker(random));
-  const partition = new SimulatedPartition({
-    seed,
-    workers,
-    maxAttempts: 50,
-    capacityChangeRate: 0.02,
-    crashRate: 0.005,
-    keepsIdAfterCrash: random.next() < 0.5,
-    workerFields: (machine) => fields[machine]!,
-    measure,
-    ...options,
-  });
-  for (let phase = 0; phase < 3; phase++) {
-    for (let number = 0; number < 4; number++) {
-      partition.submit(randomJob(`job${phase}${number}`, random));
-    }
-    partition.runWithFaults(FAULTS_MS);
-    const share = random.next();
-    const fraction = pick(random, SHRUNKEN_FRACTIONS);
-    for (const id of partition.workers.keys()) {
-      if (random.next() < share) partition.resize(id, fraction);
-    }
-    partition.runCalm(CALM_MS);
-  }
-  return partition;
-}
-
 test('no task waits beside idle capacity once faults are over', () => {
   // Guards against tasks that are left out of each pass for a reason that does
   // not end: workers that shrank, also before a takeover, restarted or are few,
   // free capacity in small pieces, limits per worker, labels, racks, gangs,
   // best-effort tasks beside latency-critical ones.
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-    assert.deepEqual(simulate(seed).violations, [], `seed ${seed}`);
+    assert.deepEqual(simulateCalmPhases(seed).violations, [], `seed ${seed}`);
   }
 });
 
@@ -163,7 +22,7 @@
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
     const isAllowed = (step: string, workerId: string): boolean =>
       (step.length + Number(workerId[1]) + Number(step.at(-1))) % 2 === 0;
-    const {violations} = simulate(seed, {isAllowed});
+    const {violations} = simulateCalmPhases(seed, {isAllowed});
     assert.deepEqual(violations, [], `seed ${seed}`);
   }
 });
@@ -173,7 +32,7 @@
   // tasks that wait beside them, on few workers.
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
     const crashingTasks = ['job00.0.0.0', 'job11.0.0.1', 'job20.0.0.0'];
-    const {violations} = simulate(seed, {crashingTasks});
+    const {violations} = simulateCalmPhases(seed, {crashingTasks});
     assert.deepEqual(violations, [], `seed ${seed}`);
   }
 });
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -146,15 +146,17 @@
     const workers = this.workersWorthSearching(definition, origin);
     const assigner = new StepAssigner(this.options, context, workers);
     const due = step.tasks.filter((task) => isDue(task, nowMs));
+    let unplaced: TaskState | undefined;
     for (const task of suspectsLast(due)) {
       const preferredRack = this.contexts.preferredRackOf(step);
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
+      unplaced = task;
       // A suspect is placed on fewer workers than other tasks of its step.
       if (task.isSuspect) continue;
       unplaceable.add(definition, origin);
-      if (origin.needsAdvice) this.requestAdvice(task, context);
-      return;
+      break;
     }
+    if (unplaced && origin.needsAdvice) this.requestAdvice(unplaced, context);
   }
 
   /** Returns the workers that may have capacity for a step. */
--- a/src/orchestrator/waiting_task_test.ts
+++ b/src/orchestrator/waiting_task_test.ts
@@ -8,6 +8,7 @@
   simpleWorker,
 } from '../../testing/simple_definitions.js';
 import {SteadyWorkers} from '../../testing/steady_workers.js';
+import {CrashRole} from '../work/crash_role.js';
 import {StepDefinition} from '../work/job_definition.js';
 import {TaskState} from './task_state.js';
 
@@ -152,3 +153,23 @@
   bench.advance(LONGEST_WAIT_MS);
   assert.deepEqual(bench.starts, ['fill.0.0.0']);
 });
+
+test('a step of which all tasks may crash their worker gets its advice', () => {
+  // Guards against a task that waits for ever after its worker has crashed,
+  // because advice is requested for other tasks only and its tickets expire.
+  const configuration = simpleConfiguration();
+  const queues = configuration.queues.map((queue) => ({
+    ...queue,
+    needsAdvice: true,
+  }));
+  const bench = new SteadyWorkers({
+    workers: [simpleWorker('w1'), simpleWorker('w2')],
+    configuration: {...configuration, queues},
+    ticketsFor: () => new Map([['w2', 'ticket']]),
+  });
+  bench.submit(simpleJob('job'));
+  const [task] = bench.orchestrator.jobs.get('job')!.tasks();
+  task!.crashes.add({role: CrashRole.SUSPECT, isImmediate: false});
+  bench.advance(LONGEST_WAIT_MS);
+  assert.deepEqual(bench.starts, ['job.0.0.0']);
+});
