Count worker crashes only under runs that were seen

Callers saw jobs shown as failed although no task had failed so often, and fewer than two workers had crashed under them.

Cause: the crash of a worker counted against each task to which a start had been sent, whether or not the run had begun. The same limits ended jobs that merely stood beside others: four crashes in any part, or two immediate ones of which one had no other candidate. Ruled out: failed attempts (failures is 0 in each run-ended line) and crashes that count twice (each has one line).

A run counts as begun once its worker has confirmed or listed it; the record keeps that, at once for suspects, so that a successor knows. A start in doubt makes its task suspect and keeps the cause open for others, but is no crash under it. Counts tell a certain cause from a likely one; jobs end by certain ones, by three likely ones (a task whose starts are never answered, or which crashes late), or with the fifth crash in which the task was a possible cause. Crashes beside a more likely cause never end a job. Candidates of one job count together, so that a gang cannot excuse itself. Starts of an earlier owner no longer pass for starts of the moment of the takeover. Counts of older records are read as likely causes.

A suspect has to start apart from others for this to be certain. It waited 2 s for a worker on which nothing had just started, counted from the end of its run, and was then placed anywhere: on a loaded site always at once. Now a worker is reserved for it, and the patience counts from when it had room; other tasks that only suspects keep from running have the same patience.

--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/attribute_crash.ts
@@ -29,6 +29,12 @@
    * @default false
    */
   isWidespread?: boolean;
+  /**
+   * Whether the worker ran something that belongs to none of the tasks.
+   *
+   * @default false
+   */
+  hasOrphans?: boolean;
 }
 
 /**
@@ -45,9 +51,10 @@
 
 /**
  * Returns the part of each task in the crash of their worker; tasks that are
- * not listed had none. A suspect is the cause if nothing else has just started.
- * Otherwise the tasks that have just started and earlier suspects are suspect,
- * or all tasks if none has just started.
+ * not listed had none. The suspects of one job are the cause if nothing else
+ * has just started or may have started unseen. Otherwise the tasks that have
+ * just started and earlier suspects are suspect, or all tasks if none has just
+ * started.
  */
 export function attributeCrash(
   scene: CrashScene,
@@ -57,28 +64,37 @@
   const recent = present.filter(startedWithin(RECENT_START_MS, scene));
   const starting = findStarting(present, scene);
   const candidates = starting.length > 0 ? starting : suspects;
-  const [candidate] = candidates;
-  if (candidates.length === 1 && candidate!.isSuspect) {
+  if (areOfOneJob(candidates) && candidates.some((task) => task.isSuspect)) {
     if (scene.isMachineUnreliable) {
-      return describeParts(scene, {suspects: candidates});
+      return describeParts(scene, {only: candidates});
     }
-    return describeParts(scene, {cause: candidate, bystanders: recent});
+    return describeParts(scene, {causes: candidates, bystanders: recent});
   }
   const possible = [...new Set([...starting, ...suspects])];
   if (possible.length === 0) return describeParts(scene, {suspects: present});
   return describeParts(scene, {suspects: possible, bystanders: present});
 }
 
-/** Returns the tasks of which a start is most likely to have caused the crash. */
+/** Returns whether there are tasks, all of one job. */
+function areOfOneJob(tasks: readonly TaskState[]): boolean {
+  const [first] = tasks;
+  return first !== undefined && tasks.every(({job}) => job === first.job);
+}
+
+/**
+ * Returns the tasks of which a start is most likely to have caused the crash. An
+ * order that nobody has seen carried out may have been so at any time.
+ */
 function findStarting(
   present: readonly TaskState[],
   scene: CrashScene,
 ): readonly TaskState[] {
   const unproven = present.filter((task) => task.isSuspect && !task.isProven);
+  const inDoubt = present.filter(({hasBegun}) => !hasBegun);
   const immediate = present.filter(startedImmediatelyBefore(scene));
   const recent = present.filter(startedWithin(RECENT_START_MS, scene));
-  const latest = immediate.length > 0 ? immediate : recent;
-  return [...new Set([...unproven, ...latest])];
+  const latest = [...unproven, ...immediate];
+  return [...new Set([...(latest.length > 0 ? latest : recent), ...inDoubt])];
 }
 
 /**
@@ -86,11 +102,29 @@
  * to answer; of a widespread loss, only those that may have caused this one.
  */
 function findPresent(scene: CrashScene): readonly TaskState[] {
-  const present = [...scene.tasks].filter(
-    ({state, startedMs}) => state !== 'assigned' && startedMs <= scene.lostMs,
-  );
+  const present = findSent(scene);
   if (!scene.isWidespread) return present;
-  return present.filter(startedImmediatelyBefore(scene));
+  const isImmediate = startedImmediatelyBefore(scene);
+  return present.filter(
+    (task) => isImmediate(task) || mayHaveJustStarted(task),
+  );
+}
+
+/** Whether an earlier owner started a suspect at a time that is not known. */
+function mayHaveJustStarted(task: TaskState): boolean {
+  return task.isSuspect && !task.isProven && task.startedMs === -Infinity;
+}
+
+function findSent({tasks, lostMs}: CrashScene): readonly TaskState[] {
+  return [...tasks].filter(
+    ({state, startedMs}) => state !== 'assigned' && startedMs <= lostMs,
+  );
+}
+
+/** Returns whether only one job was on the worker, and only it was lost. */
+function isOneJobAlone(scene: CrashScene): boolean {
+  const {hasOrphans = false, isWidespread = false} = scene;
+  return !hasOrphans && !isWidespread && areOfOneJob(findSent(scene));
 }
 
 function startedImmediatelyBefore(
@@ -112,19 +146,33 @@
 function describeParts(
   scene: CrashScene,
   tasks: {
-    cause?: TaskState;
+    causes?: readonly TaskState[];
+    /** Suspects beside which only the machine may be the cause. */
+    only?: readonly TaskState[];
     suspects?: readonly TaskState[];
     bystanders?: readonly TaskState[];
   },
 ): ReadonlyMap<TaskState, CrashPart> {
   const isImmediate = startedImmediatelyBefore(scene);
+  const isRecent = startedWithin(RECENT_START_MS, scene);
+  const isAlone = isOneJobAlone(scene);
+  const {isLossTimeKnown = true} = scene;
   const parts = new Map<TaskState, CrashPart>();
+  const {causes = [], only = [], suspects = [], bystanders = []} = tasks;
   const add = (task: TaskState, role: CrashRole): void => {
     if (parts.has(task)) return;
-    parts.set(task, {role, isImmediate: isImmediate(task)});
+    const {hasBegun, isProven} = task;
+    parts.set(task, {
+      role,
+      isImmediate: isImmediate(task),
+      isUnproven: isLossTimeKnown && !isProven && isRecent(task),
+      hasBegun,
+      isAlone,
+      isOnlyTask: causes.includes(task) || only.includes(task),
+    });
   };
-  if (tasks.cause) add(tasks.cause, CrashRole.CAUSE);
-  for (const task of tasks.suspects ?? []) add(task, CrashRole.SUSPECT);
-  for (const task of tasks.bystanders ?? []) add(task, CrashRole.BYSTANDER);
+  for (const task of causes) add(task, CrashRole.CAUSE);
+  for (const task of [...only, ...suspects]) add(task, CrashRole.SUSPECT);
+  for (const task of bystanders) add(task, CrashRole.BYSTANDER);
   return parts;
 }
--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -136,3 +136,73 @@
   const scene = {isWidespread: true, isLossTimeKnown: false};
   assert.deepEqual(rolesOf(tasks, scene), [undefined, undefined]);
 });
+
+/** Turns a task into one whose start was sent but never confirmed. */
+function withoutAnswer(task: TaskState): TaskState {
+  task.hasBegun = false;
+  return task;
+}
+
+test('a suspect is not the cause beside a start that is in doubt', () => {
+  // Guards against an innocent suspect that is blamed for a task whose start the
+  // worker has held back and carried out seconds later.
+  const suspect = createTask(20, {isSuspect: true});
+  const inDoubt = withoutAnswer(createTask(6000));
+  const expected = [CrashRole.SUSPECT, CrashRole.SUSPECT];
+  assert.deepEqual(rolesOf([suspect, inDoubt]), expected);
+});
+
+test('a start that is in doubt does not excuse others of the last second', () => {
+  // Guards against a crashing task that is never suspect, because the owner was
+  // slow to notice the crash and another start was not answered.
+  const tasks = [createTask(400), withoutAnswer(createTask(400))];
+  assert.deepEqual(rolesOf(tasks), [CrashRole.SUSPECT, CrashRole.SUSPECT]);
+});
+
+test('the part of a task tells whether its run was seen', () => {
+  // Guards against a job that is given up for a start that was only sent.
+  const tasks = [createTask(20), withoutAnswer(createTask(30))];
+  const parts = attributeCrash({tasks, lostMs: LOST_MS});
+  const seen = tasks.map((task) => parts.get(task)?.hasBegun);
+  assert.deepEqual(seen, [true, false]);
+});
+
+test('suspects of one job are the cause together', () => {
+  // Guards against a gang that crashes workers without end, because its members
+  // keep the cause open for each other.
+  const steps = [simpleStep({taskCount: 2, isGang: true})];
+  const job = new JobState(simpleJob('gang', {steps}), 0);
+  const members = job.occurrence(0).steps[0]!.tasks;
+  for (const member of members) {
+    member.startedMs = LOST_MS - 20;
+    member.hasBegun = true;
+    for (const event of ['assigned', 'committed', 'confirmed'] as const) {
+      member.apply(event);
+    }
+    member.crashes.add({role: CrashRole.SUSPECT, isImmediate: true});
+  }
+  assert.deepEqual(rolesOf(members), [CrashRole.CAUSE, CrashRole.CAUSE]);
+});
+
+test('a task is alone only with no other task or unknown run beside it', () => {
+  // Guards against a job that is given up after two crashes although something
+  // else was on the worker.
+  const suspect = createTask(20, {isSuspect: true});
+  const isAlone = (scene: Partial<CrashScene>): boolean | undefined =>
+    attributeCrash({tasks: [suspect], lostMs: LOST_MS, ...scene}).get(suspect)
+      ?.isAlone;
+  assert.equal(isAlone({}), true);
+  assert.equal(isAlone({hasOrphans: true}), false);
+  assert.equal(isAlone({isWidespread: true}), false);
+  assert.equal(isAlone({tasks: [suspect, createTask(9000)]}), false);
+});
+
+test('a start of an earlier owner is not taken for one just before the crash', () => {
+  // Guards against work that is blamed because its owner was replaced a moment
+  // before the crash.
+  const inherited = createTask(0, {isSuspect: true, isProven: true});
+  inherited.startedMs = -Infinity;
+  const parts = attributeCrash({tasks: [inherited], lostMs: LOST_MS});
+  assert.equal(parts.get(inherited)?.isImmediate, false);
+  assert.equal(parts.get(inherited)?.isUnproven, false);
+});
--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/crash_counts.ts
@@ -2,49 +2,58 @@
 import {CrashRole} from '../work/crash_role.js';
 import {StoredCrashCounts} from '../work/stored_crash_counts.js';
 
-/** Crashes with a task as their only likely cause after which its job ends. */
+/**
+ * Crashes immediately after its start, with a task as their only possible cause,
+ * after which its job ends.
+ */
 const MAX_CAUSED = 2;
 
 /**
- * Crashes immediately after a start after which the job of a task ends, if the
- * task was the only likely cause of one of them.
+ * Crashes with a task as their only likely cause after which its job ends, even
+ * if none of them is certain.
  */
-const MAX_IMMEDIATE = 2;
+const MAX_LIKELY = 3;
 
 /**
- * Crashes in any role after which the job of a task ends, even if other tasks
- * on the workers kept the cause open each time.
+ * Crashes under runs that were seen after which the job of a task ends, even if
+ * other tasks kept the cause open each time. A task that crashes its workers
+ * must not be started three times more after three crashes.
  */
-const MAX_CRASHES = 4;
+const MAX_POSSIBLE = 5;
 
 /** Crashes beside a more likely cause after which a task is suspect itself. */
 const SUSPECT_BESIDE = 2;
 
 const NO_CRASHES: StoredCrashCounts = {
   caused: 0,
+  causedAlone: 0,
+  likely: 0,
   suspected: 0,
   beside: 0,
-  immediate: 0,
+  inDoubt: 0,
 };
 
 /**
  * Worker crashes under the runs of one task since it last ran long enough to be
- * cleared, by the part of the task in them.
+ * cleared, by the part of the task in them. A start that was sent but not seen
+ * makes a task suspect; only crashes under runs that were seen, or several in
+ * which nothing else can be the cause, end its job.
  */
 export class CrashCounts {
   private counts = NO_CRASHES;
 
   /** Whether the task may be what crashed a worker. */
   get isSuspect(): boolean {
-    const {caused, suspected, beside} = this.counts;
-    return caused + suspected > 0 || beside >= SUSPECT_BESIDE;
+    const {beside, inDoubt} = this.counts;
+    return this.possible + inDoubt > 0 || beside >= SUSPECT_BESIDE;
   }
 
   /** Whether the task has crashed so many workers that it must not start. */
   get isOverLimit(): boolean {
-    const {caused, immediate} = this.counts;
-    if (caused >= MAX_CAUSED || this.total >= MAX_CRASHES) return true;
-    return caused > 0 && immediate >= MAX_IMMEDIATE;
+    const {caused, causedAlone, likely, suspected} = this.counts;
+    if (causedAlone > 0 && suspected > 0) return true;
+    if (caused >= MAX_CAUSED || caused + likely >= MAX_LIKELY) return true;
+    return this.possible >= MAX_POSSIBLE;
   }
 
   /** Whether more than one worker has crashed under the task. */
@@ -58,15 +67,21 @@
   }
 
   /** Counts one crash. */
-  add({role, isImmediate}: CrashPart): void {
-    const {caused, suspected, beside, immediate} = this.counts;
-    const isPossibleCause = role !== CrashRole.BYSTANDER;
-    this.counts = {
-      caused: caused + (role === CrashRole.CAUSE ? 1 : 0),
-      suspected: suspected + (role === CrashRole.SUSPECT ? 1 : 0),
-      beside: beside + (isPossibleCause ? 0 : 1),
-      immediate: immediate + (isPossibleCause && isImmediate ? 1 : 0),
-    };
+  add(part: CrashPart): void {
+    const {role, isImmediate, hasBegun = false, isAlone = false} = part;
+    const {isUnproven = isImmediate} = part;
+    const isCause = role === CrashRole.CAUSE;
+    const {isOnlyTask = isCause} = part;
+    if (role === CrashRole.BYSTANDER) {
+      this.increment('beside');
+    } else if (isCause && isUnproven && hasBegun) {
+      this.increment('caused');
+      if (isAlone) this.increment('causedAlone');
+    } else if (isOnlyTask && (isUnproven || (isCause && hasBegun))) {
+      this.increment('likely');
+    } else {
+      this.increment(hasBegun ? 'suspected' : 'inDoubt');
+    }
   }
 
   /** Forgets all crashes. */
@@ -84,8 +99,18 @@
     return this.counts;
   }
 
+  private increment(count: keyof StoredCrashCounts): void {
+    this.counts = {...this.counts, [count]: this.counts[count] + 1};
+  }
+
+  /** Crashes of which the task may have been the cause. */
+  private get possible(): number {
+    const {caused, likely, suspected} = this.counts;
+    return caused + likely + suspected;
+  }
+
   private get total(): number {
-    const {caused, suspected, beside} = this.counts;
-    return caused + suspected + beside;
+    const {beside, inDoubt} = this.counts;
+    return this.possible + beside + inDoubt;
   }
 }
--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -211,6 +211,7 @@
         this.options.clock.nowMs(),
       ),
       isWidespread: this.history.isWidespread(worker),
+      hasOrphans: worker.hasOrphans,
     });
   }
 
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -5,6 +5,7 @@
   TaskCrashRecord,
   TaskRecord,
 } from '../work/job_records.js';
+import {toCrashCounts} from '../work/stored_crash_counts.js';
 import {JobState, OccurrenceState} from './job_state.js';
 import {TaskState} from './task_state.js';
 
@@ -46,6 +47,7 @@
     checkpoint: task.checkpoint || undefined,
     workerAddress: task.assignment?.workerAddress,
     crashes: crashRecord(task),
+    hasBegun: task.isPlaced && task.hasBegun,
   };
 }
 
@@ -83,7 +85,7 @@
   task.failures = row.failures;
   task.checkpoint = row.checkpoint ?? '';
   if (row.crashes) {
-    task.crashes.restore(row.crashes.counts);
+    task.crashes.restore(toCrashCounts(row.crashes.counts));
     task.losses.push(...row.crashes.losses);
   }
   if (row.isDone) {
@@ -93,6 +95,7 @@
   }
   if (row.workerId === undefined) return;
   task.apply('inherited');
+  task.hasBegun = row.hasBegun ?? false;
   task.assignment = {
     workerId: row.workerId,
     workerBornMs: row.workerBornMs ?? 0,
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -270,8 +270,12 @@
     run: number,
     outcome: CommandOutcome,
   ): void {
-    if (task.run !== run || task.state !== 'starting') return;
+    if (task.run !== run || !task.isPlaced) return;
     const worker = this.workerOf(task);
+    if (outcome.kind === 'done') {
+      if (!task.hasBegun) this.recordBegun(task);
+    }
+    if (task.state !== 'starting') return;
     if (outcome.kind === 'done') {
       if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       task.absentAfterMs = this.options.clock.nowMs();
@@ -422,14 +426,14 @@
       this.crashes.restoreLoss(task, loss);
     }
     if (task.state !== 'inherited' || !task.assignment) return;
-    task.startedMs = this.options.clock.nowMs();
+    task.startedMs = -Infinity;
     this.registry.inheritRun(task, task.assignment);
   }
 
   private confirm(task: TaskState): void {
+    if (!task.hasBegun) this.recordBegun(task);
     if (!task.apply('confirmed')) return;
     const nowMs = this.options.clock.nowMs();
-    task.job.hasStarted = true;
     task.lastProgressMs = nowMs;
     task.refusals = 0;
     task.runningSinceMs = nowMs;
@@ -438,6 +442,16 @@
     if (task.job.isFinal) this.requestStop(task, 'job-ended');
   }
 
+  /**
+   * Records that the current run of a task was seen. A successor has to know so
+   * of a suspect: it counts a crash under the run.
+   */
+  private recordBegun(task: TaskState): void {
+    task.hasBegun = true;
+    task.job.hasStarted = true;
+    if (task.isSuspect) this.markDirty(task.job);
+  }
+
   private endRun(task: TaskState, how: string): void {
     if (!task.isPlaced) return;
     if (LOST_RUN_ENDS.has(how)) task.job.history.lostRuns += 1;
@@ -446,7 +460,7 @@
       run: task.run,
       worker: task.assignment?.workerId,
       how,
-      tookMs: Math.round(this.options.clock.nowMs() - task.startedMs),
+      tookMs: this.ranMsOf(task),
       failures: task.failures,
     });
     this.clearAssignment(task);
@@ -457,13 +471,19 @@
     this.markDirty(task.job);
   }
 
+  /** Returns the time in ms since a start; undefined if it is not known. */
+  private ranMsOf({startedMs}: TaskState): number | undefined {
+    if (startedMs === -Infinity) return undefined;
+    return Math.round(this.options.clock.nowMs() - startedMs);
+  }
+
   private finishTask(task: TaskState): void {
     const nowMs = this.options.clock.nowMs();
     this.options.log.logDetail('run-done', {
       task: task.name,
       run: task.run,
       worker: task.assignment?.workerId,
-      tookMs: Math.round(nowMs - task.startedMs),
+      tookMs: this.ranMsOf(task),
       estimatedMs: task.step.estimatedMs,
     });
     task.job.hasStarted = true;
--- a/src/orchestrator/start_in_doubt_test.ts
+++ b/src/orchestrator/start_in_doubt_test.ts
@@ -10,7 +10,10 @@
   SimulatedPartitionOptions,
 } from '../../testing/simulated_partition.js';
 import {ManualClock} from '../clock/manual_clock.js';
+import {CrashRole} from '../work/crash_role.js';
 import {JobPhase} from '../work/job_definition.js';
+import {decodeProgress} from '../work/job_records.js';
+import {restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {TaskState} from './task_state.js';
 import {CommandOutcome} from './worker_port.js';
@@ -110,6 +113,45 @@
   assert.equal(bench.phaseOf('job'), JobPhase.FAILED);
 });
 
+test('a successor knows which runs of suspects an earlier owner has seen', () => {
+  // Guards against a crash under a run that only the earlier owner saw and that
+  // does not count, so that each takeover lets a task crash another worker.
+  const sent: TaskState[] = [];
+  const orchestrator = createOrchestrator({
+    effects: idleEffects({start: (task) => sent.push(task)}),
+  });
+  orchestrator.upsertWorker(simpleWorker('w'));
+  const worker = orchestrator.workers.get('w')!;
+  const report = {clockMs: 0, bornMs: 1, running: [], ended: []};
+  orchestrator.processReport(worker, report, 0);
+  const definition = simpleJob('job');
+  const job = new JobState(definition, 0);
+  job.occurrence(0).steps[0]!.tasks[0]!.crashes.add({
+    role: CrashRole.SUSPECT,
+    isImmediate: true,
+    hasBegun: true,
+  });
+  orchestrator.addJob(job);
+  orchestrator.schedule();
+  let stored: Buffer = Buffer.alloc(0);
+  const commit = (): void => {
+    const pending = orchestrator.takePending();
+    for (const {changes} of pending.batches) stored = changes[0]!.value!;
+    applyPending(pending);
+  };
+  const restoredTask = (): TaskState => {
+    const restored = new JobState(definition, 0);
+    restoreProgress(restored, decodeProgress(stored));
+    return [...restored.tasks()][0]!;
+  };
+  commit();
+  assert.equal(restoredTask().state, 'inherited');
+  assert.equal(restoredTask().hasBegun, false);
+  orchestrator.handleStartOutcome(sent[0]!, 1, CONFIRMED);
+  commit();
+  assert.equal(restoredTask().hasBegun, true);
+});
+
 /** Plays many crashing tasks beside others; workers are few and busy. */
 function playCrashingTasks(
   options: Partial<SimulatedPartitionOptions> & {seed: number},
--- a/src/orchestrator/suspect_placement_test.ts
+++ b/src/orchestrator/suspect_placement_test.ts
@@ -67,7 +67,7 @@
   // Guards against an innocent suspect that never runs, because something
   // starts on each worker all the time.
   const suspect = createTask('suspect', true);
-  suspect.waitingSinceMs = NOW_MS - 2500;
+  suspect.isolatedSinceMs = NOW_MS - 2500;
   assert.equal(canPlace(suspect, createWorker([createTask('a')], 100)), true);
 });
 
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -1,5 +1,6 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
+import {isolationExclusion} from './suspect_isolation.js';
 import {TaskState} from './task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
 import {WorkerState} from './worker_state.js';
@@ -15,6 +16,13 @@
   preferredRack?: string;
   /** Returns whether a worker may run the task. @default all workers may */
   isAllowed?: (worker: WorkerState) => boolean;
+  /**
+   * Whether the task may be placed where the isolation of suspects keeps it
+   * from, except beside another suspect if it is one itself.
+   *
+   * @default false
+   */
+  ignoresIsolation?: boolean;
 }
 
 /** Strategy for choosing the worker of a task. */
@@ -45,18 +53,6 @@
  */
 const NEIGHBOR_PENALTY = 20;
 
-/**
- * Time in ms after an assignment to a worker in which no task is placed there
- * that may crash it: after a crash, either could be the cause.
- */
-const SUSPECT_DISTANCE_MS = 350;
-
-/**
- * Time in ms after which a suspect no longer waits for a worker on which nothing
- * has just started; there may be none at a high rate of starts.
- */
-const SUSPECT_PATIENCE_MS = 2000;
-
 /** Weight of a latency-critical neighbor in addition to that of each task. */
 const LATENCY_CRITICAL_NEIGHBORS = 2;
 
@@ -98,7 +94,7 @@
     const exclusion =
       serviceExclusion(worker, context.service) ??
       stateExclusion(worker, context) ??
-      suspicionExclusion(task, worker, context.nowMs) ??
+      isolationExclusion(task, worker, context) ??
       siblingExclusion(task.step, worker, context) ??
       roomExclusion(task.step, worker);
     if (exclusion !== undefined) return exclusion;
@@ -183,30 +179,6 @@
   return undefined;
 }
 
-/**
- * Returns why a crash of a worker soon after the start of a task there would
- * have two likely causes: nothing is placed beside a suspect that has not run
- * for a time, and no suspect beside a task that was assigned a moment ago.
- * Members of a gang start together in any case.
- */
-function suspicionExclusion(
-  task: TaskState,
-  worker: WorkerState,
-  nowMs: number,
-): WorkerExclusion | undefined {
-  const {isGang} = task.step;
-  const suspect = worker.unprovenSuspect();
-  if (suspect) {
-    const isSameGang = isGang && suspect.job === task.job;
-    return isSameGang ? undefined : WorkerExclusion.UNPROVEN_SUSPECT;
-  }
-  if (!task.isSuspect || isGang) return undefined;
-  if (nowMs - task.waitingSinceMs >= SUSPECT_PATIENCE_MS) return undefined;
-  return nowMs - worker.lastStartMs < SUSPECT_DISTANCE_MS
-    ? WorkerExclusion.RECENT_ASSIGNMENT
-    : undefined;
-}
-
 function siblingExclusion(
   step: StepDefinition,
   worker: WorkerState,
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -9,6 +9,7 @@
 import {StepContext, StepContexts} from './step_contexts.js';
 import {holdOf, isDue} from './step_hold.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
+import {endIsolation} from './suspect_isolation.js';
 import {TaskState} from './task_state.js';
 import {WorkerChanges} from './worker_changes.js';
 import {WorkerState} from './worker_state.js';
@@ -130,6 +131,7 @@
       const preferredRack = this.contexts.preferredRackOf(step);
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
       // A suspect is placed on fewer workers than other tasks of its step.
+      this.endIsolation(task, context);
       if (task.isSuspect) continue;
       unplaceable.add(definition, origin);
       if (origin.needsAdvice) this.requestAdvice(task, context);
@@ -137,6 +139,15 @@
     }
   }
 
+  private endIsolation(task: TaskState, context: PlacementContext): void {
+    const {placement} = this.options;
+    const workers = [...this.options.workers.values()];
+    const isIsolated = (worker: WorkerState): boolean =>
+      worker.suspects.size > 0 || worker.isReserved(context.nowMs);
+    if (!task.isSuspect && !workers.some(isIsolated)) return;
+    endIsolation(task, {workers, placement, context});
+  }
+
   /** Returns the workers that may have capacity for a step. */
   private workersWorthSearching(
     step: StepDefinition,
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -53,8 +53,16 @@
   lastActiveMs = -Infinity;
   /** Time in ms at which the current run was assigned. */
   assignedMs = -Infinity;
-  /** Time in ms at which the start command was sent. */
+  /**
+   * Time in ms at which this owner sent the start command; -Infinity if an
+   * earlier owner did, at a time that is not known.
+   */
   startedMs = 0;
+  /**
+   * Whether the current run has been seen: its worker has confirmed the start or
+   * listed the run. If not, at most an order was sent.
+   */
+  hasBegun = false;
   /** Number of starts in a row that workers have refused. */
   refusals = 0;
   /** Time in ms before which the task is not assigned again. */
@@ -63,6 +71,13 @@
   lastMovedMs = -Infinity;
   /** Time in ms of the last search for a worker to move the task to. */
   lastMoveCheckMs = -Infinity;
+  /**
+   * Time in ms since which only the isolation of suspects keeps it from running;
+   * Infinity if it has had no room otherwise since its latest run.
+   */
+  isolatedSinceMs = Infinity;
+  /** Time in ms of the last search for a worker without isolation. */
+  lastIsolationSearchMs = -Infinity;
   /** Ticket from the advice service for the current run. */
   ticket: string | undefined;
   /** Worker crashes under its runs. */
@@ -92,6 +107,11 @@
     const next = runLifeCycle.next(this.state, event);
     if (next === undefined) return false;
     this.state = next;
+    if (event === 'assigned') {
+      this.hasBegun = false;
+      this.isolatedSinceMs = Infinity;
+    }
+    if (event === 'confirmed') this.hasBegun = true;
     return true;
   }
 
--- a/src/orchestrator/worker_exclusion.ts
+++ b/src/orchestrator/worker_exclusion.ts
@@ -20,6 +20,10 @@
   UNPROVEN_SUSPECT: 'unproven-suspect',
   /** The task may crash it, and something has just been assigned there. */
   RECENT_ASSIGNMENT: 'recent-assignment',
+  /** The task may crash it, and a start sent there may take effect any time. */
+  START_IN_DOUBT: 'start-in-doubt',
+  /** Kept free of other starts for a task that may crash it. */
+  RESERVED: 'reserved',
   MISSING_LABEL: 'missing-label',
   /** Has the maximum number of tasks of the step. */
   STEP_LIMIT: 'step-limit',
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -1,5 +1,6 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
+import {RunState} from './run_life_cycle.js';
 import {TaskState} from './task_state.js';
 import {WorkerHealth} from './worker_health.js';
 
@@ -62,6 +63,7 @@
   hasUnknownRuns = false;
   /** Time in ms of the latest assignment of a task. */
   lastStartMs = -Infinity;
+  private reservation: {task: TaskState; untilMs: number} | undefined;
   private usedMemoryMb = 0;
   private usedAccelerators = 0;
   private usedCpu = 0;
@@ -113,6 +115,31 @@
     return undefined;
   }
 
+  /** Returns the suspect for which no other task is placed here, if any. */
+  reservedFor(nowMs: number): TaskState | undefined {
+    const {task, untilMs} = this.reservation ?? {untilMs: -Infinity};
+    if (!task || nowMs >= untilMs) return undefined;
+    return task.state === 'waiting' && !task.job.isFinal ? task : undefined;
+  }
+
+  /** Whether it is kept free of other starts for a suspect. */
+  isReserved(nowMs: number): boolean {
+    return this.reservedFor(nowMs) !== undefined;
+  }
+
+  /** Keeps other tasks from being placed here until a time in ms. */
+  reserveFor(task: TaskState, untilMs: number): void {
+    this.reservation = {task, untilMs};
+  }
+
+  /** Whether a start was sent that may still take effect or has, unseen. */
+  get hasStartInDoubt(): boolean {
+    for (const {hasBegun, state} of this.tasks) {
+      if (!hasBegun && isSentState(state)) return true;
+    }
+    return false;
+  }
+
   /** Records that a task on this worker may crash it. */
   addSuspect(task: TaskState): void {
     if (this.tasks.has(task)) this.suspects.add(task);
@@ -288,3 +315,8 @@
     }
   }
 }
+
+/** Whether a run in a state has been sent to its worker. */
+function isSentState(state: RunState): boolean {
+  return state === 'starting' || state === 'stopping' || state === 'inherited';
+}
--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -1,7 +1,7 @@
 import {decode, encode} from 'cbor-x';
 
 import {JobDefinition, JobPhase} from './job_definition.js';
-import {StoredCrashCounts} from './stored_crash_counts.js';
+import {EarlierCrashCounts, StoredCrashCounts} from './stored_crash_counts.js';
 import {StoredLoss} from './stored_loss.js';
 
 /** Record that the gateway stores before it accepts a job. */
@@ -25,11 +25,13 @@
   workerAddress?: string;
   /** Worker crashes under its runs. @default none */
   crashes?: TaskCrashRecord;
+  /** Whether the latest run has been seen on the worker. @default false */
+  hasBegun?: boolean;
 }
 
 /** Stored worker crashes of a task that a successor has to know. */
 export interface TaskCrashRecord {
-  counts: StoredCrashCounts;
+  counts: StoredCrashCounts | EarlierCrashCounts;
   /** Losses of workers of which it is not known whether they crashed. */
   losses: readonly StoredLoss[];
 }
@@ -58,7 +60,8 @@
   workerBornMs?: number,
   checkpoint?: string,
   workerAddress?: string,
-  crashes?: TaskCrashRecord,
+  crashes?: TaskCrashRecord | null,
+  hasBegun?: 1,
 ];
 
 /** Encodes a submission as CBOR. */
@@ -116,13 +119,14 @@
     checkpoint,
     task.workerAddress,
   ];
-  if (crashes) row.push(crashes);
+  if (crashes ?? task.hasBegun) row.push(crashes ?? null);
+  if (task.hasBegun) row.push(1);
   return row;
 }
 
 function fromRow(row: TaskRow): TaskRecord {
   const [index, run, failures, isDone, workerId, workerBornMs] = row;
-  const [, , , , , , checkpoint, workerAddress, crashes] = row;
+  const [, , , , , , checkpoint, workerAddress, crashes, hasBegun] = row;
   return {
     index,
     run,
@@ -132,6 +136,7 @@
     workerBornMs,
     checkpoint,
     workerAddress,
-    crashes,
+    crashes: crashes ?? undefined,
+    hasBegun: hasBegun === 1,
   };
 }
