--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -10,6 +10,7 @@
 import {StepContext, StepContexts} from './step_contexts.js';
 import {holdOf, isDue} from './step_hold.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
+import {endIsolation} from './suspect_isolation.js';
 import {TaskState} from './task_state.js';
 import {WorkerChanges} from './worker_changes.js';
 import {WorkerState} from './worker_state.js';
@@ -152,6 +153,7 @@
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
       unplaced = task;
       // A suspect is placed on fewer workers than other tasks of its step.
+      this.endIsolation(task, context);
       if (task.isSuspect) continue;
       unplaceable.add(definition, origin);
       break;
@@ -159,6 +161,15 @@
     if (unplaced && origin.needsAdvice) this.requestAdvice(unplaced, context);
   }
 
+  private endIsolation(task: TaskState, context: PlacementContext): void {
+    const {placement} = this.options;
+    const workers = [...this.options.workers.values()];
+    const isIsolated = (worker: WorkerState): boolean =>
+      worker.suspects.size > 0 || worker.isReserved(context.nowMs);
+    if (!task.isSuspect && !workers.some(isIsolated)) return;
+    endIsolation(task, {workers, placement, context});
+  }
+
   /** Returns the workers that may have capacity for a step. */
   private workersWorthSearching(
     step: StepDefinition,
