Drive the check of idle capacity with best-effort tasks; end gangs together

A test with latency-critical tasks on most workers and best-effort ones of all sizes joins the check.

The check demands as much as before of all other starts.

--- a/src/orchestrator/idle_capacity_test.ts
+++ b/src/orchestrator/idle_capacity_test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simulateCalmPhases} from '../../testing/simulate_calm_phases.js';
+import {
+  randomColocatedSteps,
+  simulateCalmPhases,
+} from '../../testing/simulate_calm_phases.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 40);
 const FIRST_SEED = Number(process.env['BANYANMUX_TEST_FIRST_SEED'] ?? 1);
@@ -16,6 +19,16 @@
   }
 });
 
+test('no best-effort task waits beside idle capacity for headroom', () => {
+  // Guards against best-effort tasks that wait for latency-critical ones with
+  // headroom, or for CPU left over, on workers that shrank.
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    const options = {createSteps: randomColocatedSteps};
+    const {violations} = simulateCalmPhases(seed, options);
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
 test('no task waits beside idle capacity for its advice', () => {
   // Guards against steps whose advice is not requested, or expires, while other
   // steps wait for workers that may run them.
--- a/testing/simulate_calm_phases.ts
+++ b/testing/simulate_calm_phases.ts
@@ -9,6 +9,12 @@
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {RunningReport} from '../src/orchestrator/worker_port.js';
 
+/** Options of {@link simulateCalmPhases}. */
+export interface CalmPhasesOptions extends SimulatedPartitionOptions {
+  /** Creates the steps of a job. @default steps of all kinds */
+  createSteps?: (random: RandomSource) => StepDefinition[];
+}
+
 /** Fractions of their full capacity to which many workers shrink at once. */
 const SHRUNKEN_FRACTIONS = [0, 0.1, 0.3, 0.55] as const;
 
@@ -77,7 +83,26 @@
   ]).map((fields) => simpleStep(fields));
 }
 
-function randomJob(id: string, random: RandomSource): JobDefinition {
+/** Returns latency-critical steps on most workers, and best-effort ones. */
+export function randomColocatedSteps(random: RandomSource): StepDefinition[] {
+  const cpuMillicores = 500 * (1 + random.nextInteger(8));
+  const memoryMb = 500 * (1 + random.nextInteger(8));
+  const image = pick(random, Object.keys(TAILS_MS));
+  const serving = {isLongRunning: true, tailTargetMs: 50, image};
+  const bestEffort = {usesLeftoverCpu: true, image: 'fill'};
+  const taskCount = 1 + random.nextInteger(8);
+  const fields: Partial<StepDefinition> =
+    random.next() < 0.4
+      ? {cpuMillicores, taskCount, mostPerWorker: 1, ...serving}
+      : {cpuMillicores: 2 * cpuMillicores, memoryMb, ...bestEffort};
+  return [simpleStep(fields)];
+}
+
+function randomJob(
+  id: string,
+  random: RandomSource,
+  steps: readonly StepDefinition[],
+): JobDefinition {
   const isRepeated = random.next() < 0.15;
   const repetition = {
     repetitions: 4,
@@ -85,7 +110,7 @@
     intervalMs: 3000,
   };
   return simpleJob(id, {
-    steps: randomSteps(random),
+    steps,
     ...(isRepeated ? repetition : {}),
   });
 }
@@ -109,8 +134,9 @@
  */
 export function simulateCalmPhases(
   seed: number,
-  options: Partial<SimulatedPartitionOptions> = {},
+  options: Partial<CalmPhasesOptions> = {},
 ): SimulatedPartition {
+  const {createSteps = randomSteps, ...partitionOptions} = options;
   const random = new SeededRandom(seed * 7919);
   const workers = 2 + random.nextInteger(7);
   const fields = Array.from({length: workers}, () => randomWorker(random));
@@ -123,11 +149,12 @@
     keepsIdAfterCrash: random.next() < 0.5,
     workerFields: (machine) => fields[machine]!,
     measure,
-    ...options,
+    ...partitionOptions,
   });
   for (let phase = 0; phase < 3; phase++) {
     for (let number = 0; number < 4; number++) {
-      partition.submit(randomJob(`job${phase}${number}`, random));
+      const id = `job${phase}${number}`;
+      partition.submit(randomJob(id, random, createSteps(random)));
     }
     partition.runWithFaults(FAULTS_MS);
     const share = random.next();
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -159,6 +159,8 @@
   private readonly jobs: JobDefinition[] = [];
   /** Whether a command is being executed that its worker has held back. */
   private isExecutingLate = false;
+  /** Running tasks that their worker started late, by worker id. */
+  private readonly lateRuns = new Map<string, Set<string>>();
   private readonly cancelled = new Set<string>();
   /** Workers that run a task now. */
   private readonly workersByTask = new Map<string, Set<string>>();
@@ -359,7 +361,10 @@
       clockRate: 0.98 + this.random.next() * 0.02,
       measure: (task, ageMs) => this.measure(task, ageMs),
       onStarted: (task, run) => this.recordStart(id, task, run),
-      onRemoved: (task) => this.workersByTask.get(task)?.delete(id),
+      onRemoved: (task) => {
+        this.workersByTask.get(task)?.delete(id);
+        this.lateRuns.get(id)?.delete(task);
+      },
       onCompleted: (task, run) => this.recordCompletion(task, run),
     });
     this.workers.set(id, worker);
@@ -382,19 +387,30 @@
       Math.max(run, this.latestStartedRuns.get(task) ?? 0),
     );
     workers.add(workerId);
-    // A start that the worker has held back may meet a smaller capacity.
-    if (this.options.capacityChangeRate && !this.isExecutingLate) {
+    if (this.isExecutingLate) this.recordLateStart(workerId, task);
+    else if (this.options.capacityChangeRate)
       this.checkCapacity(workerId, task);
-    }
     if (this.options.crashingTasks?.includes(task)) {
       this.recordCrashingStart(workerId, task);
     }
   }
 
-  /** Checks that the runs on a worker fit a capacity it lately had. */
+  private recordLateStart(workerId: string, task: string): void {
+    const late = this.lateRuns.get(workerId) ?? new Set();
+    this.lateRuns.set(workerId, late.add(task));
+  }
+
+  /**
+   * Checks that the runs on a worker fit a capacity it lately had. No owner
+   * knows of starts that the worker has held back. Best-effort tasks do not
+   * count.
+   */
   private checkCapacity(workerId: string, task: string): void {
-    const runs = this.workers.get(workerId)!.running;
-    const cpu = runs
+    if (this.stepOf(task).usesLeftoverCpu) return;
+    const late = this.lateRuns.get(workerId);
+    const cpu = this.workers
+      .get(workerId)!
+      .running.filter((name) => !late?.has(name))
       .map((name) => this.stepOf(name))
       .filter(({usesLeftoverCpu}) => !usesLeftoverCpu)
       .reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
@@ -614,9 +630,10 @@
     const workers = [...this.registered.keys()]
       .filter((id) => !this.isCrashed(id))
       .map((id) => this.sampleWorker(id));
+    const done = this.tasksDone();
     const progress = {
       wallMs: this.clock.wallMs(),
-      isDone: (task: string) => this.completedRuns.has(task),
+      isDone: (task: string) => done.has(task),
     };
     const due = this.jobs
       .filter(({id}) => !this.cancelled.has(id) && !this.hasEnded(id))
@@ -626,6 +643,20 @@
     this.violations.push(...this.idleCapacity.observe(sample));
   }
 
+  /**
+   * Names of the tasks whose success was acknowledged or stored. A lease that
+   * expires in between makes an acknowledgement void.
+   */
+  private tasksDone(): Set<string> {
+    const done = new Set(this.completedRuns.keys());
+    for (const job of this.owner.jobs.values()) {
+      for (const {name, state} of job.tasks()) {
+        if (state === 'done') done.add(name);
+      }
+    }
+    return done;
+  }
+
   private hasEnded(jobId: string): boolean {
     return this.owner.jobs.get(jobId)?.isFinal ?? false;
   }
@@ -833,10 +864,27 @@
         if (!this.endsByItself(task)) continue;
         if (this.random.next() >= probability) continue;
         const kind = this.random.next() < 0.1 ? EndKind.FAILED : EndKind.DONE;
-        worker.finish(task, kind);
+        this.finish(worker, task, kind);
       }
     }
   }
+
+  /** Ends a run; members of a gang succeed together, or not at all. */
+  private finish(
+    worker: SimulatedTaskWorker,
+    task: string,
+    kind: EndKind,
+  ): void {
+    const isGang = this.stepOf(task).isGang;
+    const step = stepNameOf(task);
+    if (!isGang) worker.finish(task, kind);
+    else if (kind === EndKind.DONE) {
+      if (!this.incompleteGangs.has(step)) this.endGang(step, kind);
+    } else {
+      worker.finish(task, kind);
+      this.endGang(step, EndKind.GANG_BROKEN);
+    }
+  }
 }
 
 /** Returns the name of the step and occurrence that a task belongs to. */
