--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -388,8 +388,9 @@
     );
     workers.add(workerId);
     if (this.isExecutingLate) this.recordLateStart(workerId, task);
-    else if (this.options.capacityChangeRate)
+    else if (this.options.capacityChangeRate) {
       this.checkCapacity(workerId, task);
+    }
     if (this.options.crashingTasks?.includes(task)) {
       this.recordCrashingStart(workerId, task);
     }
