Expect the owner key in each transaction of a term

A takeover by a build that knows one head alone did not fence the other seven chains, so that two owners could assign tasks during an upgrade. Each transaction now also expects the owner key at the revision that created it, which any takeover changes. It takes a 32nd entry: 29 changes in place of 30.

Found on the way: deletions were cut into transactions of 30, which by chance held whole jobs of three records. With 29, and batches that are committed at the same time, an owner could find a submission without its progress and run the job again. All records of a job are now deleted in one transaction.

Tests before the change: 'a takeover by a build with one chain fences every chain': committed, expected /another node owns/. 'all records of a job are deleted in one transaction' with 29 entries: submission deleted true, progress deleted false.

--- a/src/leadership/commit_log.ts
+++ b/src/leadership/commit_log.ts
@@ -17,7 +17,11 @@
   store: MetadataStore;
   log: NodeLog;
   headKey: string;
-  /** Fencing token of the term. */
+  /** Key of the owner record, which exists as long as the term lasts. */
+  ownerKey: string;
+  /**
+   * Fencing token of the term: the revision at which the owner key was created.
+   */
   token: number;
   /** Revision of the head that the transaction that began the term wrote. */
   headRevision: number;
@@ -34,8 +38,11 @@
   sequence: number;
 }
 
-/** Maximum changes in a transaction; the head takes two of its keys. */
-export const MAX_CHANGES_PER_COMMIT = MAX_TRANSACTION_KEYS - 2;
+/**
+ * Maximum changes in a transaction. The head of the chain takes two of its keys,
+ * the owner key a third.
+ */
+export const MAX_CHANGES_PER_COMMIT = MAX_TRANSACTION_KEYS - 3;
 
 /** Delay in ms before a transaction is retried. */
 const RETRY_MS = 100;
@@ -47,8 +54,9 @@
 
 /**
  * Writes the changes of one term of ownership. Each transaction requires the
- * head revision that the previous one wrote, so that no write of an earlier
- * term can be applied, not even a delayed one. Calls must not overlap.
+ * head revision that the previous one wrote, so that a delayed write is not
+ * applied after a later one, and the owner key of the term, so that no write of
+ * an earlier term is applied. Calls must not overlap.
  */
 export class CommitLog {
   private headRevision: number;
@@ -85,7 +93,7 @@
   }
 
   private createTransaction(changes: readonly KeyChange[]): StoreTransaction {
-    const {headKey, token} = this.options;
+    const {headKey, ownerKey, token} = this.options;
     const head = encodeHead({token, sequence: this.sequence});
     const write: StoreWrite[] = [{key: headKey, value: head}];
     const remove: string[] = [];
@@ -93,7 +101,10 @@
       if (change.value === undefined) remove.push(change.key);
       else write.push(change);
     }
-    const expect = [{key: headKey, revision: this.headRevision}];
+    const expect = [
+      {key: headKey, revision: this.headRevision},
+      {key: ownerKey, revision: token},
+    ];
     return {expect, write, remove};
   }
 
--- a/src/leadership/commit_log_test.ts
+++ b/src/leadership/commit_log_test.ts
@@ -7,14 +7,18 @@
 import {CommitLog, encodeHead} from './commit_log.js';
 
 const HEAD_KEY = 'banyanmux/main/head';
+const OWNER_KEY = 'banyanmux/main/owner';
 
 function beginTerm(store: MemoryStore): CommitLog {
+  store.put(OWNER_KEY, Buffer.from('owner'));
+  const token = store.revision;
   store.put(HEAD_KEY, encodeHead({token: 0, sequence: 0}));
   return new CommitLog({
     store,
     log: silentLog(),
     headKey: HEAD_KEY,
-    token: store.revision,
+    ownerKey: OWNER_KEY,
+    token,
     headRevision: store.revision,
   });
 }
--- a/src/leadership/owner_election_test.ts
+++ b/src/leadership/owner_election_test.ts
@@ -84,6 +84,40 @@
   await first.election.stop();
 });
 
+/** Commits a change on each chain of a term; returns why they fail. */
+async function commitOnEachChain(
+  store: MemoryStore,
+  {token}: OwnerTerm,
+): Promise<string[]> {
+  const change = {key: 'a', value: Buffer.from('')};
+  const commits = keys.heads.map((headKey) =>
+    new CommitLog({
+      store,
+      log: silentLog(),
+      headKey,
+      ownerKey: keys.owner,
+      token,
+      headRevision: token,
+    })
+      .commit([change])
+      .then(
+        () => 'committed',
+        ({message}: Error) => message,
+      ),
+  );
+  return Promise.all(commits);
+}
+
+test('an owner commits on every chain of transactions', async () => {
+  // Guards against a takeover after which the owner cannot store anything.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first');
+  await first.election.check();
+  const outcomes = await commitOnEachChain(store, first.terms[0]!);
+  await first.election.stop();
+  assert.deepEqual(new Set(outcomes), new Set(['committed']));
+});
+
 test('a takeover fences every chain of transactions of the last owner', async () => {
   // Guards against an owner that is replaced and still assigns tasks through a
   // chain which its successor has not taken over.
@@ -93,20 +127,24 @@
   await first.election.check();
   const term = first.terms[0]!;
   await second.election.replaceOwner(term.token);
-  for (const headKey of keys.heads) {
-    const {token} = term;
-    const log = new CommitLog({
-      store,
-      log: silentLog(),
-      headKey,
-      token,
-      headRevision: token,
-    });
-    const change = {key: 'a', value: Buffer.from('')};
-    await assert.rejects(log.commit([change]), /another node owns/);
-  }
+  const outcomes = await commitOnEachChain(store, term);
   term.end('test');
   await second.election.stop();
+  for (const outcome of outcomes) assert.match(outcome, /another node owns/);
+});
+
+test('a takeover by a build with one chain fences every chain', async () => {
+  // Guards against two owners during an upgrade: earlier builds rewrite the
+  // owner key and the first head alone.
+  const store = new MemoryStore();
+  const first = createCandidate(store, 'first');
+  await first.election.check();
+  const term = first.terms[0]!;
+  store.put(keys.owner, Buffer.from('earlier build'));
+  store.put(keys.head, encodeHead({token: 0, sequence: 0}));
+  const outcomes = await commitOnEachChain(store, term);
+  term.end('test');
+  for (const outcome of outcomes) assert.match(outcome, /another node owns/);
 });
 
 test('an owner that requests replacement is replaced at once, and no other', async () => {
--- a/src/orchestrator/commit_loop_test.ts
+++ b/src/orchestrator/commit_loop_test.ts
@@ -35,13 +35,16 @@
       return store.commit(transaction);
     },
   } as unknown as MetadataStore;
+  store.put('owner', Buffer.from(''));
+  const token = store.revision;
   const commitLogs = Array.from({length: CHAINS}, (_, number) => {
     store.put(`head${number}`, encodeHead({token: 0, sequence: 0}));
     return new CommitLog({
       store: slowStore,
       log: silentLog(),
       headKey: `head${number}`,
-      token: 1,
+      ownerKey: 'owner',
+      token,
       headRevision: store.revision,
     });
   });
@@ -104,7 +107,7 @@
   const {loop, answer, stored, fenced} = createLoop(store, [['a', 'b']]);
   loop.request();
   await sleep(30);
-  store.put('head1', encodeHead({token: 2, sequence: 1}));
+  store.put('head1', encodeHead({token: 99, sequence: 1}));
   answer('b');
   await sleep(5);
   assert.equal(fenced.length, 1);
--- a/src/orchestrator/orchestrator_commit_test.ts
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {applyPending} from '../../testing/apply_pending.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
@@ -87,3 +89,30 @@
   pending.onStored();
   assert.equal(worker.sequenceToAcknowledge, 5);
 });
+
+test('all records of a job are deleted in one transaction', () => {
+  // Guards against a job that runs again: an owner that finds a submission
+  // without its progress takes it for a new job.
+  const clock = new ManualClock();
+  const keys = new PartitionKeys('main');
+  const orchestrator = createOrchestrator({clock, keys, keepFinishedMs: 1000});
+  for (let number = 0; number < BATCH_JOBS; number++) {
+    orchestrator.addJob(new JobState(simpleJob(`job${number}`), 0));
+    orchestrator.cancel(`job${number}`);
+  }
+  applyPending(orchestrator.takePending());
+  clock.advance(2000);
+  orchestrator.tick();
+  const {batches} = orchestrator.takePending();
+  assert.ok(batches.length > 1);
+  for (const {changes} of batches) {
+    const deleted = new Set(changes.map(({key}) => key));
+    for (let number = 0; number < BATCH_JOBS; number++) {
+      const id = `job${number}`;
+      assert.equal(
+        deleted.has(keys.submission(id)),
+        deleted.has(keys.progress(id)),
+      );
+    }
+  }
+});
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -176,6 +176,7 @@
             store,
             log,
             headKey,
+            ownerKey: keys.owner,
             token: term.token,
             headRevision: term.token,
           }),
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -20,6 +20,16 @@
   onPhases: (phases: ReadonlyArray<[jobId: string, phase: JobPhase]>) => void;
 }
 
+/** Number of records of a job. */
+const RECORDS_PER_JOB = 3;
+
+/**
+ * Maximum deletions in a transaction: all records of a job are deleted in one,
+ * since a submission without its progress would look like a new job.
+ */
+const MAX_DELETIONS_PER_COMMIT =
+  MAX_CHANGES_PER_COMMIT - (MAX_CHANGES_PER_COMMIT % RECORDS_PER_JOB);
+
 /** Commit order of jobs whose queue was removed, after all priorities. */
 const NO_PRIORITY_RANK = 1_000_000;
 
@@ -87,7 +97,7 @@
     for (const chunk of chunks(jobs, MAX_CHANGES_PER_COMMIT)) {
       batches.push(this.createBatch(chunk, startsByJob));
     }
-    for (const changes of chunks(removals, MAX_CHANGES_PER_COMMIT)) {
+    for (const changes of chunks(removals, MAX_DELETIONS_PER_COMMIT)) {
       batches.push({changes, onStored: () => undefined});
     }
     return {batches, onStored: recordProcessedEnds(workers)};
