Take a worker that confirms a start for lost after that start

Runs that are sent after a worker was lost have no part in its loss.

A confirmed start shows that the worker was there when it was sent. The loss time of a silent worker is moved there. The test failed before: 0 !== 1.

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -81,6 +81,15 @@
     this.history.recordLoss(worker, hasSuspect);
   }
 
+  /**
+   * Records that a worker has confirmed a start that was sent at a time in ms.
+   * It was lost later than that, even if a poll had failed before: a poll also
+   * fails when its connection breaks.
+   */
+  recordConfirmation(worker: WorkerState, sentMs: number): void {
+    if (worker.isSilent) worker.lostMs = Math.max(worker.lostMs, sentMs);
+  }
+
   /** Records that a worker answers again; it was not lost if it runs on. */
   recordAnswer(worker: WorkerState): void {
     if (!worker.isCrashCounted) this.history.removeLoss(worker);
--- a/src/orchestrator/crash_tracker_test.ts
+++ b/src/orchestrator/crash_tracker_test.ts
@@ -118,3 +118,20 @@
   assert.equal(task.losses.length, 0);
   assert.ok(task.crashes.isEmpty);
 });
+
+test('a start that was confirmed after a failed poll counts', () => {
+  // A poll fails also when its connection breaks. Guards against a task that is
+  // started again and again, because its worker was taken for lost before the
+  // start (kettridge-mux, deadly_double.toml, seed 5).
+  const {tracker, clock} = createTracker();
+  const worker = createWorker(0, clock);
+  const task = taskOn(worker);
+  tracker.recordSilence(worker);
+  clock.advance(5);
+  task.startedMs = clock.nowMs();
+  clock.advance(5);
+  tracker.recordConfirmation(worker, task.startedMs);
+  clock.advance(3000);
+  tracker.recordCrash(worker, 'replaced');
+  assert.equal(task.crashes.toRecord().suspected, 1);
+});
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -273,6 +273,7 @@
     if (task.run !== run || !task.isPlaced) return;
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
+      if (worker) this.crashes.recordConfirmation(worker, task.startedMs);
       if (!task.hasBegun) this.recordBegun(task);
     }
     if (task.state !== 'starting') return;
