Measure where the processor time of an owner process goes

owner-load measures the decisions of an owner alone. The new scenario owner-process runs the node program against a store, workers and callers in another process, under a CPU profile, and attributes the samples to parts by their call frames. The sum is scaled to the processor time of the process, since samples on a busy machine contain time in which it waits for a processor.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -18,6 +18,8 @@
     (await import('./scenarios/placement.js')).runPlacement,
   'owner-load': async () =>
     (await import('./scenarios/owner_load.js')).runOwnerLoad,
+  'owner-process': async () =>
+    (await import('./scenarios/owner_process.js')).runOwnerProcess,
   'platform-outage': async () =>
     (await import('./scenarios/platform_outage.js')).runPlatformOutage,
 };
@@ -45,6 +47,8 @@
       seed: {type: 'string', default: '1'},
       seconds: {type: 'string', default: '20'},
       class: {type: 'string', default: 'batch'},
+      workers: {type: 'string'},
+      profile: {type: 'string'},
     },
   });
   const name = positionals[0] ?? '';
