Leave finished jobs out of the periodic work of an owner

Each scheduling pass, every 6 ms, filtered all of them, each tick looked at all of them, and so did a count of waiting jobs. JobIndex keeps the open ones apart, in the order of their arrival, and the finished ones in the order in which they finished; a job counts its waiting tasks, so that a pass does not look at the tasks of a job of which all run.

--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -32,6 +32,8 @@
   readonly occurrences = new Map<number, OccurrenceState>();
   /** First worker on which a run of the job made no progress. */
   stuckWorkerId: string | undefined;
+  /** Number of tasks in state 'waiting', of all occurrences created so far. */
+  waitingCount = 0;
   /** Time in ms at which this owner added the job. */
   knownSinceMs = 0;
   /** Time in ms at which the phase became final. */
@@ -119,6 +121,7 @@
 
   /** Whether a task waits whose step is ready. */
   get hasReadyTasks(): boolean {
+    if (this.waitingCount === 0) return false;
     for (const occurrence of this.occurrences.values()) {
       if (occurrence.isDone) continue;
       for (let step = 0; step < occurrence.steps.length; step++) {
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -11,6 +11,7 @@
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
+import {JobIndex} from './job_index.js';
 import {JobState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
@@ -103,7 +104,7 @@
  * to its methods and commands go through {@link OrchestratorEffects}.
  */
 export class Orchestrator {
-  readonly jobs = new Map<string, JobState>();
+  private readonly jobIndex = new JobIndex();
   private readonly registry: WorkerRegistry;
   private readonly tasksByName = new Map<string, TaskState>();
   private readonly changes: PendingChanges;
@@ -178,6 +179,11 @@
     });
   }
 
+  /** Jobs that are open or finished not long ago, by id. */
+  get jobs(): ReadonlyMap<string, JobState> {
+    return this.jobIndex.byId;
+  }
+
   /** Workers that are registered or may still run a task, by id. */
   get workers(): Map<string, WorkerState> {
     return this.registry.workers;
@@ -196,12 +202,12 @@
     const {id} = job.definition;
     if (this.jobs.has(id)) return;
     job.knownSinceMs = this.options.clock.nowMs();
-    this.jobs.set(id, job);
     if (job.isFinal) {
       job.finalSinceMs = job.knownSinceMs;
     } else {
       job.createDueOccurrences(this.options.clock.wallMs());
     }
+    this.jobIndex.add(job);
     for (const task of job.tasks()) this.registerTask(task);
   }
 
@@ -335,11 +341,13 @@
       this.expireLease(worker, nowMs);
       for (const task of worker.tasks) this.resendStop(task, nowMs);
     }
-    for (const job of this.jobs.values()) {
-      if (!job.isFinal && job.createDueOccurrences(wallMs)) {
-        for (const task of job.tasks()) this.registerTask(task);
-      }
-      this.removeFinishedJob(job, nowMs);
+    for (const job of this.jobIndex.open) {
+      if (!job.createDueOccurrences(wallMs)) continue;
+      for (const task of job.tasks()) this.registerTask(task);
+    }
+    const forgottenMs = nowMs - this.options.keepFinishedMs;
+    for (const job of this.jobIndex.finishedUntil(forgottenMs)) {
+      this.removeFinishedJob(job);
     }
   }
 
@@ -347,7 +355,7 @@
   schedule(): void {
     if (!this.configuration) return;
     const time = this.schedulingTime;
-    this.scheduler.schedule(this.jobs.values(), time);
+    this.scheduler.schedule(this.jobIndex.open, time);
     this.requestAdvice(time.nowMs);
   }
 
@@ -374,9 +382,8 @@
   /** Returns the number of jobs in a queue of which no task has started. */
   countPending(queue: string): number {
     let pending = 0;
-    for (const job of this.jobs.values()) {
-      const isWaiting = !job.hasStarted && !job.isFinal;
-      if (isWaiting && job.definition.queue === queue) pending += 1;
+    for (const job of this.jobIndex.open) {
+      if (!job.hasStarted && job.definition.queue === queue) pending += 1;
     }
     return pending;
   }
@@ -412,8 +419,8 @@
   /** Logs the load, jobs that wait and, less often, the interference model. */
   private logSummaries(nowMs: number): void {
     this.summaryMs = nowMs;
-    const summary = summarizeLoad(this.jobs.values(), this.workers.values());
-    const waits = this.waits.check(this.jobs.values(), this.schedulingTime);
+    const summary = summarizeLoad(this.jobIndex.open, this.workers.values());
+    const waits = this.waits.check(this.jobIndex.open, this.schedulingTime);
     this.options.log.logSummary('load', {...summary, ...waits});
     if (nowMs - this.interferenceLogMs < INTERFERENCE_LOG_INTERVAL_MS) {
       return;
@@ -564,6 +571,7 @@
   ): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
+    this.jobIndex.finish(job);
     if (phase === JobPhase.FAILED) {
       this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
     }
@@ -753,15 +761,13 @@
     this.requestStop(task, 'no-progress');
   }
 
-  private removeFinishedJob(job: JobState, nowMs: number): void {
-    if (nowMs - job.finalSinceMs < this.options.keepFinishedMs) return;
+  private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
-    const {id} = job.definition;
     this.bestEffort.removeTasks(job.tasks());
     for (const {steps} of job.occurrences.values()) {
       for (const step of steps) this.advice.removeStep(step);
     }
-    this.jobs.delete(id);
+    this.jobIndex.remove(job);
     for (const task of job.tasks()) this.tasksByName.delete(task.name);
     this.changes.removeJob(job);
     this.options.effects.requestCommit();
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -18,7 +18,7 @@
 /** One task of one step of one occurrence of a job. */
 export class TaskState {
   readonly name: string;
-  state: RunState = runLifeCycle.initial;
+  private currentState: RunState = runLifeCycle.initial;
   /** Number of the latest run; 0 before the first. */
   run = 0;
   /** Number of runs that failed. */
@@ -104,13 +104,21 @@
     readonly position: {occurrence: number; step: number; index: number},
   ) {
     this.name = formatTaskName({jobId: job.definition.id, ...position});
+    if (this.currentState === 'waiting') job.waitingCount += 1;
+  }
+
+  /** State of the latest run, or 'waiting' if a worker has to be found. */
+  get state(): RunState {
+    return this.currentState;
   }
 
   /** Applies an event; returns false if the current state ignores it. */
   apply(event: RunEvent): boolean {
     const next = runLifeCycle.next(this.state, event);
     if (next === undefined) return false;
-    this.state = next;
+    if (this.currentState === 'waiting') this.job.waitingCount -= 1;
+    if (next === 'waiting') this.job.waitingCount += 1;
+    this.currentState = next;
     if (event === 'assigned') {
       this.hasBegun = false;
       this.isolatedSinceMs = Infinity;
