Look only at workers that reported ends when a commit is taken

Each commit, about 90 a second, copied the sequence numbers of all workers of the partition to mark them as stored afterwards. Only those change that reported ends since the commit before.

The test that ends are acknowledged after all batches set the sequence number of a worker by hand; it now reports an end, as a worker does. A new test covers an end that is reported while a commit is under way.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -269,6 +269,7 @@
     this.registry.recordReport(worker, report, nowMs);
     this.crashes.recordAnswer(worker);
     this.crashes.settleLosses(worker);
+    if (report.ended.length > 0) this.changes.addProcessedEnds(worker);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
     this.stopStuck(worker, nowMs);
@@ -376,7 +377,7 @@
 
   /** Removes and returns the pending changes; see {@link PendingChanges}. */
   takePending(): PendingCommit {
-    return this.changes.take(this.workers.values());
+    return this.changes.take();
   }
 
   /** Returns the number of jobs in a queue of which no task has started. */
--- a/src/orchestrator/orchestrator_commit_test.ts
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -13,6 +13,8 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {JobState} from './job_state.js';
 import {Orchestrator} from './orchestrator.js';
+import {EndKind} from './worker_port.js';
+import {WorkerState} from './worker_state.js';
 
 const BATCH_JOBS = 100;
 
@@ -53,6 +55,23 @@
   return {orchestrator, started};
 }
 
+/** Processes the report of an end of a run that belongs to no task. */
+function reportEnd(
+  orchestrator: Orchestrator,
+  worker: WorkerState,
+  sequence: number,
+): void {
+  const end = {
+    sequence,
+    task: 'other.0.0.0',
+    run: 1,
+    kind: EndKind.DONE,
+    checkpoint: '',
+  };
+  const report = {clockMs: 0, bornMs: 1, running: [], ended: [end]};
+  orchestrator.processReport(worker, report, 0);
+}
+
 test('in a burst of batch jobs an urgent start waits for one transaction', () => {
   // A burst fills several transactions, which are committed one after another.
   // Guards against an urgent job that waits for all of them.
@@ -80,10 +99,24 @@
   // its job is never committed.
   const {orchestrator} = createFixture();
   const worker = orchestrator.workers.get('w0')!;
-  worker.processedSequence = 5;
+  reportEnd(orchestrator, worker, 5);
   const pending = orchestrator.takePending();
   for (const {onStored} of pending.batches) onStored();
   assert.equal(worker.sequenceToAcknowledge, 0);
   pending.onStored();
   assert.equal(worker.sequenceToAcknowledge, 5);
 });
+
+test('an end that is reported during a commit waits for the next one', () => {
+  // Guards against an end that a worker discards because an earlier end of the
+  // same worker is stored.
+  const {orchestrator} = createFixture();
+  const worker = orchestrator.workers.get('w0')!;
+  reportEnd(orchestrator, worker, 5);
+  const first = orchestrator.takePending();
+  reportEnd(orchestrator, worker, 6);
+  first.onStored();
+  assert.equal(worker.sequenceToAcknowledge, 5);
+  orchestrator.takePending().onStored();
+  assert.equal(worker.sequenceToAcknowledge, 6);
+});
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -31,6 +31,8 @@
   private readonly jobs = new Set<JobState>();
   private readonly starts: TaskState[] = [];
   private readonly deletions: KeyChange[] = [];
+  /** Workers that reported ends since the latest {@link take}. */
+  private readonly workers = new Set<WorkerState>();
 
   constructor(private readonly options: PendingChangesOptions) {}
 
@@ -44,6 +46,11 @@
     this.jobs.add(job);
   }
 
+  /** Adds a worker whose ends have been processed. */
+  addProcessedEnds(worker: WorkerState): void {
+    this.workers.add(worker);
+  }
+
   /** Adds the deletion of all records of a job. */
   removeJob(job: JobState): void {
     this.jobs.delete(job);
@@ -72,10 +79,8 @@
    * Removes and returns the pending changes, those that the starts of urgent
    * jobs depend on first. A start is sent once its own batch is committed, ends
    * are acknowledged once all batches are.
-   *
-   * @param workers - Workers whose processed ends the changes contain.
    */
-  take(workers: Iterable<WorkerState>): PendingCommit {
+  take(): PendingCommit {
     const jobs = [...this.jobs];
     this.jobs.clear();
     const startsByJob = groupByJob(this.starts.splice(0));
@@ -90,7 +95,9 @@
     for (const changes of chunks(removals, MAX_CHANGES_PER_COMMIT)) {
       batches.push({changes, onStored: () => undefined});
     }
-    return {batches, onStored: recordProcessedEnds(workers)};
+    const onStored = recordProcessedEnds(this.workers);
+    this.workers.clear();
+    return {batches, onStored};
   }
 
   private startRankOf(job: JobState): number {
