Write log lines in batches

Lines that wait are written when the process exits or throws (tests). A process that is killed loses the lines of its last 100 ms. No timer runs while there are no lines, since idle nodes pay for wake-ups too.

--- a/src/logging/create_logger.ts
+++ b/src/logging/create_logger.ts
@@ -1,5 +1,7 @@
 import {Logger, pino, stdTimeFunctions} from 'pino';
 
+import {createBufferedDestination} from './buffered_destination.js';
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
   /** Minimum level that is written. @default 'info' */
@@ -26,6 +28,6 @@
       timestamp: stdTimeFunctions.isoTime,
       redact: ['authorization', 'token', '*.authorization', '*.token', '*.key'],
     },
-    pino.destination({dest: options.fileDescriptor ?? 1, sync: false}),
+    createBufferedDestination(options.fileDescriptor ?? 1),
   );
 }
