Store the tasks that changed, not the whole job again

Each end of a task rewrote the progress of its whole job: 40 to 80 tasks on the large site, whose ends arrive one by one. A job now has two keys: a record with a version, and the tasks that changed since the record of that version. One of them is written at a time, so that no stored change is half of one; changes beside a record of another version are ignored.

The end of a run whose job has ended stores nothing any more; it is acknowledged with the next commit, also if there is no other change, in place of polls without a pause until something else is committed. A changed incarnation in an assignment is now noted as a change; it was stored by chance.

--- a/measure/owner_process/platform_process.ts
+++ b/measure/owner_process/platform_process.ts
@@ -27,6 +27,8 @@
 /** Message to the parent process with the counts since the start. */
 export interface PlatformCounts extends WorkerCounts {
   commits: number;
+  /** Total size of the values that commits wrote. */
+  committedBytes: number;
   jobs: number;
 }
 
@@ -164,11 +166,14 @@
 }
 
 /** Delays commits and counts them. */
-function observeCommits(): {commits: number} {
-  const observed = {commits: 0};
+function observeCommits(): {commits: number; committedBytes: number} {
+  const observed = {commits: 0, committedBytes: 0};
   const commit = store.store.commit.bind(store.store);
   store.store.commit = async (transaction) => {
     observed.commits += 1;
+    for (const {value} of transaction.write) {
+      observed.committedBytes += value.length;
+    }
     const result = await commit(transaction);
     await sleep(NETWORK_DELAY_MS);
     return result;
@@ -183,6 +188,5 @@
 process.on('message', startLoad);
 process.on('disconnect', () => process.exit(0));
 setInterval(() => {
-  const {commits} = observed;
-  process.send?.({...counts, commits, jobs: jobCount});
+  process.send?.({...counts, ...observed, jobs: jobCount});
 }, REPORT_INTERVAL_MS);
--- a/src/leadership/partition_keys.ts
+++ b/src/leadership/partition_keys.ts
@@ -1,3 +1,5 @@
+const CHANGES_SUFFIX = '/changes';
+
 /**
  * Number of chains of transactions. The owner sends that many transactions at
  * once, so that a process that reads each response late commits no less.
@@ -46,6 +48,19 @@
     return `${this.progressPrefix}${jobId}`;
   }
 
+  /** Key of the tasks that have changed since the progress was written. */
+  progressChanges(jobId: string): string {
+    return `${this.progress(jobId)}${CHANGES_SUFFIX}`;
+  }
+
+  /** Splits a key below {@link progressPrefix} into job ID and kind. */
+  parseProgressKey(key: string): {jobId: string; isChanges: boolean} {
+    const name = key.slice(this.progressPrefix.length);
+    const isChanges = name.endsWith(CHANGES_SUFFIX);
+    const jobId = isChanges ? name.slice(0, -CHANGES_SUFFIX.length) : name;
+    return {jobId, isChanges};
+  }
+
   /**
    * Splits a mirrored key of a job into the ID and the suffix, such as
    * 'submission'.
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -58,7 +58,7 @@
 
 async function storePhase(store: MemoryStore, phase: JobPhase): Promise<void> {
   const key = new PartitionKeys('main').progress(ID);
-  const value = encodeProgress({phase, occurrences: []});
+  const value = encodeProgress({version: 1, phase, occurrences: []});
   await store.commit({expect: [], write: [{key, value}]});
 }
 
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -13,6 +13,7 @@
 import {RandomSource} from '../random/random_source.js';
 import {Configuration} from '../work/configuration.js';
 import {JobTable} from '../work/job_table.js';
+import {groupProgress, StoredProgress} from '../work/stored_progress.js';
 import {JobGateway} from './job_gateway.js';
 import {createMetricsListener} from './metrics_listener.js';
 import {NodeHttpServer} from './node_http_server.js';
@@ -302,7 +303,7 @@
   private async loadPartition(
     term: OwnerTerm,
     keys: PartitionKeys,
-  ): Promise<ReadonlyMap<string, Buffer> | undefined> {
+  ): Promise<ReadonlyMap<string, StoredProgress> | undefined> {
     const {platform, log} = this.options;
     while (!term.isOver) {
       try {
@@ -312,12 +313,7 @@
           this.mirrors.loadRegistry(),
         ]);
         if (term.isOver) return undefined;
-        return new Map(
-          progress.items.map(({key, value}) => [
-            key.slice(keys.progressPrefix.length),
-            value,
-          ]),
-        );
+        return groupProgress(progress.items, keys);
       } catch (error) {
         const {message} = error as Error;
         log.logDecision('takeover-retry', {reason: message});
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -1,6 +1,7 @@
 import {JobPhase} from '../work/job_definition.js';
 import {
   OccurrenceRecord,
+  ProgressChanges,
   ProgressRecord,
   TaskCrashRecord,
   TaskRecord,
@@ -9,15 +10,29 @@
 import {JobState, OccurrenceState} from './job_state.js';
 import {TaskState} from './task_state.js';
 
-/** Returns the record to store for a job. */
+/** Returns the record to store for a job, under its present version. */
 export function progressOf(job: JobState): ProgressRecord {
-  if (job.isFinal) return {phase: job.phase, occurrences: []};
+  const {progressVersion: version, phase} = job;
+  if (job.isFinal) return {version, phase, occurrences: []};
   const occurrences = [...job.occurrences.values()].map(occurrenceRecord);
-  return {phase: job.phase, occurrences};
+  return {version, phase, occurrences};
+}
+
+/** Returns what to store of tasks that changed since the latest record. */
+export function changesOf(
+  job: JobState,
+  tasks: Iterable<TaskState>,
+): ProgressChanges {
+  const changes = [...tasks].map((task) => {
+    const {occurrence, step} = task.position;
+    return {occurrence, step, task: taskRecord(task)};
+  });
+  return {version: job.progressVersion, tasks: changes};
 }
 
 /** Restores the stored state of a newly created job. */
 export function restoreProgress(job: JobState, record: ProgressRecord): void {
+  job.progressVersion = record.version;
   job.phase = record.phase;
   job.hasStarted = record.phase !== JobPhase.QUEUED;
   for (const stored of record.occurrences) {
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -26,6 +26,8 @@
   criticalPathMs: number | undefined;
   /** Latest phase whose storage is confirmed to this owner. */
   storedPhase: JobPhase = JobPhase.QUEUED;
+  /** Version of the latest progress record that was written; 0 before. */
+  progressVersion = 0;
   /** Whether a task is known to have started. */
   hasStarted = false;
   readonly history = new JobHistory();
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -125,6 +125,7 @@
       ...options,
       onRestart: (worker) =>
         this.crashes.recordCrash(worker, CrashEvidence.RESTARTED),
+      onAssignmentChange: (task) => this.markTaskDirty(task),
     });
     this.crashes = new CrashTracker({
       ...options,
@@ -483,7 +484,7 @@
     if (task.state === 'running') task.lastActiveMs = nowMs;
     task.waitingSinceMs = nowMs;
     if (!task.apply('ended')) task.apply('withdrawn');
-    this.markDirty(task.job);
+    this.markTaskDirty(task);
   }
 
   /** Returns the time in ms since a start; undefined if it is not known. */
@@ -509,7 +510,6 @@
     }
     if (task.step.isGang) this.finishGang(task);
     else this.markDone(task);
-    this.markDirty(task.job);
     this.completeJob(task.job);
   }
 
@@ -517,6 +517,7 @@
     if (!task.apply('done')) return;
     this.clearAssignment(task);
     task.job.recordTaskDone(task, this.options.clock.nowMs());
+    this.markTaskDirty(task);
   }
 
   private finishGang(task: TaskState): void {
@@ -808,7 +809,10 @@
     };
     worker.addTask(task);
     this.changes.addStart(task);
-    if (task.job.phase === JobPhase.QUEUED) task.job.phase = JobPhase.RUNNING;
+    if (task.job.phase === JobPhase.QUEUED) {
+      task.job.phase = JobPhase.RUNNING;
+      this.markDirty(task.job);
+    }
     this.options.log.logDetail('place', {
       task: task.name,
       run,
@@ -818,7 +822,7 @@
       reportAgeMs: Math.round(this.options.clock.nowMs() - worker.lastReportMs),
       version: this.configuration?.version,
     });
-    this.markDirty(task.job);
+    this.markTaskDirty(task);
   }
 
   private workerOf(task: TaskState): WorkerState | undefined {
@@ -835,4 +839,10 @@
     this.changes.addJob(job);
     this.options.effects.requestCommit();
   }
+
+  /** Like {@link markDirty} if nothing but this task of the job has changed. */
+  private markTaskDirty(task: TaskState): void {
+    this.changes.addTask(task);
+    this.options.effects.requestCommit();
+  }
 }
--- a/src/orchestrator/orchestrator_commit_test.ts
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -120,3 +120,17 @@
   orchestrator.takePending().onStored();
   assert.equal(worker.sequenceToAcknowledge, 6);
 });
+
+test('an end that changes nothing is acknowledged without other changes', () => {
+  // Guards against a worker that repeats such an end, and is polled without a
+  // pause, until something else is committed.
+  const {orchestrator} = createFixture();
+  const worker = orchestrator.workers.get('w0')!;
+  reportEnd(orchestrator, worker, 5);
+  assert.ok(orchestrator.hasPending);
+  const pending = orchestrator.takePending();
+  assert.deepEqual(pending.batches, []);
+  pending.onStored();
+  assert.equal(worker.sequenceToAcknowledge, 5);
+  assert.ok(!orchestrator.hasPending);
+});
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -6,8 +6,9 @@
 import {MetadataStore} from '../store/metadata_store.js';
 import {Configuration} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
-import {decodeProgress, ProgressRecord} from '../work/job_records.js';
+import {ProgressRecord} from '../work/job_records.js';
 import {JobEntry, JobTable} from '../work/job_table.js';
+import {decodeStoredProgress, StoredProgress} from '../work/stored_progress.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdvicePort, AdviceRequest} from './advice_port.js';
 import {CommitLoop} from './commit_loop.js';
@@ -45,8 +46,8 @@
 export interface InitialState {
   configuration: Configuration | undefined;
   workers: Iterable<WorkerRegistration>;
-  /** Encoded progress by job id, as the store holds it. */
-  progress: ReadonlyMap<string, Buffer>;
+  /** Progress by job id, as the store holds it. */
+  progress: ReadonlyMap<string, StoredProgress>;
 }
 
 /** Delay in ms to batch events before a scheduling pass. */
@@ -208,13 +209,16 @@
    * Adds a job with its stored progress. A job whose progress cannot be decoded
    * is left out: its tasks may be running, so none may be started.
    */
-  private restoreJob(entry: JobEntry, progress: Buffer | undefined): void {
+  private restoreJob(
+    entry: JobEntry,
+    progress: StoredProgress | undefined,
+  ): void {
     if (!entry.submission || !progress) {
       this.addJob(entry);
       return;
     }
     try {
-      this.addJob(entry, decodeProgress(progress));
+      this.addJob(entry, decodeStoredProgress(progress));
     } catch (error) {
       const job = entry.submission.definition.id;
       this.options.log.logError('progress-unreadable', error as Error, {job});
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -2,10 +2,9 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {Queue} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
-import {encodeProgress} from '../work/job_records.js';
-import {progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
+import {ProgressWriter} from './progress_writer.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -29,6 +28,7 @@
 /** Changes of jobs that are not committed yet, and the starts that wait. */
 export class PendingChanges {
   private readonly jobs = new Set<JobState>();
+  private readonly writers = new Map<JobState, ProgressWriter>();
   private readonly starts: TaskState[] = [];
   private readonly deletions: KeyChange[] = [];
   /** Workers that reported ends since the latest {@link take}. */
@@ -36,14 +36,26 @@
 
   constructor(private readonly options: PendingChangesOptions) {}
 
-  /** Whether there are changes to commit. */
+  /** Whether there are changes to commit, or ends that wait for a commit. */
   get hasPending(): boolean {
-    return this.jobs.size > 0 || this.deletions.length > 0;
+    const changes = this.jobs.size + this.deletions.length;
+    return changes > 0 || this.workers.size > 0;
   }
 
   /** Adds a job whose progress has changed. */
   addJob(job: JobState): void {
     this.jobs.add(job);
+    this.writerOf(job).addJob();
+  }
+
+  /**
+   * Adds a task that has changed, while nothing else of its job has. Nothing is
+   * stored of the tasks of a job that has ended.
+   */
+  addTask(task: TaskState): void {
+    if (task.job.isFinal) return;
+    this.jobs.add(task.job);
+    this.writerOf(task.job).addTask(task);
   }
 
   /** Adds a worker whose ends have been processed. */
@@ -54,12 +66,14 @@
   /** Adds the deletion of all records of a job. */
   removeJob(job: JobState): void {
     this.jobs.delete(job);
+    this.writers.delete(job);
     const {keys} = this.options;
     const {id} = job.definition;
     const records = [
       keys.submission(id),
       keys.cancellation(id),
       keys.progress(id),
+      keys.progressChanges(id),
     ];
     for (const key of records) this.deletions.push({key, value: undefined});
   }
@@ -108,13 +122,10 @@
     jobs: readonly JobState[],
     startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
   ): CommitBatch {
-    const {keys, onStart} = this.options;
+    const {onStart} = this.options;
     const phases = jobs.map((job) => [job, job.phase] as const);
     return {
-      changes: jobs.map((job) => ({
-        key: keys.progress(job.definition.id),
-        value: encodeProgress(progressOf(job)),
-      })),
+      changes: jobs.map((job) => this.writerOf(job).createWrite()),
       onStored: () => {
         this.publishPhases(phases);
         for (const job of jobs) {
@@ -124,6 +135,15 @@
     };
   }
 
+  private writerOf(job: JobState): ProgressWriter {
+    let writer = this.writers.get(job);
+    if (!writer) {
+      writer = new ProgressWriter(job, this.options.keys);
+      this.writers.set(job, writer);
+    }
+    return writer;
+  }
+
   private publishPhases(
     phases: ReadonlyArray<readonly [JobState, JobPhase]>,
   ): void {
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -15,6 +15,8 @@
   previousTermLeaseMs: number;
   /** Called before a worker begins its next incarnation under the same id. */
   onRestart: (worker: WorkerState) => void;
+  /** Called with each task whose assignment names another incarnation now. */
+  onAssignmentChange: (task: TaskState) => void;
 }
 
 /**
@@ -146,8 +148,7 @@
       if (!isUnanswered && task.state !== 'assigned') {
         task.absentAfterMs = -Infinity;
       }
-      // The crash is counted; a successor must not count it again.
-      if (task.assignment) task.assignment.workerBornMs = bornMs;
+      this.updateAssignment(task, bornMs);
     }
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
@@ -158,6 +159,17 @@
       tasks: isFirst ? worker.tasks.size : worker.taskNames(),
     });
   }
+
+  /**
+   * Notes the present incarnation of its worker in the assignment of a task:
+   * the end of the one before is counted, and a successor must not count it
+   * again.
+   */
+  private updateAssignment(task: TaskState, bornMs: number): void {
+    if (!task.assignment || task.assignment.workerBornMs === bornMs) return;
+    task.assignment.workerBornMs = bornMs;
+    this.options.onAssignmentChange(task);
+  }
 }
 
 /** Whether a worker has inherited runs of an incarnation before `bornMs`. */
--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -46,11 +46,29 @@
 
 /** Progress of a job as stored by the owner of its partition. */
 export interface ProgressRecord {
+  /** Rises with each record of the job; see {@link ProgressChanges}. */
+  version: number;
   phase: JobPhase;
   /** Empty once the phase is final. */
   occurrences: OccurrenceRecord[];
 }
 
+/** Task in its job. */
+export interface TaskChange {
+  occurrence: number;
+  step: number;
+  task: TaskRecord;
+}
+
+/**
+ * Tasks that have changed since a record of the job was stored. Valid only with
+ * the record of that version.
+ */
+export interface ProgressChanges {
+  version: number;
+  tasks: TaskChange[];
+}
+
 type TaskRow = [
   index: number,
   run: number,
@@ -83,16 +101,20 @@
       isDone,
       steps.map((tasks) => tasks.map(toRow)),
     ]),
+    record.version,
   ]);
 }
 
 /** Decodes the result of {@link encodeProgress}. */
 export function decodeProgress(value: Buffer): ProgressRecord {
-  const [phase, occurrences] = decode(value) as [
+  // Builds up to 47249dc stored no version.
+  const [phase, occurrences, version = 0] = decode(value) as [
     JobPhase,
     Array<[number, boolean, TaskRow[][]]>,
+    number?,
   ];
   return {
+    version,
     phase,
     occurrences: occurrences.map(([number, isDone, steps]) => ({
       number,
@@ -102,6 +124,28 @@
   };
 }
 
+/** Encodes changes as CBOR. */
+export function encodeChanges({version, tasks}: ProgressChanges): Buffer {
+  return encode([
+    version,
+    tasks.map(({occurrence, step, task}) => [occurrence, step, toRow(task)]),
+  ]);
+}
+
+/** Decodes the result of {@link encodeChanges}. */
+export function decodeChanges(value: Buffer): ProgressChanges {
+  const [version, rows] = decode(value) as [
+    number,
+    Array<[occurrence: number, step: number, row: TaskRow]>,
+  ];
+  const tasks = rows.map(([occurrence, step, row]) => ({
+    occurrence,
+    step,
+    task: fromRow(row),
+  }));
+  return {version, tasks};
+}
+
 function toRow(task: TaskRecord): TaskRow {
   const {index, run, failures, isDone, workerId, checkpoint, crashes} = task;
   if (workerId === undefined && !checkpoint && !crashes) {
--- a/src/work/job_records_test.ts
+++ b/src/work/job_records_test.ts
@@ -8,7 +8,11 @@
 
 function roundTrip(task: TaskRecord): TaskRecord {
   const occurrences = [{number: 0, isDone: false, steps: [[task]]}];
-  const value = encodeProgress({phase: JobPhase.RUNNING, occurrences});
+  const value = encodeProgress({
+    version: 1,
+    phase: JobPhase.RUNNING,
+    occurrences,
+  });
   return decodeProgress(value).occurrences[0]!.steps[0]![0]!;
 }
 
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -23,7 +23,7 @@
 import {Configuration} from '../src/work/configuration.js';
 import {AdviceRequest} from '../src/orchestrator/advice_port.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
-import {decodeProgress} from '../src/work/job_records.js';
+import {decodeStoredProgress} from '../src/work/stored_progress.js';
 import {CapacityHistory} from './capacity_history.js';
 import {CrashLimit} from './crash_limit.js';
 import {dueTasks} from './due_tasks.js';
@@ -237,8 +237,11 @@
     }
     for (const definition of this.jobs) {
       const job = new JobState(definition, this.clock.wallMs());
-      const value = this.stored.get(this.keys.progress(definition.id));
-      if (value) restoreProgress(job, decodeProgress(value));
+      const progress = decodeStoredProgress({
+        record: this.stored.get(this.keys.progress(definition.id)),
+        changes: this.stored.get(this.keys.progressChanges(definition.id)),
+      });
+      if (progress) restoreProgress(job, progress);
       orchestrator.addJob(job);
       if (this.cancelled.has(definition.id)) orchestrator.cancel(definition.id);
     }
