Store with the next change of a job which of its runs were seen

Since only changed tasks are written, the record of a run that an owner has seen kept saying otherwise until its task changed, so that a successor would take the tasks of a worker that crashes during a takeover for starts in doubt. The new test failed before: actual false, expected true.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -466,6 +466,7 @@
     task.hasBegun = true;
     task.job.hasStarted = true;
     if (task.isSuspect) this.markDirty(task.job);
+    else this.changes.noteTask(task);
   }
 
   private endRun(task: TaskState, how: string): void {
--- a/src/orchestrator/orchestrator_commit_test.ts
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -1,22 +1,26 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {applyPending} from '../../testing/apply_pending.js';
 import {idleEffects} from '../../testing/idle_effects.js';
 import {silentLog} from '../../testing/silent_log.js';
 import {
   simpleConfiguration,
   simpleJob,
+  simpleStep,
   simpleWorker,
 } from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
+import {decodeStoredProgress, groupProgress} from '../work/stored_progress.js';
 import {JobState} from './job_state.js';
 import {Orchestrator} from './orchestrator.js';
-import {EndKind} from './worker_port.js';
+import {EndKind, RefusalReason} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
 const BATCH_JOBS = 100;
+const KEYS = new PartitionKeys('main');
 
 interface Fixture {
   orchestrator: Orchestrator;
@@ -30,7 +34,7 @@
   const orchestrator = new Orchestrator({
     clock: new ManualClock(),
     log: silentLog(),
-    keys: new PartitionKeys('main'),
+    keys: KEYS,
     longestLeaseMs: 6000,
     keepFinishedMs: 1000,
     previousTermLeaseMs: 0,
@@ -134,3 +138,32 @@
   assert.equal(worker.sequenceToAcknowledge, 5);
   assert.ok(!orchestrator.hasPending);
 });
+
+test('that a run was seen is stored with the next change of its job', () => {
+  // Guards against a successor that takes all running tasks of a crashed worker
+  // for starts in doubt, because only the tasks that changed are written.
+  const {orchestrator} = createFixture();
+  const steps = [simpleStep({taskCount: 2})];
+  const job = new JobState(simpleJob('job', {queue: 'batch', steps}), 0);
+  orchestrator.addJob(job);
+  orchestrator.schedule();
+  const store = new Map<string, Buffer>();
+  const commit = (): void => {
+    const pending = orchestrator.takePending();
+    for (const {changes} of pending.batches) {
+      for (const {key, value} of changes) store.set(key, value!);
+    }
+    applyPending(pending);
+  };
+  commit();
+  const [seen, failed] = [...job.tasks()];
+  orchestrator.handleStartOutcome(seen!, 1, {kind: 'done'});
+  const reason = RefusalReason.UNHEALTHY;
+  orchestrator.handleStartOutcome(failed!, 1, {kind: 'refused', reason});
+  commit();
+  const items = [...store].map(([key, value]) => ({key, value}));
+  const stored = groupProgress(items, KEYS).get('job')!;
+  assert.ok(stored.changes);
+  const [rows] = decodeStoredProgress(stored)!.occurrences[0]!.steps;
+  assert.equal(rows!.find(({index}) => index === 0)?.hasBegun, true);
+});
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -58,6 +58,14 @@
     this.writerOf(task.job).addTask(task);
   }
 
+  /**
+   * Notes that a task has changed in a way that is stored with the next change
+   * of its job, but is not worth a commit.
+   */
+  noteTask(task: TaskState): void {
+    if (!task.job.isFinal) this.writerOf(task.job).addTask(task);
+  }
+
   /** Adds a worker whose ends have been processed. */
   addProcessedEnds(worker: WorkerState): void {
     this.workers.add(worker);
