--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -11,6 +11,7 @@
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
+import {JobIndex} from './job_index.js';
 import {JobState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
@@ -103,7 +104,7 @@
  * to its methods and commands go through {@link OrchestratorEffects}.
  */
 export class Orchestrator {
-  readonly jobs = new Map<string, JobState>();
+  private readonly jobIndex = new JobIndex();
   private readonly registry: WorkerRegistry;
   private readonly tasksByName = new Map<string, TaskState>();
   private readonly changes: PendingChanges;
@@ -124,6 +125,7 @@
       ...options,
       onRestart: (worker) =>
         this.crashes.recordCrash(worker, CrashEvidence.RESTARTED),
+      onAssignmentChange: (task) => this.markTaskDirty(task),
     });
     this.crashes = new CrashTracker({
       ...options,
@@ -178,6 +180,11 @@
     });
   }
 
+  /** Jobs that are open or finished not long ago, by id. */
+  get jobs(): ReadonlyMap<string, JobState> {
+    return this.jobIndex.byId;
+  }
+
   /** Workers that are registered or may still run a task, by id. */
   get workers(): Map<string, WorkerState> {
     return this.registry.workers;
@@ -196,12 +203,12 @@
     const {id} = job.definition;
     if (this.jobs.has(id)) return;
     job.knownSinceMs = this.options.clock.nowMs();
-    this.jobs.set(id, job);
     if (job.isFinal) {
       job.finalSinceMs = job.knownSinceMs;
     } else {
       job.createDueOccurrences(this.options.clock.wallMs());
     }
+    this.jobIndex.add(job);
     for (const task of job.tasks()) this.registerTask(task);
   }
 
@@ -263,6 +270,7 @@
     this.registry.recordReport(worker, report, nowMs);
     this.crashes.recordAnswer(worker);
     this.crashes.settleLosses(worker);
+    if (report.ended.length > 0) this.changes.addProcessedEnds(worker);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
     this.stopStuck(worker, nowMs);
@@ -336,11 +344,13 @@
       this.expireLease(worker, nowMs);
       for (const task of worker.tasks) this.resendStop(task, nowMs);
     }
-    for (const job of this.jobs.values()) {
-      if (!job.isFinal && job.createDueOccurrences(wallMs)) {
-        for (const task of job.tasks()) this.registerTask(task);
-      }
-      this.removeFinishedJob(job, nowMs);
+    for (const job of this.jobIndex.open) {
+      if (!job.createDueOccurrences(wallMs)) continue;
+      for (const task of job.tasks()) this.registerTask(task);
+    }
+    const forgottenMs = nowMs - this.options.keepFinishedMs;
+    for (const job of this.jobIndex.finishedUntil(forgottenMs)) {
+      this.removeFinishedJob(job);
     }
   }
 
@@ -348,7 +358,7 @@
   schedule(): void {
     if (!this.configuration) return;
     const time = this.schedulingTime;
-    this.scheduler.schedule(this.jobs.values(), time);
+    this.scheduler.schedule(this.jobIndex.open, time);
     this.requestAdvice(time.nowMs);
   }
 
@@ -369,15 +379,14 @@
 
   /** Removes and returns the pending changes; see {@link PendingChanges}. */
   takePending(): PendingCommit {
-    return this.changes.take(this.workers.values());
+    return this.changes.take();
   }
 
   /** Returns the number of jobs in a queue of which no task has started. */
   countPending(queue: string): number {
     let pending = 0;
-    for (const job of this.jobs.values()) {
-      const isWaiting = !job.hasStarted && !job.isFinal;
-      if (isWaiting && job.definition.queue === queue) pending += 1;
+    for (const job of this.jobIndex.open) {
+      if (!job.hasStarted && job.definition.queue === queue) pending += 1;
     }
     return pending;
   }
@@ -413,8 +422,8 @@
   /** Logs the load, jobs that wait and, less often, the interference model. */
   private logSummaries(nowMs: number): void {
     this.summaryMs = nowMs;
-    const summary = summarizeLoad(this.jobs.values(), this.workers.values());
-    const waits = this.waits.check(this.jobs.values(), this.schedulingTime);
+    const summary = summarizeLoad(this.jobIndex.open, this.workers.values());
+    const waits = this.waits.check(this.jobIndex.open, this.schedulingTime);
     this.options.log.logSummary('load', {...summary, ...waits});
     if (nowMs - this.interferenceLogMs < INTERFERENCE_LOG_INTERVAL_MS) {
       return;
@@ -458,6 +467,7 @@
     task.hasBegun = true;
     task.job.hasStarted = true;
     if (task.isSuspect) this.markDirty(task.job);
+    else this.changes.noteTask(task);
   }
 
   private endRun(task: TaskState, how: string): void {
@@ -476,7 +486,7 @@
     if (task.state === 'running') task.lastActiveMs = nowMs;
     task.waitingSinceMs = nowMs;
     if (!task.apply('ended')) task.apply('withdrawn');
-    this.markDirty(task.job);
+    this.markTaskDirty(task);
   }
 
   /** Returns the time in ms since a start; undefined if it is not known. */
@@ -502,7 +512,6 @@
     }
     if (task.step.isGang) this.finishGang(task);
     else this.markDone(task);
-    this.markDirty(task.job);
     this.completeJob(task.job);
   }
 
@@ -510,6 +519,7 @@
     if (!task.apply('done')) return;
     this.clearAssignment(task);
     task.job.recordTaskDone(task, this.options.clock.nowMs());
+    this.markTaskDirty(task);
   }
 
   private finishGang(task: TaskState): void {
@@ -565,6 +575,7 @@
   ): void {
     job.phase = phase;
     job.finalSinceMs = this.options.clock.nowMs();
+    this.jobIndex.finish(job);
     if (phase === JobPhase.FAILED) {
       this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
     }
@@ -754,15 +765,13 @@
     this.requestStop(task, 'no-progress');
   }
 
-  private removeFinishedJob(job: JobState, nowMs: number): void {
-    if (nowMs - job.finalSinceMs < this.options.keepFinishedMs) return;
+  private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
-    const {id} = job.definition;
     this.bestEffort.removeTasks(job.tasks());
     for (const {steps} of job.occurrences.values()) {
       for (const step of steps) this.advice.removeStep(step);
     }
-    this.jobs.delete(id);
+    this.jobIndex.remove(job);
     for (const task of job.tasks()) this.tasksByName.delete(task.name);
     this.changes.removeJob(job);
     this.options.effects.requestCommit();
@@ -802,7 +811,10 @@
     };
     worker.addTask(task);
     this.changes.addStart(task);
-    if (task.job.phase === JobPhase.QUEUED) task.job.phase = JobPhase.RUNNING;
+    if (task.job.phase === JobPhase.QUEUED) {
+      task.job.phase = JobPhase.RUNNING;
+      this.markDirty(task.job);
+    }
     this.options.log.logDetail('place', {
       task: task.name,
       run,
@@ -812,7 +824,7 @@
       reportAgeMs: Math.round(this.options.clock.nowMs() - worker.lastReportMs),
       version: this.configuration?.version,
     });
-    this.markDirty(task.job);
+    this.markTaskDirty(task);
   }
 
   private workerOf(task: TaskState): WorkerState | undefined {
@@ -829,4 +841,10 @@
     this.changes.addJob(job);
     this.options.effects.requestCommit();
   }
+
+  /** Like {@link markDirty} if nothing but this task of the job has changed. */
+  private markTaskDirty(task: TaskState): void {
+    this.changes.addTask(task);
+    this.options.effects.requestCommit();
+  }
 }
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -2,10 +2,9 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {Queue} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
-import {encodeProgress} from '../work/job_records.js';
-import {progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
+import {ProgressWriter} from './progress_writer.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
@@ -21,7 +20,7 @@
 }
 
 /** Number of records of a job. */
-const RECORDS_PER_JOB = 3;
+const RECORDS_PER_JOB = 4;
 
 /**
  * Maximum deletions in a transaction: all records of a job are deleted in one,
@@ -39,30 +38,60 @@
 /** Changes of jobs that are not committed yet, and the starts that wait. */
 export class PendingChanges {
   private readonly jobs = new Set<JobState>();
+  private readonly writers = new Map<JobState, ProgressWriter>();
   private readonly starts: TaskState[] = [];
   private readonly deletions: KeyChange[] = [];
+  /** Workers that reported ends since the latest {@link take}. */
+  private readonly workers = new Set<WorkerState>();
 
   constructor(private readonly options: PendingChangesOptions) {}
 
-  /** Whether there are changes to commit. */
+  /** Whether there are changes to commit, or ends that wait for a commit. */
   get hasPending(): boolean {
-    return this.jobs.size > 0 || this.deletions.length > 0;
+    const changes = this.jobs.size + this.deletions.length;
+    return changes > 0 || this.workers.size > 0;
   }
 
   /** Adds a job whose progress has changed. */
   addJob(job: JobState): void {
     this.jobs.add(job);
+    this.writerOf(job).addJob();
+  }
+
+  /**
+   * Adds a task that has changed, while nothing else of its job has. Nothing is
+   * stored of the tasks of a job that has ended.
+   */
+  addTask(task: TaskState): void {
+    if (task.job.isFinal) return;
+    this.jobs.add(task.job);
+    this.writerOf(task.job).addTask(task);
+  }
+
+  /**
+   * Notes that a task has changed in a way that is stored with the next change
+   * of its job, but is not worth a commit.
+   */
+  noteTask(task: TaskState): void {
+    if (!task.job.isFinal) this.writerOf(task.job).addTask(task);
+  }
+
+  /** Adds a worker whose ends have been processed. */
+  addProcessedEnds(worker: WorkerState): void {
+    this.workers.add(worker);
   }
 
   /** Adds the deletion of all records of a job. */
   removeJob(job: JobState): void {
     this.jobs.delete(job);
+    this.writers.delete(job);
     const {keys} = this.options;
     const {id} = job.definition;
     const records = [
       keys.submission(id),
       keys.cancellation(id),
       keys.progress(id),
+      keys.progressChanges(id),
     ];
     for (const key of records) this.deletions.push({key, value: undefined});
   }
@@ -82,10 +111,8 @@
    * Removes and returns the pending changes, those that the starts of urgent
    * jobs depend on first. A start is sent once its own batch is committed, ends
    * are acknowledged once all batches are.
-   *
-   * @param workers - Workers whose processed ends the changes contain.
    */
-  take(workers: Iterable<WorkerState>): PendingCommit {
+  take(): PendingCommit {
     const jobs = [...this.jobs];
     this.jobs.clear();
     const startsByJob = groupByJob(this.starts.splice(0));
@@ -100,7 +127,9 @@
     for (const changes of chunks(removals, MAX_DELETIONS_PER_COMMIT)) {
       batches.push({changes, onStored: () => undefined});
     }
-    return {batches, onStored: recordProcessedEnds(workers)};
+    const onStored = recordProcessedEnds(this.workers);
+    this.workers.clear();
+    return {batches, onStored};
   }
 
   private startRankOf(job: JobState): number {
@@ -111,13 +140,10 @@
     jobs: readonly JobState[],
     startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
   ): CommitBatch {
-    const {keys, onStart} = this.options;
+    const {onStart} = this.options;
     const phases = jobs.map((job) => [job, job.phase] as const);
     return {
-      changes: jobs.map((job) => ({
-        key: keys.progress(job.definition.id),
-        value: encodeProgress(progressOf(job)),
-      })),
+      changes: jobs.map((job) => this.writerOf(job).createWrite()),
       onStored: () => {
         this.publishPhases(phases);
         for (const job of jobs) {
@@ -127,6 +153,15 @@
     };
   }
 
+  private writerOf(job: JobState): ProgressWriter {
+    let writer = this.writers.get(job);
+    if (!writer) {
+      writer = new ProgressWriter(job, this.options.keys);
+      this.writers.set(job, writer);
+    }
+    return writer;
+  }
+
   private publishPhases(
     phases: ReadonlyArray<readonly [JobState, JobPhase]>,
   ): void {
