Limit the starts that are open, with a part for urgent queues

Cause: a pass assigned whatever had room. Starts of bulk jobs then stood as commands and changes in the owner, where no order of jobs decides any more, and an urgent start waited behind all of them at each hop.

At most 400 starts are open now: assigned and not answered. A quarter is kept for the queues with the best priority. The rest waits as tasks.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -19,6 +19,7 @@
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {StartWindow} from './start_window.js';
 import {StepAdvice} from './step_advice.js';
 import {StepContexts} from './step_contexts.js';
 import {InterferenceAwarePlacement, TaskPlacement} from './task_placement.js';
@@ -109,6 +110,7 @@
   private readonly changes: PendingChanges;
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
+  private readonly startWindow = new StartWindow();
   private readonly scheduler: TaskScheduler;
   private readonly explainer: JobExplainer;
   private readonly waits: WaitMonitor;
@@ -118,6 +120,8 @@
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
+  /** Priority of the most urgent queues. */
+  private topPriority = 0;
 
   constructor(private readonly options: OrchestratorOptions) {
     this.registry = new WorkerRegistry({
@@ -147,6 +151,7 @@
     this.scheduler = new TaskScheduler({
       ...decisions,
       order: options.order ?? new DeadlineOrder(),
+      countFreeStarts: (job) => this.countFreeStarts(job),
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
       onMove: (task) => this.requestStop(task, 'slowed-down'),
@@ -189,6 +194,9 @@
     this.queuesByName = new Map(
       configuration.queues.map((queue) => [queue.name, queue]),
     );
+    this.topPriority = Math.min(
+      ...configuration.queues.map(({priority}) => priority),
+    );
   }
 
   /** Adds a job that was just accepted or was restored at a takeover. */
@@ -397,6 +405,11 @@
     return this.queuesByName.get(job.definition.queue);
   }
 
+  private countFreeStarts(job: JobState): number {
+    const isUrgent = this.queueOf(job)?.priority === this.topPriority;
+    return this.startWindow.countFree({isUrgent});
+  }
+
   /** Returns the objective of a job in ms; undefined without a queue. */
   private objectiveMsOf(job: JobState): number | undefined {
     const queue = this.queueOf(job);
@@ -800,6 +813,7 @@
       workerAddress: worker.registration.address,
     };
     worker.addTask(task);
+    this.startWindow.add(task);
     this.changes.addStart(task);
     if (task.job.phase === JobPhase.QUEUED) task.job.phase = JobPhase.RUNNING;
     this.options.log.logDetail('place', {
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -23,6 +23,8 @@
   advice: StepAdvice;
   /** Looks up the queue of a job; undefined if it was removed. */
   queueOf: (job: JobState) => Queue | undefined;
+  /** Returns how many tasks of a job may be assigned now. @default any */
+  countFreeStarts?: (job: JobState) => number;
   /** Called to assign a run of a task to a worker. */
   onAssign: (task: TaskState, worker: WorkerState, run: number) => void;
   /** Called to revert an assignment made in the same pass. */
@@ -117,11 +119,16 @@
   }
 
   private scheduleJob(job: JobState, nowMs: number): void {
+    if (this.countFreeStarts(job) === 0) return;
     for (const occurrence of job.occurrences.values()) {
       if (!occurrence.isDone) this.scheduleSteps(job, occurrence, nowMs);
     }
   }
 
+  private countFreeStarts(job: JobState): number {
+    return this.options.countFreeStarts?.(job) ?? Infinity;
+  }
+
   private scheduleSteps(
     job: JobState,
     occurrence: OccurrenceState,
@@ -147,8 +154,9 @@
     const workers = this.workersWorthSearching(definition, origin);
     const assigner = new StepAssigner(this.options, context, workers);
     const due = step.tasks.filter((task) => isDue(task, nowMs));
+    const freeStarts = this.countFreeStarts(job);
     let unplaced: TaskState | undefined;
-    for (const task of suspectsLast(due)) {
+    for (const task of suspectsLast(due).slice(0, freeStarts)) {
       const preferredRack = this.contexts.preferredRackOf(step);
       if (assigner.assign(task, task.run + 1, preferredRack)) continue;
       unplaced = task;
