--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -20,6 +20,7 @@
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {StartWindow} from './start_window.js';
 import {StepAdvice} from './step_advice.js';
 import {StepContexts} from './step_contexts.js';
 import {InterferenceAwarePlacement, TaskPlacement} from './task_placement.js';
@@ -52,6 +53,8 @@
   order?: JobOrder;
   /** @default an {@link InterferenceAwarePlacement} */
   placement?: TaskPlacement;
+  /** Returns whether the process is behind with its events. @default never */
+  isBehind?: () => boolean;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -110,6 +113,7 @@
   private readonly changes: PendingChanges;
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
+  private readonly startWindow = new StartWindow();
   private readonly scheduler: TaskScheduler;
   private readonly explainer: JobExplainer;
   private readonly waits: WaitMonitor;
@@ -119,6 +123,8 @@
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
+  /** Priority of the most urgent queues. */
+  private topPriority = 0;
 
   constructor(private readonly options: OrchestratorOptions) {
     this.registry = new WorkerRegistry({
@@ -149,6 +155,8 @@
     this.scheduler = new TaskScheduler({
       ...decisions,
       order: options.order ?? new DeadlineOrder(),
+      countFreeStarts: (job) => this.countFreeStarts(job),
+      isBehind: options.isBehind,
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
       onMove: (task) => this.requestStop(task, 'slowed-down'),
@@ -196,6 +204,9 @@
     this.queuesByName = new Map(
       configuration.queues.map((queue) => [queue.name, queue]),
     );
+    this.topPriority = Math.min(
+      ...configuration.queues.map(({priority}) => priority),
+    );
   }
 
   /** Adds a job that was just accepted or was restored at a takeover. */
@@ -407,6 +418,22 @@
     return this.queuesByName.get(job.definition.queue);
   }
 
+  /** Whether a worker runs a finite task of one of the most urgent queues. */
+  runsUrgentTask(worker: WorkerState): boolean {
+    for (const {job, step} of worker.tasks) {
+      if (!step.isLongRunning && this.isUrgent(job)) return true;
+    }
+    return false;
+  }
+
+  private isUrgent(job: JobState): boolean {
+    return this.queueOf(job)?.priority === this.topPriority;
+  }
+
+  private countFreeStarts(job: JobState): number {
+    return this.startWindow.countFree({isUrgent: this.isUrgent(job)});
+  }
+
   /** Returns the objective of a job in ms; undefined without a queue. */
   private objectiveMsOf(job: JobState): number | undefined {
     const queue = this.queueOf(job);
@@ -810,6 +837,7 @@
       workerAddress: worker.registration.address,
     };
     worker.addTask(task);
+    this.startWindow.add(task);
     this.changes.addStart(task);
     if (task.job.phase === JobPhase.QUEUED) {
       task.job.phase = JobPhase.RUNNING;
