Check in the soak that no task waits beside idle capacity

After the faults of a run, and before its recovery is judged, most workers are resized to 0, 500 or 2000 millicores for 12 s while jobs of all kinds are submitted to the node programs: latency-critical, best-effort with a large request, limited to one a worker, wide and small ones. The rule is checked each 100 ms by IdleCapacityCheck, as in the simulation.

--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -74,6 +74,9 @@
 /** Prefix of the ids of jobs whose first task crashes its workers. */
 export const CRASHING_JOB_PREFIX = 'dead';
 
+/** Prefix of the ids of jobs whose tasks run until they are stopped. */
+export const LONG_RUNNING_JOB_PREFIX = 'a11';
+
 /** Time in ms from the start of a crashing task to the crash. */
 const CRASH_DELAY_MS = 10;
 
@@ -239,6 +242,7 @@
       registration: entry,
       longestLeaseMs: 6000,
       taskMs: this.options.taskMs ?? 300,
+      isLongRunning: (task) => task.startsWith(LONG_RUNNING_JOB_PREFIX),
       onStarted: (task, run) => {
         this.recordStart(id, task, run);
         if (isCrashing(task)) this.recordCrashingStart(worker, task);
@@ -260,6 +264,11 @@
     this.registerWorker(worker);
   }
 
+  /** Returns whether the success of a task was acknowledged. */
+  hasSucceeded(task: string): boolean {
+    return this.acknowledgedRuns.has(task);
+  }
+
   /** Changes the CPU that a worker offers, in millicores. */
   resizeWorker(worker: FleetWorker, cpuMillicores: number): void {
     worker.cpuMillicores = cpuMillicores;
--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -1,6 +1,9 @@
 import {sleep} from '../src/clock/sleep.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
+import {JobDefinition} from '../src/work/job_definition.js';
 import {FleetNode, NodeFleet, versionRoutePrefix} from './node_fleet.js';
+import {simpleJob, simpleStep} from './simple_definitions.js';
+import {SoakCalmPhase} from './soak_calm_phase.js';
 import {
   generateSchedule,
   FaultInjector,
@@ -130,6 +133,7 @@
     this.fleet.store.store.applyDelayedTransactions();
     this.isStopping = true;
     await Promise.all(callers);
+    await this.runCalmPhase();
     await this.checkRecovery();
     const accepted = this.jobs.filter(({isAccepted}) => isAccepted);
     return {
@@ -147,6 +151,18 @@
     await this.fleet.stop();
   }
 
+  private async runCalmPhase(): Promise<void> {
+    const {fleet, random} = this;
+    for (const node of fleet.nodes) await fleet.waitUntilReady(node);
+    const jobs = this.jobs
+      .filter(
+        ({isAccepted, cancelledMs}) => isAccepted && cancelledMs === Infinity,
+      )
+      .map(({id}) => definitionOf(id));
+    const phase = new SoakCalmPhase({fleet, random, jobs});
+    this.violations.push(...(await phase.run()));
+  }
+
   /** Runs one caller, which submits, sometimes cancels, and queries jobs. */
   private async runCaller(): Promise<void> {
     while (!this.isStopping) {
@@ -297,3 +313,16 @@
     }
   }
 }
+
+/** Returns what the programs understand of a submitted job. */
+function definitionOf(id: string): JobDefinition {
+  const steps = JOB_STEPS.map(({count, cpu, memoryRequestMb, after}) =>
+    simpleStep({
+      taskCount: count,
+      cpuMillicores: cpu,
+      memoryMb: memoryRequestMb,
+      after: after ?? [],
+    }),
+  );
+  return simpleJob(id, {steps});
+}
--- a/testing/task_worker_stand_in.ts
+++ b/testing/task_worker_stand_in.ts
@@ -27,6 +27,8 @@
   longestLeaseMs: number;
   /** Time in ms after which a task succeeds. */
   taskMs: number;
+  /** Returns whether a task runs until it is stopped. @default none does */
+  isLongRunning?: (task: string) => boolean;
   /** Called when a run starts. */
   onStarted: (task: string, run: number) => void;
   /** Called when a run no longer executes, for whatever reason. */
@@ -127,6 +129,7 @@
     this.worker.advance(nowMs - this.lastTickMs);
     this.lastTickMs = nowMs;
     for (const task of this.worker.running) {
+      if (this.options.isLongRunning?.(task)) continue;
       const ageMs = nowMs - (this.startedMs.get(task) ?? nowMs);
       if (ageMs >= this.options.taskMs) this.worker.finish(task, EndKind.DONE);
     }
