Do not count a restart under the run that it confirms

A start may reach the next incarnation of its worker: its answer shows that the clock went back. The restart then counted under the very run that the answer confirmed; and since the record still named the earlier incarnation, a successor that took over before the next report counted it again.

On a restart the tasks of a worker now count as not seen, and their records name the new incarnation, as at the report of a new start time.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -273,12 +273,12 @@
     if (task.run !== run || !task.isPlaced) return;
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
+      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       if (worker) this.crashes.recordConfirmation(worker, task.startedMs);
       if (!task.hasBegun) this.recordBegun(task);
     }
     if (task.state !== 'starting') return;
     if (outcome.kind === 'done') {
-      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       task.absentAfterMs = this.options.clock.nowMs();
       this.confirm(task);
       return;
--- a/src/orchestrator/start_in_doubt_test.ts
+++ b/src/orchestrator/start_in_doubt_test.ts
@@ -113,6 +113,30 @@
   assert.equal(bench.phaseOf('job'), JobPhase.FAILED);
 });
 
+test('a run that the next incarnation confirms has not crashed the earlier', () => {
+  // Guards against a job that is given up because its start reached a worker
+  // that had just restarted, also if its owner is replaced before the next
+  // report (start_in_doubt simulation with restarts, seed 230).
+  const sent: TaskState[] = [];
+  const orchestrator = createOrchestrator({
+    clock: new ManualClock({startMs: 60_000, wallStartMs: 60_000}),
+    effects: idleEffects({start: (task) => sent.push(task)}),
+  });
+  orchestrator.upsertWorker(simpleWorker('w'));
+  const worker = orchestrator.workers.get('w')!;
+  const report = {clockMs: 50_000, bornMs: 1, running: [], ended: []};
+  orchestrator.processReport(worker, report, 60_000);
+  orchestrator.addJob(new JobState(simpleJob('job'), 0));
+  orchestrator.schedule();
+  applyPending(orchestrator.takePending());
+  const [task] = sent;
+  orchestrator.handleStartOutcome(task!, 1, {kind: 'done', clockMs: 10});
+  assert.equal(task!.crashes.toRecord().suspected, 0);
+  assert.equal(task!.crashes.toRecord().inDoubt, 1);
+  assert.equal(task!.hasBegun, true);
+  assert.equal(task!.assignment?.workerBornMs, 0);
+});
+
 test('a successor knows which runs of suspects an earlier owner has seen', () => {
   // Guards against a crash under a run that only the earlier owner saw and that
   // does not count, so that each takeover lets a task crash another worker.
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -94,6 +94,7 @@
     });
     this.options.onRestart(worker);
     worker.beginIncarnation(undefined);
+    moveTasksTo(worker, 0);
   }
 
   private add(registration: WorkerRegistration): WorkerState {
@@ -146,9 +147,8 @@
       if (!isUnanswered && task.state !== 'assigned') {
         task.absentAfterMs = -Infinity;
       }
-      // The crash is counted; a successor must not count it again.
-      if (task.assignment) task.assignment.workerBornMs = bornMs;
     }
+    moveTasksTo(worker, bornMs);
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
       address: worker.registration.address,
@@ -160,6 +160,21 @@
   }
 }
 
+/**
+ * Records that the tasks of a worker can run only in its new incarnation, where
+ * none of them has been seen yet. The crash is counted, and a successor must not
+ * count it again.
+ *
+ * @param bornMs - Unix start time of the incarnation in ms; 0 if unknown.
+ */
+function moveTasksTo(worker: WorkerState, bornMs: number): void {
+  for (const task of worker.tasks) {
+    if (!task.assignment || task.assignment.workerBornMs === bornMs) continue;
+    task.hasBegun = false;
+    task.assignment.workerBornMs = bornMs;
+  }
+}
+
 /** Whether a worker has inherited runs of an incarnation before `bornMs`. */
 function ranEarlierIncarnation(worker: WorkerState, bornMs: number): boolean {
   for (const {assignment} of worker.tasks) {
