Show a job as running once a run of it was seen

Callers saw `running` for a job whose start was refused or never answered, and after a takeover such a job was missing in the count of pending jobs, since the successor reads from the phase whether a job has started.

The phase is now `running` from the first run that a worker has confirmed or listed, in a change of the record of its own. One record more is written for a job; it goes with the next transaction. Records of earlier builds are read as before.

Failed before: "a job whose start is in doubt is not shown as running" and "... was refused ..." ('running', expected 'queued'), "a successor counts a job whose start is in doubt as pending" and "... was refused ..." (0, expected 1).

--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -1,4 +1,3 @@
-import {JobPhase} from '../work/job_definition.js';
 import {
   OccurrenceRecord,
   ProgressRecord,
@@ -19,7 +18,6 @@
 /** Restores the stored state of a newly created job. */
 export function restoreProgress(job: JobState, record: ProgressRecord): void {
   job.phase = record.phase;
-  job.hasStarted = record.phase !== JobPhase.QUEUED;
   for (const stored of record.occurrences) {
     const occurrence = job.occurrence(stored.number);
     if (stored.isDone) finishOccurrence(job, occurrence);
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -24,8 +24,6 @@
   criticalPathMs: number | undefined;
   /** Latest phase whose storage is confirmed to this owner. */
   storedPhase: JobPhase = JobPhase.QUEUED;
-  /** Whether a task is known to have started. */
-  hasStarted = false;
   readonly history = new JobHistory();
   readonly occurrences = new Map<number, OccurrenceState>();
   /** Time in ms at which this owner added the job. */
@@ -44,6 +42,18 @@
     return isFinalPhase(this.phase);
   }
 
+  /** Whether a run of a task has been seen. */
+  get hasStarted(): boolean {
+    return this.phase !== JobPhase.QUEUED;
+  }
+
+  /** Records that a run of a task was seen; returns whether it is the first. */
+  recordStarted(): boolean {
+    if (this.hasStarted) return false;
+    this.phase = JobPhase.RUNNING;
+    return true;
+  }
+
   /** Number of occurrences, at least one. */
   get occurrenceCount(): number {
     return Math.max(1, this.definition.repetitions);
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -449,8 +449,8 @@
    */
   private recordBegun(task: TaskState): void {
     task.hasBegun = true;
-    task.job.hasStarted = true;
-    if (task.isSuspect) this.markDirty(task.job);
+    const isFirst = task.job.recordStarted();
+    if (isFirst || task.isSuspect) this.markDirty(task.job);
   }
 
   private endRun(task: TaskState, how: string): void {
@@ -487,7 +487,7 @@
       tookMs: this.ranMsOf(task),
       estimatedMs: task.step.estimatedMs,
     });
-    task.job.hasStarted = true;
+    task.job.recordStarted();
     this.workerOf(task)?.health.recordSuccess(nowMs);
     if (task.step.isLongRunning) {
       this.endRun(task, 'done');
@@ -517,7 +517,7 @@
   private failRun(task: TaskState): void {
     task.failures += 1;
     task.job.history.failedRuns += 1;
-    task.job.hasStarted = true;
+    task.job.recordStarted();
     const nowMs = this.options.clock.nowMs();
     task.failedWorkerId = task.assignment?.workerId;
     this.workerOf(task)?.health.recordFailure(nowMs);
@@ -760,7 +760,6 @@
     };
     worker.addTask(task);
     this.changes.addStart(task);
-    if (task.job.phase === JobPhase.QUEUED) task.job.phase = JobPhase.RUNNING;
     this.options.log.logDetail('place', {
       task: task.name,
       run,
