Tell crashing tasks from unreliable machines and losses at once

- In the loss of many workers at once, a suspect counted only within 300 ms of its start, which a crash that is noticed late misses; now as long as it is kept alone, half a second, and up to 1.5 s as one possible cause among others.
- A suspect prefers the emptiest worker, which is the machine that has just crashed under it; a crash there does not tell the machine from the task.
It now prefers another machine.

--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/attribute_crash.ts
@@ -49,6 +49,12 @@
  */
 const IMMEDIATE_START_MS = 300;
 
+/**
+ * The same for a suspect. Nothing else starts beside it until it has run for this
+ * time, so that a crash that is noticed late still has a single likely cause.
+ */
+const SUSPECT_START_MS = 500;
+
 /**
  * Returns the part of each task in the crash of their worker; tasks that are
  * not listed had none. The suspects of one job are the cause if nothing else
@@ -105,14 +111,21 @@
   const present = findSent(scene);
   if (!scene.isWidespread) return present;
   const isImmediate = startedImmediatelyBefore(scene);
-  return present.filter(
-    (task) => isImmediate(task) || mayHaveJustStarted(task),
-  );
+  const isUnproven = isUnprovenStart(scene);
+  return present.filter((task) => {
+    if (isImmediate(task) || !task.isSuspect) return isImmediate(task);
+    return isUnproven(task) || (!task.isProven && task.startedMs === -Infinity);
+  });
 }
 
-/** Whether an earlier owner started a suspect at a time that is not known. */
-function mayHaveJustStarted(task: TaskState): boolean {
-  return task.isSuspect && !task.isProven && task.startedMs === -Infinity;
+/**
+ * Returns whether a task has just started and not run long enough to show that
+ * this was harmless.
+ */
+function isUnprovenStart(scene: CrashScene): (task: TaskState) => boolean {
+  const {isLossTimeKnown = true} = scene;
+  const isRecent = startedWithin(RECENT_START_MS, scene);
+  return (task) => isLossTimeKnown && !task.isProven && isRecent(task);
 }
 
 function findSent({tasks, lostMs}: CrashScene): readonly TaskState[] {
@@ -132,7 +145,11 @@
 ): (task: TaskState) => boolean {
   const {isLossTimeKnown = true} = scene;
   if (!isLossTimeKnown) return () => false;
-  return startedWithin(IMMEDIATE_START_MS, scene);
+  const isImmediate = startedWithin(IMMEDIATE_START_MS, scene);
+  const isWithinProof = startedWithin(SUSPECT_START_MS, scene);
+  return (task) =>
+    isImmediate(task) ||
+    (task.isSuspect && !task.isProven && isWithinProof(task));
 }
 
 function startedWithin(
@@ -154,18 +171,17 @@
   },
 ): ReadonlyMap<TaskState, CrashPart> {
   const isImmediate = startedImmediatelyBefore(scene);
-  const isRecent = startedWithin(RECENT_START_MS, scene);
+  const isUnproven = isUnprovenStart(scene);
   const isAlone = isOneJobAlone(scene);
-  const {isLossTimeKnown = true} = scene;
   const parts = new Map<TaskState, CrashPart>();
   const {causes = [], only = [], suspects = [], bystanders = []} = tasks;
   const add = (task: TaskState, role: CrashRole): void => {
     if (parts.has(task)) return;
-    const {hasBegun, isProven} = task;
+    const {hasBegun} = task;
     parts.set(task, {
       role,
       isImmediate: isImmediate(task),
-      isUnproven: isLossTimeKnown && !isProven && isRecent(task),
+      isUnproven: isUnproven(task),
       hasBegun,
       isAlone,
       isOnlyTask: causes.includes(task) || only.includes(task),
--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -116,6 +116,14 @@
   ]);
 });
 
+test('a suspect that has just started counts in the loss of many workers', () => {
+  // Guards against a crashing task whose crashes do not count while others crash
+  // workers as well, because the owner was slow to notice them.
+  const tasks = [createTask(400, {isSuspect: true}), createTask(9000)];
+  const roles = rolesOf(tasks, {isWidespread: true});
+  assert.deepEqual(roles, [CrashRole.CAUSE, undefined]);
+});
+
 test('a run that was sent after the worker was lost has no part', () => {
   // Guards against a task that is blamed for a worker that was already down.
   assert.deepEqual(rolesOf([createTask(-10)]), [undefined]);
--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/crash_counts.ts
@@ -76,7 +76,7 @@
       this.increment('beside');
     } else if (isCause && isUnproven && hasBegun) {
       this.increment('caused');
-      if (isAlone) this.increment('causedAlone');
+      if (isAlone && isImmediate) this.increment('causedAlone');
     } else if (isOnlyTask && (isUnproven || (isCause && hasBegun))) {
       this.increment('likely');
     } else {
--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -253,6 +253,7 @@
     for (const [task, part] of parts) {
       if (task.job.isFinal || task.state === 'done') continue;
       task.crashes.add(part);
+      task.crashedAddress = address;
       this.options.onCounted(task);
     }
   }
--- a/src/orchestrator/start_in_doubt_test.ts
+++ b/src/orchestrator/start_in_doubt_test.ts
@@ -226,3 +226,15 @@
     }
   }
 });
+
+/** Seeds with which owners are replaced while crashes are not counted yet. */
+const LATE_SEEDS = [108, 262];
+
+test('crashing tasks are given up in time while owners are replaced', () => {
+  // Guards against a task that takes six workers and more, because its first
+  // crashes are lost with the owner that noticed them.
+  for (const seed of LATE_SEEDS) {
+    const {violations} = playCrashingTasks({seed});
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
--- a/src/orchestrator/suspect_placement_test.ts
+++ b/src/orchestrator/suspect_placement_test.ts
@@ -83,3 +83,17 @@
     placement.evaluate(suspect, worker, context) as number;
   assert.ok(score(idle) > score(busy));
 });
+
+test('a suspect prefers another machine than the one that crashed under it', () => {
+  // Guards against a machine that crashes by itself and, being empty, gets the
+  // same suspect again until its job is given up; and against a crashing task
+  // that a machine excuses.
+  const suspect = createTask('suspect', true);
+  const busy = createWorker([createTask('a'), createTask('b')], 5000);
+  const crashed = createWorker([], 5000);
+  crashed.register({...crashed.registration, address: '127.0.0.1:9'});
+  suspect.crashedAddress = '127.0.0.1:9';
+  const score = (worker: WorkerState): number =>
+    Number(placement.evaluate(suspect, worker, context));
+  assert.ok(score(busy) > score(crashed));
+});
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -47,6 +47,12 @@
 /** Penalty for a worker on which recent runs failed. */
 const SUSPECT_PENALTY = 500;
 
+/**
+ * Penalty of the machine on which a worker crashed under a suspect: a crash on
+ * another machine tells whether the machine or the task is the cause.
+ */
+const SAME_MACHINE_PENALTY = 500;
+
 /**
  * Penalty of a worker for a task that may crash it, per task that would be lost
  * as well; latency-critical tasks count more, since they are missed at once.
@@ -225,6 +231,9 @@
       LATENCY_CRITICAL_NEIGHBORS * worker.latencyCriticalCount;
     score -= NEIGHBOR_PENALTY * neighbors;
   }
+  if (task.isSuspect && task.crashedAddress === worker.registration.address) {
+    score -= SAME_MACHINE_PENALTY;
+  }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
   if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
   return score;
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -238,6 +238,7 @@
   private candidates: CandidateSet | undefined;
   private preferredRack: string | undefined;
   private failedWorkerId: string | undefined;
+  private crashedAddress: string | undefined;
   private isSuspect = false;
 
   constructor(
@@ -271,10 +272,12 @@
     const isSame =
       this.preferredRack === preferredRack &&
       this.isSuspect === task.isSuspect &&
-      this.failedWorkerId === task.failedWorkerId;
+      this.failedWorkerId === task.failedWorkerId &&
+      this.crashedAddress === task.crashedAddress;
     if (this.candidates && isSame) return this.candidates;
     this.preferredRack = preferredRack;
     this.failedWorkerId = task.failedWorkerId;
+    this.crashedAddress = task.crashedAddress;
     this.isSuspect = task.isSuspect;
     const {placement} = this.options;
     const context = {...this.context, preferredRack};
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -91,6 +91,8 @@
    * show that the start did not crash it.
    */
   isProven = false;
+  /** Address at which a worker crashed under it last. */
+  crashedAddress: string | undefined;
   /** Worker on which the latest run failed. */
   failedWorkerId: string | undefined;
 
