Merge crash attribution after restarts and losses of many workers

A job is shown as running once a run of it was seen. The first run that is seen writes the job's record, since the phase is part of it; the moved assignments of a new incarnation are noted as changes.

--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -1,4 +1,3 @@
-import {JobPhase} from '../work/job_definition.js';
 import {
   OccurrenceRecord,
   ProgressChanges,
@@ -34,7 +33,6 @@
 export function restoreProgress(job: JobState, record: ProgressRecord): void {
   job.progressVersion = record.version;
   job.phase = record.phase;
-  job.hasStarted = record.phase !== JobPhase.QUEUED;
   for (const stored of record.occurrences) {
     const occurrence = job.occurrence(stored.number);
     if (stored.isDone) finishOccurrence(job, occurrence);
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -28,8 +28,6 @@
   storedPhase: JobPhase = JobPhase.QUEUED;
   /** Version of the latest progress record that was written; 0 before. */
   progressVersion = 0;
-  /** Whether a task is known to have started. */
-  hasStarted = false;
   readonly history = new JobHistory();
   readonly occurrences = new Map<number, OccurrenceState>();
   /** First worker on which a run of the job made no progress. */
@@ -52,6 +50,18 @@
     return isFinalPhase(this.phase);
   }
 
+  /** Whether a run of a task has been seen. */
+  get hasStarted(): boolean {
+    return this.phase !== JobPhase.QUEUED;
+  }
+
+  /** Records that a run of a task was seen; returns whether it is the first. */
+  recordStarted(): boolean {
+    if (this.hasStarted) return false;
+    this.phase = JobPhase.RUNNING;
+    return true;
+  }
+
   /** Number of occurrences, at least one. */
   get occurrenceCount(): number {
     return Math.max(1, this.definition.repetitions);
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -298,12 +298,12 @@
     if (task.run !== run || !task.isPlaced) return;
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
+      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       if (worker) this.crashes.recordConfirmation(worker, task.startedMs);
       if (!task.hasBegun) this.recordBegun(task);
     }
     if (task.state !== 'starting') return;
     if (outcome.kind === 'done') {
-      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
       task.absentAfterMs = this.options.clock.nowMs();
       this.confirm(task);
       return;
@@ -492,11 +492,16 @@
    */
   private recordBegun(task: TaskState): void {
     task.hasBegun = true;
-    task.job.hasStarted = true;
-    if (task.isSuspect) this.markDirty(task.job);
+    this.recordStarted(task.job);
+    if (task.isSuspect) this.markTaskDirty(task);
     else this.changes.noteTask(task);
   }
 
+  /** Records that a run of a job was seen, with which its phase changes. */
+  private recordStarted(job: JobState): void {
+    if (job.recordStarted()) this.markDirty(job);
+  }
+
   private endRun(task: TaskState, how: string): void {
     if (!task.isPlaced) return;
     if (LOST_RUN_ENDS.has(how)) task.job.history.lostRuns += 1;
@@ -531,7 +536,7 @@
       tookMs: this.ranMsOf(task),
       estimatedMs: task.step.estimatedMs,
     });
-    task.job.hasStarted = true;
+    this.recordStarted(task.job);
     this.workerOf(task)?.health.recordSuccess(nowMs);
     if (task.step.isLongRunning) {
       this.endRun(task, 'done');
@@ -561,7 +566,7 @@
   private failRun(task: TaskState): void {
     task.failures += 1;
     task.job.history.recordFailure(task.assignment?.workerId);
-    task.job.hasStarted = true;
+    this.recordStarted(task.job);
     const nowMs = this.options.clock.nowMs();
     task.failedWorkerId = task.assignment?.workerId;
     this.workerOf(task)?.health.recordFailure(nowMs);
@@ -839,10 +844,6 @@
     worker.addTask(task);
     this.startWindow.add(task);
     this.changes.addStart(task);
-    if (task.job.phase === JobPhase.QUEUED) {
-      task.job.phase = JobPhase.RUNNING;
-      this.markDirty(task.job);
-    }
     this.options.log.logDetail('place', {
       task: task.name,
       run,
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -95,6 +95,8 @@
   isProven = false;
   /** Number of runs that were stopped because they made no progress. */
   stuckRuns = 0;
+  /** Address at which a worker crashed under it last. */
+  crashedAddress: string | undefined;
   /** Worker on which the latest run failed or made no progress. */
   failedWorkerId: string | undefined;
 
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -96,6 +96,7 @@
     });
     this.options.onRestart(worker);
     worker.beginIncarnation(undefined);
+    this.moveTasks(worker, 0);
   }
 
   private add(registration: WorkerRegistration): WorkerState {
@@ -148,8 +149,8 @@
       if (!isUnanswered && task.state !== 'assigned') {
         task.absentAfterMs = -Infinity;
       }
-      this.updateAssignment(task, bornMs);
     }
+    this.moveTasks(worker, bornMs);
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
       address: worker.registration.address,
@@ -161,14 +162,19 @@
   }
 
   /**
-   * Notes the present incarnation of its worker in the assignment of a task:
-   * the end of the one before is counted, and a successor must not count it
-   * again.
+   * Records that the tasks of a worker can run only in its new incarnation, where
+   * none of them has been seen yet. The crash is counted, and a successor must
+   * not count it again.
+   *
+   * @param bornMs - Unix start time of the incarnation in ms; 0 if unknown.
    */
-  private updateAssignment(task: TaskState, bornMs: number): void {
-    if (!task.assignment || task.assignment.workerBornMs === bornMs) return;
-    task.assignment.workerBornMs = bornMs;
-    this.options.onAssignmentChange(task);
+  private moveTasks(worker: WorkerState, bornMs: number): void {
+    for (const task of worker.tasks) {
+      if (!task.assignment || task.assignment.workerBornMs === bornMs) continue;
+      task.hasBegun = false;
+      task.assignment.workerBornMs = bornMs;
+      this.options.onAssignmentChange(task);
+    }
   }
 }
 
