Tell a widespread loss also while many tasks are suspects

Before, tasks of the simulation, which make no progress, were mostly blocked when the power went, and thus not lost with it.

Cause: a loss is left out of a widespread one if the worker ran a suspect, so that tasks that crash many workers are still counted. The second loss of power has some suspects on all workers, and is not recognised any more; each further one makes more. Only a suspect that has not run long enough to be proven may be the cause of the loss.

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -77,7 +77,7 @@
     if (worker.isSilent) return;
     worker.isLossTimeKnown = !isTimeout;
     worker.lostMs = this.options.clock.nowMs();
-    const hasSuspect = [...worker.tasks].some(({isSuspect}) => isSuspect);
+    const hasSuspect = worker.unprovenSuspect() !== undefined;
     this.history.recordLoss(worker, hasSuspect);
   }
 
--- a/src/orchestrator/loss_history.ts
+++ b/src/orchestrator/loss_history.ts
@@ -6,7 +6,7 @@
   workerId: string;
   rack: string;
   lostMs: number;
-  /** Whether it ran a task that is suspected to crash workers. */
+  /** Whether a task that may crash it had not run long enough to be proven. */
   hasSuspect: boolean;
 }
 
