Block at most half of a service's workers for runs without progress

A run without progress blocks its worker again, unless half of the workers of the service are blocked: hanging workers are rarely so many, and tasks that are the cause leave the other half to the work of others.

The tests of stuck_task_test.ts pass as before.

--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -32,8 +32,6 @@
   hasStarted = false;
   readonly history = new JobHistory();
   readonly occurrences = new Map<number, OccurrenceState>();
-  /** First worker on which a run of the job made no progress. */
-  stuckWorkerId: string | undefined;
   /** Number of tasks in state 'waiting', of all occurrences created so far. */
   waitingCount = 0;
   /** Time in ms at which this owner added the job. */
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -86,6 +86,12 @@
 /** Time in ms without progress after which a task counts as stuck. */
 const STUCK_AFTER_MS = 1800;
 
+/**
+ * Fraction of the blocked workers of a service from which no more are blocked
+ * for runs without progress.
+ */
+const MAX_STUCK_SHARE = 0.5;
+
 /**
  * Maximum number of times that the time without progress is doubled for a task,
  * once for each of its runs that was stopped for it: it may just be slow.
@@ -773,25 +779,38 @@
   }
 
   /**
-   * Stops a run that makes no progress. Its worker is blocked unless a run of the
-   * same job was stuck on another worker before: then the job is the likely
-   * cause, and would block one worker after the other for the work of others.
+   * Stops a run that makes no progress. Its worker is blocked unless half of the
+   * workers of its service are: then the tasks are the likely cause, and would
+   * keep the work of others from all workers.
    */
   private stopStuckRun(
     task: TaskState,
     worker: WorkerState,
     nowMs: number,
   ): void {
-    const {job} = task;
-    const {id} = worker.registration;
     task.stuckRuns += 1;
-    task.failedWorkerId = id;
+    task.failedWorkerId = worker.registration.id;
     worker.health.recordFailure(nowMs);
-    job.stuckWorkerId ??= id;
-    if (job.stuckWorkerId === id) worker.health.block(nowMs, STUCK_BLOCK_MS);
+    if (
+      this.blockedShareOf(worker.registration.service, nowMs) < MAX_STUCK_SHARE
+    ) {
+      worker.health.block(nowMs, STUCK_BLOCK_MS);
+    }
     this.requestStop(task, 'no-progress');
   }
 
+  /** Returns the fraction of the workers of a service that are blocked. */
+  private blockedShareOf(service: string, nowMs: number): number {
+    let blocked = 0;
+    let total = 0;
+    for (const {registration, isRegistered, health} of this.workers.values()) {
+      if (registration.service !== service || !isRegistered) continue;
+      total += 1;
+      if (health.isBlocked(nowMs)) blocked += 1;
+    }
+    return blocked / Math.max(1, total);
+  }
+
   private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
     this.bestEffort.removeTasks(job.tasks());
