--- a/src/orchestrator/job_started_test.ts
+++ b/src/orchestrator/job_started_test.ts
@@ -57,7 +57,7 @@
     const job = new JobState(DEFINITION, 0);
     const items = [...this.stored].map(([key, value]) => ({key, value}));
     const progress = groupProgress(items, KEYS).get(DEFINITION.id)!;
-    restoreProgress(job, decodeStoredProgress(progress));
+    restoreProgress(job, decodeStoredProgress(progress)!);
     const successor = createOrchestrator();
     successor.addJob(job);
     return successor;
