Take over the speed limits of best-effort tasks from an earlier owner

Cause: speed limits are known to the owner that sent them only; a successor takes each run for unlimited and never raises a limit of 100%. It now takes the reported CPU in use for the limit of a run that it inherits (below 70% of the request, since the figure is rough) and raises it as far as the latency-critical tasks allow; such a run is not moved in its first 2 s. Ruled out: sending 100% to all inherited runs, which would wake all paused tasks at once.

--- a/src/orchestrator/best_effort_controller.ts
+++ b/src/orchestrator/best_effort_controller.ts
@@ -18,6 +18,12 @@
 /** Speed limit in percent below which a task is paused instead. */
 const MIN_SPEED_PERCENT = 10;
 
+/**
+ * Share of its CPU request from which an inherited task counts as not limited;
+ * reported use is rough.
+ */
+const FULL_SPEED_USE = 0.7;
+
 /** Percentage points by which a speed limit is raised at a time. */
 const SPEED_INCREMENT_PERCENT = 30;
 
@@ -90,6 +96,7 @@
     const uses = this.usesInWindow(worker, nowMs);
     worker.isNearLimit = false;
     for (const task of worker.tasks) {
+      if (!task.isSpeedKnown) adoptSpeed(task, nowMs);
       if (!isRunningLatencyCritical(task) || task.gauge === undefined) continue;
       this.interference.observe({
         task: task.name,
@@ -317,6 +324,19 @@
   }
 }
 
+/**
+ * Takes the CPU in use of an inherited best-effort task for its speed limit. The
+ * limit is raised before the task is moved because of it.
+ */
+function adoptSpeed(task: TaskState, nowMs: number): void {
+  if (!task.step.usesLeftoverCpu || task.state !== 'running') return;
+  if (task.gauge === undefined) return;
+  const use = task.gauge / task.step.cpuMillicores;
+  task.isSpeedKnown = true;
+  task.lastMovedMs = nowMs;
+  if (use < FULL_SPEED_USE) task.speedLimitPercent = Math.floor(use * 100);
+}
+
 /** Returns the load group: tasks of a step share one load per occurrence. */
 function groupOf({job, position}: TaskState): string {
   return `${job.definition.id}.${position.occurrence}.${position.step}`;
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -110,6 +110,7 @@
   }
   if (row.workerId === undefined) return;
   task.apply('inherited');
+  task.isSpeedKnown = false;
   task.hasBegun = row.hasBegun ?? false;
   task.assignment = {
     workerId: row.workerId,
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -826,6 +826,7 @@
     task.overLimitSinceMs = Infinity;
     task.runningSinceMs = Infinity;
     task.isProven = false;
+    task.isSpeedKnown = true;
     const nowMs = this.options.clock.nowMs();
     task.assignedMs = nowMs;
     task.ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -33,6 +33,11 @@
   lastProgressMs = 0;
   /** Percentage of full speed at which the task may run. */
   speedLimitPercent = 100;
+  /**
+   * Whether {@link speedLimitPercent} was set by this owner. An earlier owner may
+   * have limited or paused a run that it left.
+   */
+  isSpeedKnown = true;
   /** Percentage of full speed to which its current run is limited at first. */
   startSpeedPercent = 100;
   /** Time in ms since which its tail latency exceeds its limit, or Infinity. */
