Ask for fewer workers when advice arrives too late to be used

Cause: each request names up to 30 workers, and the service takes a time for each of them. If the answer takes longer than its tickets are valid, less the margin of 500 ms, or than the request may take (5 s), all tickets are void on arrival and the same request is sent again, without end. The same holds if tickets are valid for 500 ms or less at all. Found by reading; no site that we know has such an advice service.

A request whose answer comes too late, or that fails after a second, halves the number of workers of the next ones, quick answers raise it again, and the margin is a quarter of the validity at most.

--- a/src/orchestrator/step_advice.ts
+++ b/src/orchestrator/step_advice.ts
@@ -8,7 +8,8 @@
   incarnation: number;
   /** Ticket to run the step; undefined if the worker may not run it. */
   ticket: string | undefined;
-  validUntilMs: number;
+  /** Time in ms from which the ticket is renewed, not used. */
+  usableUntilMs: number;
 }
 
 /** Maximum workers per request; the service takes time for each of them. */
@@ -17,6 +18,12 @@
 /** Time in ms before its expiry from which a ticket is renewed, not used. */
 const TICKET_MARGIN_MS = 500;
 
+/** Upper bound of that margin as a share of the validity. */
+const MAX_MARGIN_SHARE = 0.25;
+
+/** Time in ms after which a failed request names fewer workers the next time. */
+const SLOW_REQUEST_MS = 1000;
+
 /** Delay in ms before the next request after a failed one. */
 const RETRY_MS = 400;
 
@@ -31,6 +38,8 @@
   private inFlight:
     {request: AdviceRequest; incarnations: number[]} | undefined;
   private retryAtMs = -Infinity;
+  /** Lower than the maximum while the service answers too slowly for it. */
+  private workersPerRequest = MAX_WORKERS_PER_REQUEST;
 
   /** Returns the ticket of a worker; undefined if none is valid long enough. */
   ticketFor(
@@ -40,8 +49,7 @@
   ): string | undefined {
     const advice = this.steps.get(step.name)?.get(worker.registration.id);
     if (!advice || advice.incarnation !== worker.incarnation) return undefined;
-    if (nowMs >= advice.validUntilMs - TICKET_MARGIN_MS) return undefined;
-    return advice.ticket;
+    return nowMs < advice.usableUntilMs ? advice.ticket : undefined;
   }
 
   /**
@@ -58,7 +66,7 @@
       const isDenied =
         advice?.incarnation === incarnation && advice.ticket === undefined;
       if (!isDenied) unknown.push(registration.id);
-      if (unknown.length === MAX_WORKERS_PER_REQUEST) break;
+      if (unknown.length === this.workersPerRequest) break;
     }
     if (unknown.length > 0) this.pendingByStep.set(step.name, unknown);
   }
@@ -86,10 +94,20 @@
     if (!this.inFlight) return;
     const {request, incarnations} = this.inFlight;
     this.inFlight = undefined;
+    const size = request.workers.length;
     if (outcome.kind !== 'advice') {
       this.retryAtMs = nowMs + RETRY_MS;
+      if (nowMs - sentMs >= SLOW_REQUEST_MS) this.limitRequests(size / 2);
       return;
     }
+    const {validForMs} = outcome;
+    const marginMs = Math.min(TICKET_MARGIN_MS, validForMs * MAX_MARGIN_SHARE);
+    const usableMs = validForMs - marginMs;
+    const usableUntilMs = sentMs + usableMs;
+    if (nowMs >= usableUntilMs) this.limitRequests(size / 2);
+    else if (nowMs - sentMs < usableMs / 4) {
+      this.limitRequests(Math.max(this.workersPerRequest, size * 2));
+    }
     const known =
       this.steps.get(request.step) ?? new Map<string, WorkerAdvice>();
     this.steps.set(request.step, known);
@@ -97,11 +115,17 @@
       known.set(id, {
         incarnation: incarnations[number]!,
         ticket: outcome.tickets.get(id),
-        validUntilMs: sentMs + outcome.validForMs,
+        usableUntilMs,
       });
     });
   }
 
+  /** Changes how many workers a request names; each takes the service time. */
+  private limitRequests(size: number): void {
+    const wanted = Math.max(1, Math.floor(size));
+    this.workersPerRequest = Math.min(MAX_WORKERS_PER_REQUEST, wanted);
+  }
+
   /** Discards the ticket of a worker that has rejected it. */
   invalidate(step: StepState, workerId: string): void {
     this.steps.get(step.name)?.delete(workerId);
--- a/src/orchestrator/step_advice_test.ts
+++ b/src/orchestrator/step_advice_test.ts
@@ -59,3 +59,65 @@
   assert.equal(advice.nextRequest(incarnationOf, 200), undefined);
   assert.equal(advice.nextRequest(incarnationOf, 600)?.step, 'second.0.0');
 });
+
+/** Returns how many workers each request names if the service takes `perWorkerMs`. */
+function requestSizes(options: {
+  perWorkerMs: number;
+  validForMs: number;
+  timeoutMs?: number;
+}): number[] {
+  const {perWorkerMs, validForMs, timeoutMs = Infinity} = options;
+  const advice = new StepAdvice();
+  const step = createStep('job');
+  const workers = Array.from({length: 40}, (_, n) => createWorker(`w${n}`));
+  const sizes: number[] = [];
+  let nowMs = 0;
+  for (let round = 0; round < 8; round++) {
+    advice.enqueue(step, workers);
+    const request = advice.nextRequest(incarnationOf, nowMs);
+    const size = request!.workers.length;
+    sizes.push(size);
+    const sentMs = nowMs;
+    const tookMs = Math.min(size * perWorkerMs, timeoutMs);
+    nowMs += tookMs;
+    const tickets = new Map(request!.workers.map((id) => [id, 'ticket']));
+    advice.handleOutcome(
+      tookMs === timeoutMs
+        ? {kind: 'unknown', reason: 'timeout'}
+        : {kind: 'advice', tickets, validForMs},
+      sentMs,
+      nowMs,
+    );
+    if (advice.ticketFor(step, workers[0]!, nowMs)) break;
+    nowMs += 1000;
+  }
+  return sizes;
+}
+
+test('requests get smaller until their tickets are valid on arrival', () => {
+  // Guards against a step that never runs because each answer takes longer than
+  // its tickets are valid, or than a request may take.
+  const slow = {perWorkerMs: 200, validForMs: 3000};
+  assert.deepEqual(requestSizes(slow), [30, 15, 7]);
+  assert.deepEqual(requestSizes({...slow, timeoutMs: 5000}), [30, 15, 7]);
+  assert.deepEqual(requestSizes({perWorkerMs: 5, validForMs: 3000}), [30]);
+});
+
+test('a request about few workers does not limit the next ones', () => {
+  // Guards against a search of all workers that is split into many requests.
+  const advice = new StepAdvice();
+  const step = createStep('job');
+  advice.enqueue(step, [createWorker('w')]);
+  advice.nextRequest(incarnationOf, 0);
+  const tickets = new Map<string, string>();
+  advice.handleOutcome({kind: 'advice', tickets, validForMs: 3000}, 0, 10);
+  const workers = Array.from({length: 40}, (_, n) => createWorker(`w${n}`));
+  advice.enqueue(step, workers);
+  assert.equal(advice.nextRequest(incarnationOf, 20)?.workers.length, 30);
+});
+
+test('a ticket of short validity is used', () => {
+  // Guards against a margin before the expiry that is longer than the validity.
+  const sizes = requestSizes({perWorkerMs: 1, validForMs: 400});
+  assert.deepEqual(sizes, [30]);
+});
