Send a refused start to each other worker before one is asked again

Cause: a refusal for want of room blocks a worker for 300 ms, an invalid command not at all, and the delay before the next start of the task grows to 1 s. From the sixth refusal on all blocks have ended by then, so that the worker with the best score is asked each time. Workers whose books differ from the owner's make that last.

A task now remembers which workers have refused it since its last run, and they come after all others; once only such are left, all are tried again. The limit of one start a second is unchanged.

Before, with 9 workers of which the last accepts: w0,w1,w2,w3,w4,w5,w0,w0,w0,w0,w0,w0,w0,w0,w0,w0,w0 in 10 s.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -320,7 +320,12 @@
       this.sendStop(task);
       return;
     }
-    if (worker) this.handleRefusal(task, worker, outcome.reason);
+    if (worker) {
+      this.handleRefusal(task, worker, outcome.reason);
+      // Without a valid term no worker was asked.
+      const wasSent = outcome.reason !== RefusalReason.TERM_UNCERTAIN;
+      if (wasSent) recordRefusal(task, worker);
+    }
     task.refusals += 1;
     const nowMs = this.options.clock.nowMs();
     task.notBeforeMs = nowMs + restartDelayMs(task.refusals);
@@ -479,6 +484,7 @@
     const nowMs = this.options.clock.nowMs();
     task.lastProgressMs = nowMs;
     task.refusals = 0;
+    task.refusedBy.clear();
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = task.startSpeedPercent;
@@ -877,3 +883,13 @@
     this.options.effects.requestCommit();
   }
 }
+
+/**
+ * Records which worker has refused a task. One that is chosen although it has
+ * refused it before shows that no other is left: all are tried again.
+ */
+function recordRefusal({refusedBy}: TaskState, worker: WorkerState): void {
+  const {id} = worker.registration;
+  if (refusedBy.has(id)) refusedBy.clear();
+  refusedBy.add(id);
+}
--- a/src/orchestrator/start_refusal_test.ts
+++ b/src/orchestrator/start_refusal_test.ts
@@ -13,19 +13,35 @@
 const STEP_MS = 10;
 const WORKERS = 5;
 
+/** Options of {@link runStarts}. */
+interface StartOptions {
+  durationMs: number;
+  reason: RefusalReason;
+  /** @default 5 */
+  workers?: number;
+  /** Id of a worker that accepts a start. @default none */
+  acceptingWorker?: string;
+}
+
 /** Returns how many starts of one task are sent while workers refuse them. */
 function countStarts(durationMs: number, reason: RefusalReason): number {
+  return runStarts({durationMs, reason}).length;
+}
+
+/** Returns the workers to which starts of one task are sent, in order. */
+function runStarts(options: StartOptions): string[] {
+  const {durationMs, reason, workers = WORKERS, acceptingWorker} = options;
   const clock = new ManualClock({startMs: 0, wallStartMs: 0});
   const sent: TaskState[] = [];
   const orchestrator = createOrchestrator({
     clock,
     effects: idleEffects({start: (task) => sent.push(task)}),
   });
-  for (let number = 0; number < WORKERS; number++) {
+  for (let number = 0; number < workers; number++) {
     orchestrator.upsertWorker(simpleWorker(`w${number}`));
   }
   orchestrator.addJob(new JobState(simpleJob('job'), 0));
-  let starts = 0;
+  const starts: string[] = [];
   for (let passed = 0; passed < durationMs; passed += STEP_MS) {
     clock.advance(STEP_MS);
     for (const worker of orchestrator.workers.values()) {
@@ -37,7 +53,9 @@
     orchestrator.schedule();
     applyPending(orchestrator.takePending());
     for (const task of sent.splice(0)) {
-      starts += 1;
+      const id = task.assignment!.workerId;
+      starts.push(id);
+      if (id === acceptingWorker) return starts;
       const outcome = {kind: 'refused', reason} as const;
       orchestrator.handleStartOutcome(task, task.run, outcome);
     }
@@ -60,3 +78,13 @@
   // Guards against urgent work that waits because a single worker was full.
   assert.ok(countStarts(60, RefusalReason.NO_ROOM) >= 3);
 });
+
+test('a start that many workers refuse reaches the one that accepts it', () => {
+  // Guards against a task that goes to the same few workers again and again,
+  // because they suit it best and their blocks end before the next start.
+  const common = {durationMs: 10_000, workers: 9, acceptingWorker: 'w8'};
+  for (const reason of [RefusalReason.NO_ROOM, RefusalReason.INVALID]) {
+    const starts = runStarts({...common, reason});
+    assert.deepEqual(starts.length, 9, starts.join());
+  }
+});
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -54,6 +54,9 @@
 /** Penalty for a worker on which recent runs failed. */
 const SUSPECT_PENALTY = 500;
 
+/** Penalty for a worker that has refused the task, above all other differences. */
+const REFUSAL_PENALTY = 5000;
+
 /**
  * Penalty of a worker for a task that may crash it, per task that would be lost
  * as well; latency-critical tasks count more, since they are missed at once.
@@ -236,6 +239,8 @@
     score -= NEIGHBOR_PENALTY * neighbors;
   }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
-  if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
+  const {id} = worker.registration;
+  if (task.failedWorkerId === id) score -= SUSPECT_PENALTY;
+  if (task.refusedBy.has(id)) score -= REFUSAL_PENALTY;
   return score;
 }
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -305,6 +305,7 @@
   private preferredRack: string | undefined;
   private failedWorkerId: string | undefined;
   private isSuspect = false;
+  private wasRefused = false;
 
   constructor(
     private readonly options: TaskSchedulerOptions,
@@ -340,11 +341,14 @@
     const isSame =
       this.preferredRack === preferredRack &&
       this.isSuspect === task.isSuspect &&
-      this.failedWorkerId === task.failedWorkerId;
+      this.failedWorkerId === task.failedWorkerId &&
+      !this.wasRefused &&
+      task.refusedBy.size === 0;
     if (this.candidates && isSame) return this.candidates;
     this.preferredRack = preferredRack;
     this.failedWorkerId = task.failedWorkerId;
     this.isSuspect = task.isSuspect;
+    this.wasRefused = task.refusedBy.size > 0;
     const {placement} = this.options;
     const context = {...this.context, preferredRack};
     const {workers} = this;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -72,6 +72,8 @@
   hasBegun = false;
   /** Number of starts in a row that workers have refused. */
   refusals = 0;
+  /** Workers that have refused it since its last run or since all of them did. */
+  readonly refusedBy = new Set<string>();
   /** Time in ms before which the task is not assigned again. */
   notBeforeMs = -Infinity;
   /** Time in ms at which the task was last stopped to move it elsewhere. */
