--- a/src/orchestrator/inherited_speed_test.ts
+++ b/src/orchestrator/inherited_speed_test.ts
@@ -41,7 +41,7 @@
     const assigned = {...task, workerId: 'w', workerBornMs: 1};
     const occurrence = {number: 0, isDone: false, steps: [[assigned]]};
     const phase = JobPhase.RUNNING;
-    restoreProgress(job, {phase, occurrences: [occurrence]});
+    restoreProgress(job, {phase, version: 1, occurrences: [occurrence]});
     this.orchestrator.addJob(job);
   }
 
