--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -54,6 +54,9 @@
 /** Penalty for a worker on which recent runs failed. */
 const SUSPECT_PENALTY = 500;
 
+/** Penalty for a worker that has refused the task, above all other differences. */
+const REFUSAL_PENALTY = 5000;
+
 /**
  * Penalty of the machine on which a worker crashed under a suspect: a crash on
  * another machine tells whether the machine or the task is the cause.
@@ -245,6 +248,8 @@
     score -= SAME_MACHINE_PENALTY;
   }
   if (worker.health.isSuspect(context.nowMs)) score -= SUSPECT_PENALTY;
-  if (task.failedWorkerId === worker.registration.id) score -= SUSPECT_PENALTY;
+  const {id} = worker.registration;
+  if (task.failedWorkerId === id) score -= SUSPECT_PENALTY;
+  if (task.refusedBy.has(id)) score -= REFUSAL_PENALTY;
   return score;
 }
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -306,6 +306,7 @@
   private failedWorkerId: string | undefined;
   private crashedAddress: string | undefined;
   private isSuspect = false;
+  private wasRefused = false;
 
   constructor(
     private readonly options: TaskSchedulerOptions,
@@ -342,12 +343,15 @@
       this.preferredRack === preferredRack &&
       this.isSuspect === task.isSuspect &&
       this.failedWorkerId === task.failedWorkerId &&
-      this.crashedAddress === task.crashedAddress;
+      this.crashedAddress === task.crashedAddress &&
+      !this.wasRefused &&
+      task.refusedBy.size === 0;
     if (this.candidates && isSame) return this.candidates;
     this.preferredRack = preferredRack;
     this.failedWorkerId = task.failedWorkerId;
     this.crashedAddress = task.crashedAddress;
     this.isSuspect = task.isSuspect;
+    this.wasRefused = task.refusedBy.size > 0;
     const {placement} = this.options;
     const context = {...this.context, preferredRack};
     const {workers} = this;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -33,6 +33,11 @@
   lastProgressMs = 0;
   /** Percentage of full speed at which the task may run. */
   speedLimitPercent = 100;
+  /**
+   * Whether {@link speedLimitPercent} was set by this owner. An earlier owner may
+   * have limited or paused a run that it left.
+   */
+  isSpeedKnown = true;
   /** Percentage of full speed to which its current run is limited at first. */
   startSpeedPercent = 100;
   /** Time in ms since which its tail latency exceeds its limit, or Infinity. */
@@ -67,6 +72,8 @@
   hasBegun = false;
   /** Number of starts in a row that workers have refused. */
   refusals = 0;
+  /** Workers that have refused it since its last run or since all of them did. */
+  readonly refusedBy = new Set<string>();
   /** Time in ms before which the task is not assigned again. */
   notBeforeMs = -Infinity;
   /** Time in ms at which the task was last stopped to move it elsewhere. */
