Accept the success of a run before the next one is sent

A worker that was cut off until its lease had ended may report that its run is done while the next run is assigned and waits for its commit. The end was then ignored, and work that was done ran again. It is accepted as for a waiting task, and the assignment (of all members, for a gang) is withdrawn. Once a start has been sent, the next run decides, as before: whether it runs is not known.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -188,6 +188,7 @@
       taskOf: (name) => this.tasksByName.get(name),
       onConfirmed: (task) => this.confirm(task),
       onEnded: (task, end) => this.endRun(task, end),
+      onObsolete: (task) => this.withdrawUnsent(task),
       onDone: (task) => this.finishTask(task),
       onFailed: (task) => this.failRun(task),
       onOrphanRuns: (runs, worker) => this.stopOrphanRuns(runs, worker),
@@ -842,6 +843,14 @@
     if (request) this.options.effects.requestAdvice(request);
   }
 
+  /** Reverts the assignment of a task, or of its gang, that was not sent. */
+  private withdrawUnsent(task: TaskState): void {
+    const tasks = task.step.isGang ? stepOf(task).tasks : [task];
+    for (const member of tasks) {
+      if (member.state === 'assigned') this.withdraw(member);
+    }
+  }
+
   private withdraw(task: TaskState): void {
     this.clearAssignment(task);
     task.apply('withdrawn');
--- a/src/orchestrator/report_processor.ts
+++ b/src/orchestrator/report_processor.ts
@@ -15,6 +15,8 @@
   onConfirmed(task: TaskState): void;
   /** Called when a run ended without success but did not fail itself. */
   onEnded(task: TaskState, how: string): void;
+  /** Called when the assigned run of a task is not needed any more. */
+  onObsolete(task: TaskState): void;
   /** Called when a run succeeded. */
   onDone(task: TaskState): void;
   /** Called when a run failed. */
@@ -75,11 +77,15 @@
     else this.handlers.onEnded(task, end.kind);
   }
 
-  /** Accepts the success of an earlier run that was presumed lost. */
+  /**
+   * Accepts the success of an earlier run that was presumed lost, as long as no
+   * start of the next run has been sent.
+   */
   private processSupersededEnd(end: EndReport): void {
     const task = this.handlers.taskOf(end.task);
-    if (task?.state !== 'waiting' || task.step.isLongRunning) return;
-    if (end.kind === EndKind.DONE) this.handlers.onDone(task);
+    if (!task || task.step.isLongRunning || end.kind !== EndKind.DONE) return;
+    if (task.state === 'assigned') this.handlers.onObsolete(task);
+    if (task.state === 'waiting') this.handlers.onDone(task);
   }
 
   private processRunning(
