--- a/src/orchestrator/wait_monitor.ts
+++ b/src/orchestrator/wait_monitor.ts
@@ -1,9 +1,9 @@
 import {NodeLog} from '../logging/node_log.js';
+import {StepDefinition, TaskResources} from '../work/job_definition.js';
 import {countWithRoom, JobExplainer, StepPosition} from './job_explainer.js';
 import {JobState} from './job_state.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StepContexts} from './step_contexts.js';
-import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link WaitMonitor}. */
@@ -61,7 +61,7 @@
   /** Looks for idle jobs and logs those that were not logged lately. */
   check(jobs: Iterable<JobState>, time: SchedulingTime): WaitSummary {
     const {nowMs} = time;
-    const room = new RoomCounts(this.options);
+    const room = new RoomSearch(this.options);
     const idle: IdleJob[] = [];
     let longestIdleMs = 0;
     for (const job of jobs) {
@@ -69,7 +69,9 @@
       if (!found) continue;
       longestIdleMs = Math.max(longestIdleMs, found.idleMs);
       if (found.idleMs < IDLE_AFTER_MS) continue;
-      idle.push({job, ...found, hasRoom: room.hasRoom(job, found.position)});
+      const {position, idleMs} = found;
+      const hasRoom = room.hasRoom(job, position);
+      idle.push({job, position, idleMs, hasRoom});
     }
     for (const found of this.chooseToLog(idle, nowMs)) {
       this.loggedMs.set(found.job, nowMs);
@@ -85,17 +87,18 @@
 
   /** Chooses jobs that could run first, then new ones, then the longest idle. */
   private chooseToLog(idle: readonly IdleJob[], nowMs: number): IdleJob[] {
-    const due = idle.filter(
-      ({job}) => nowMs - (this.loggedMs.get(job) ?? -Infinity) >= REPEAT_MS,
-    );
+    const due: Array<{found: IdleJob; rank: number}> = [];
+    for (const found of idle) {
+      const loggedMs = this.loggedMs.get(found.job);
+      if (loggedMs !== undefined && nowMs - loggedMs < REPEAT_MS) continue;
+      const isNew = loggedMs === undefined;
+      due.push({found, rank: (found.hasRoom ? 2 : 0) + (isNew ? 1 : 0)});
+    }
     due.sort(
       (left, right) =>
-        Number(right.hasRoom) - Number(left.hasRoom) ||
-        Number(this.loggedMs.has(left.job)) -
-          Number(this.loggedMs.has(right.job)) ||
-        right.idleMs - left.idleMs,
+        right.rank - left.rank || right.found.idleMs - left.found.idleMs,
     );
-    return due.slice(0, LINES_PER_CHECK);
+    return due.slice(0, LINES_PER_CHECK).map(({found}) => found);
   }
 
   private log({job, position}: IdleJob, {nowMs, wallMs}: SchedulingTime): void {
@@ -120,9 +123,19 @@
   }
 }
 
-/** Whether workers have room, evaluated once for each kind of request. */
-class RoomCounts {
-  private readonly byRequest = new Map<string, boolean>();
+/** Requests of which it is known whether a worker has room for them. */
+interface KnownRequests {
+  fitting: StepDefinition[];
+  unplaceable: StepDefinition[];
+}
+
+/**
+ * Whether workers have room for waiting tasks. All workers are evaluated only for
+ * a request that is neither at least as large as one for which there is no room,
+ * nor at most as large as one for which there is.
+ */
+class RoomSearch {
+  private readonly known = new Map<string, KnownRequests>();
 
   constructor(private readonly options: WaitMonitorOptions) {}
 
@@ -132,19 +145,31 @@
     if (!task) return false;
     const {workers, contexts} = this.options;
     const service = contexts.serviceOf(job);
-    const request = requestKeyOf(task, service);
-    const known = this.byRequest.get(request);
-    if (known !== undefined) return known;
+    const request = task.step;
+    const {fitting, unplaceable} = this.knownLike(request, service);
+    if (unplaceable.some((known) => isCoveredBy(known, request))) return false;
+    if (fitting.some((known) => isCoveredBy(request, known))) return true;
     const hasRoom = countWithRoom(task, service, workers.values()) > 0;
-    this.byRequest.set(request, hasRoom);
+    (hasRoom ? fitting : unplaceable).push(request);
     return hasRoom;
   }
+
+  private knownLike(request: StepDefinition, service: string): KnownRequests {
+    const {requiredLabel, usesLeftoverCpu} = request;
+    const kind = `${service},${requiredLabel},${usesLeftoverCpu}`;
+    const known = this.known.get(kind) ?? {fitting: [], unplaceable: []};
+    this.known.set(kind, known);
+    return known;
+  }
 }
 
-function requestKeyOf({step}: TaskState, service: string): string {
-  const {cpuMillicores, memoryMb, acceleratorCount, requiredLabel} = step;
-  const amounts = [cpuMillicores, memoryMb, acceleratorCount];
-  return [service, requiredLabel, step.usesLeftoverCpu, ...amounts].join();
+/** Returns whether a request is at most as large as another one. */
+function isCoveredBy(request: TaskResources, other: TaskResources): boolean {
+  return (
+    request.cpuMillicores <= other.cpuMillicores &&
+    request.memoryMb <= other.memoryMb &&
+    request.acceleratorCount <= other.acceleratorCount
+  );
 }
 
 /** Returns the ready step that has been idle for the longest time. */
@@ -152,16 +177,16 @@
   job: JobState,
   nowMs: number,
 ): {position: StepPosition; idleMs: number} | undefined {
-  let found: {position: StepPosition; idleMs: number} | undefined;
+  let earliestMs = Infinity;
+  let position: StepPosition | undefined;
   for (const occurrence of job.occurrences.values()) {
     if (occurrence.isDone) continue;
     for (let step = 0; step < occurrence.steps.length; step++) {
-      const sinceMs = job.idleSinceMs(occurrence, step);
-      if (sinceMs === undefined) continue;
-      const idleMs = nowMs - sinceMs;
-      if (found && idleMs <= found.idleMs) continue;
-      found = {position: {occurrence, step}, idleMs};
+      const sinceMs = job.idleSinceMs(occurrence, step) ?? Infinity;
+      if (sinceMs >= earliestMs) continue;
+      earliestMs = sinceMs;
+      position = {occurrence, step};
     }
   }
-  return found;
+  return position && {position, idleMs: nowMs - earliestMs};
 }
--- a/src/orchestrator/wait_monitor_test.ts
+++ b/src/orchestrator/wait_monitor_test.ts
@@ -234,3 +234,23 @@
   assert.equal(failure?.['job'], 'broken');
   assert.equal(fixture.waits('job').length, 1);
 });
+
+test('idle jobs with room are counted whatever the sizes of others', () => {
+  // Guards against a job that could run and is not counted, since the answer for
+  // a larger or smaller request is used for it.
+  const fixture = new Fixture(2);
+  fixture.run(STEP_MS);
+  fixture.worker('w0').health.block(0, 60_000);
+  fixture.worker('w1').health.block(0, 60_000);
+  // Each worker has 8000 millicores and 16000 MB.
+  let withRoom = 0;
+  for (let number = 0; number < 60; number++) {
+    const cpuMillicores = 4000 + ((number * 7) % 9) * 1000;
+    const memoryMb = 12_000 + ((number * 5) % 7) * 1000;
+    if (cpuMillicores <= 8000 && memoryMb <= 16_000) withRoom += 1;
+    fixture.submit(`job${number}`, [{cpuMillicores, memoryMb}]);
+  }
+  fixture.run(4000);
+  assert.ok(withRoom > 10 && withRoom < 50);
+  assert.equal(fixture.orchestrator.waitSummary.idleJobsWithRoom, withRoom);
+});
