Explain a wait for the limit of open starts

A job that waits because as many starts are open as the owner may have had no hold and workers that could accept it, which the operations page calls a fault. The scheduler and the explanation ask the same method.

--- a/src/orchestrator/job_explainer.ts
+++ b/src/orchestrator/job_explainer.ts
@@ -19,6 +19,8 @@
   contexts: StepContexts;
   /** Returns whether the scheduler searches changed workers only for a step. */
   isRemembered: (job: JobState, step: StepState) => boolean;
+  /** Returns whether no further start of a job may be open now. */
+  isAtStartLimit: (job: JobState) => boolean;
 }
 
 /** Position of a step in its job. */
@@ -67,7 +69,7 @@
   ): StepExplanation {
     const {occurrence, step: number} = position;
     const step = occurrence.steps[number]!;
-    const hold = holdOf(job, position, nowMs);
+    const hold = this.holdOf(job, position, nowMs);
     const isReady = hold !== StepHold.PREDECESSORS;
     const idleSinceMs = job.idleSinceMs(occurrence, number);
     return {
@@ -81,6 +83,16 @@
     };
   }
 
+  private holdOf(
+    job: JobState,
+    position: StepPosition,
+    nowMs: number,
+  ): StepHold | undefined {
+    const hold = holdOf(job, position, nowMs);
+    if (hold !== undefined) return hold;
+    return this.options.isAtStartLimit(job) ? StepHold.START_LIMIT : undefined;
+  }
+
   /** Evaluates all workers for the first task of a step that waits. */
   private explainSearch(
     job: JobState,
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -177,6 +177,7 @@
       ...decisions,
       contexts,
       isRemembered: (job, step) => this.scheduler.isRemembered(job, step),
+      isAtStartLimit: (job) => this.scheduler.isAtStartLimit(job),
     });
     this.waits = new WaitMonitor({
       ...decisions,
--- a/src/orchestrator/start_window_test.ts
+++ b/src/orchestrator/start_window_test.ts
@@ -12,6 +12,7 @@
 } from '../../testing/simple_definitions.js';
 import {JobState} from './job_state.js';
 import {Orchestrator} from './orchestrator.js';
+import {StepHold} from './step_hold.js';
 import {TaskState} from './task_state.js';
 
 const WORKERS = 200;
@@ -91,3 +92,12 @@
   submit(fleet, {id: 'b', queue: 'urgent', tasks: 100});
   assert.equal(fleet.sent.length, 400);
 });
+
+test('a job that waits for the limit of open starts says so', () => {
+  // Guards against a wait that looks like a fault, since workers have room.
+  const fixture = createFleet();
+  submit(fixture, {id: 'many', queue: 'bulk', tasks: 1600});
+  submit(fixture, {id: 'later', queue: 'bulk', tasks: 1});
+  const explained = fixture.orchestrator.explain('later');
+  assert.equal(explained?.steps[0]?.hold, StepHold.START_LIMIT);
+});
--- a/src/orchestrator/step_hold.ts
+++ b/src/orchestrator/step_hold.ts
@@ -11,6 +11,8 @@
   GANG_ACTIVE: 'gang-active',
   /** All waiting tasks are delayed after refused starts. */
   START_DELAYED: 'start-delayed',
+  /** As many starts are open as the owner may have for such jobs. */
+  START_LIMIT: 'start-limit',
 } as const;
 
 /** One of the values of {@link StepHold}. */
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -125,12 +125,17 @@
   }
 
   private scheduleJob(job: JobState, nowMs: number): void {
-    if (this.countFreeStarts(job) === 0) return;
+    if (this.isAtStartLimit(job)) return;
     for (const occurrence of job.occurrences.values()) {
       if (!occurrence.isDone) this.scheduleSteps(job, occurrence, nowMs);
     }
   }
 
+  /** Returns whether no further start of a job may be open now. */
+  isAtStartLimit(job: JobState): boolean {
+    return this.countFreeStarts(job) === 0;
+  }
+
   private countFreeStarts(job: JobState): number {
     return this.options.countFreeStarts?.(job) ?? Infinity;
   }
