--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -342,11 +342,20 @@
     outcome: CommandOutcome,
   ): void {
     if (task.run !== run || task.state !== 'stopping') return;
-    if (outcome.kind === 'unknown') return;
     const isConclusive =
       outcome.kind === 'done' ||
-      outcome.reason === RefusalReason.OTHER_INCARNATION;
-    if (!isConclusive) return;
+      (outcome.kind === 'refused' &&
+        outcome.reason === RefusalReason.OTHER_INCARNATION);
+    if (!isConclusive) {
+      this.options.log.logDetail('stop-not-confirmed', {
+        task: task.name,
+        run,
+        worker: task.assignment?.workerId,
+        outcome: outcome.kind,
+        reason: outcome.reason,
+      });
+      return;
+    }
     task.absentAfterMs = Math.min(
       task.absentAfterMs,
       this.options.clock.nowMs(),
--- a/src/orchestrator/wait_monitor_test.ts
+++ b/src/orchestrator/wait_monitor_test.ts
@@ -184,6 +184,7 @@
   applyPending(orchestrator.takePending());
   const [task] = [...orchestrator.jobs.get('job')!.tasks()];
   orchestrator.handleStartOutcome(task!, 1, fixture.outcome);
+  orchestrator.handleStopOutcome(task!, 1, fixture.outcome);
   for (let passed = 0; passed < 4000; passed += STEP_MS) {
     fixture.clock.advance(STEP_MS);
     orchestrator.tick();
@@ -192,6 +193,8 @@
   assert.equal(line?.['hold'], 'nothing-waiting');
   assert.deepEqual(line['tasks'], {stopping: 1});
   assert.deepEqual(line['workers'], ['w0']);
+  const stop = fixture.lines.find(({msg}) => msg === 'stop-not-confirmed');
+  assert.equal(stop?.['reason'], 'timeout');
 });
 
 test('few lines are written when many jobs wait, those with room first', () => {
