Start nothing while the registrations may be out of date

A watch whose response is lost tells nothing for 2.2 s (1 s of waiting and a timeout of 1.2 s) and longer in a process that is behind.

An owner now assigns and starts nothing unless the store has answered the watch of the registrations in the last 1.7 s; a watch without changes is answered each second. owner-load tells the age, and the open starts.

Tests before the change: a task was assigned, and started, with registrations of 1.8 s.

--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -122,6 +122,11 @@
     return clock.nowMs() - lastMs < STORE_UNREACHABLE_AFTER_MS;
   }
 
+  /** Time in ms since the store told which workers are registered. */
+  get registrationAgeMs(): number {
+    return this.options.clock.nowMs() - this.registry.lastResponseMs;
+  }
+
   /** Whether the store responded to the latest requests of this node. */
   get isStoreResponding(): boolean {
     return this.operators.isResponding && this.jobs.isResponding;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -261,6 +261,7 @@
       keys,
       table,
       term,
+      registrationAgeMs: () => this.mirrors.registrationAgeMs,
       countEvent: (event) => this.metrics.increment(event),
       longestLeaseMs: settings.workers.longestLeaseMs,
       keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -55,6 +55,11 @@
   placement?: TaskPlacement;
   /** Returns whether the process is behind with its events. @default never */
   isBehind?: () => boolean;
+  /**
+   * Returns the time in ms since the registrations of all workers were known to
+   * be current. @default 0
+   */
+  registrationAgeMs?: () => number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -98,6 +103,13 @@
  */
 const MAX_STUCK_DOUBLINGS = 5;
 
+/**
+ * Maximum age in ms of the registrations for a start. A worker that drains may be
+ * given no start 2 s after it has said so; a watch without changes returns each
+ * second.
+ */
+const REGISTRATION_AGE_LIMIT_MS = 1700;
+
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -373,7 +385,7 @@
 
   /** Runs a scheduling pass and requests advice for steps that need it. */
   schedule(): void {
-    if (!this.configuration) return;
+    if (!this.configuration || !this.areRegistrationsCurrent) return;
     const time = this.schedulingTime;
     this.scheduler.schedule(this.jobIndex.open, time);
     this.requestAdvice(time.nowMs);
@@ -424,6 +436,11 @@
     return this.queuesByName.get(job.definition.queue);
   }
 
+  /** Number of starts that are assigned and not answered. */
+  get openStarts(): number {
+    return this.startWindow.countOpen();
+  }
+
   /** Whether a worker runs a finite task of one of the most urgent queues. */
   runsUrgentTask(worker: WorkerState): boolean {
     for (const {job, step} of worker.tasks) {
@@ -692,12 +709,19 @@
     }
   }
 
+  /** Whether a worker that drains would be known to drain. */
+  private get areRegistrationsCurrent(): boolean {
+    const ageMs = this.options.registrationAgeMs?.() ?? 0;
+    return ageMs <= REGISTRATION_AGE_LIMIT_MS;
+  }
+
   private sendStart(task: TaskState): void {
     if (task.state !== 'assigned') return;
     const worker = this.workerOf(task);
     const canStart =
       worker &&
       !worker.hasEnded &&
+      this.areRegistrationsCurrent &&
       !worker.registration.isDraining &&
       worker.isWithinCapacityFor(task.step);
     if (task.job.isFinal || !canStart) {
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -38,6 +38,11 @@
   longestLeaseMs: number;
   /** Retention time in ms of finished jobs. */
   keepFinishedMs: number;
+  /**
+   * Returns the time in ms since the registrations of all workers were known to
+   * be current. @default 0
+   */
+  registrationAgeMs?: () => number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -269,6 +274,8 @@
     this.loadLogMs = nowMs;
     this.options.log.logSummary('owner-load', {
       delayMs: Math.round(this.delay.delayMs(nowMs)),
+      openStarts: this.orchestrator.openStarts,
+      registrationAgeMs: Math.round(this.options.registrationAgeMs?.() ?? 0),
       spentMs: Object.fromEntries(
         [...this.spentMs].map(([name, spent]) => [name, Math.round(spent)]),
       ),
