Make older builds leave out jobs whose changes they cannot read

Records now begin with a format number, at which the decoder of such a build fails; it then leaves the job out, as it does with any unreadable record. Records without the number are read as before.

The new test failed before: the second field of a record is an array, which an older build takes for the occurrences. No mixed fleet was run.

--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -82,6 +82,12 @@
   hasBegun?: 1,
 ];
 
+/**
+ * Stands before the phase in a progress record. Builds that do not know that
+ * changes may stand beside a record fail to decode it, and leave the job out.
+ */
+const PROGRESS_FORMAT = 2;
+
 /** Encodes a submission as CBOR. */
 export function encodeSubmission(record: SubmissionRecord): Buffer {
   return encode(record);
@@ -95,6 +101,7 @@
 /** Encodes progress as CBOR, with arrays for tasks to keep the value small. */
 export function encodeProgress(record: ProgressRecord): Buffer {
   return encode([
+    PROGRESS_FORMAT,
     record.phase,
     record.occurrences.map(({number, isDone, steps}) => [
       number,
@@ -107,8 +114,10 @@
 
 /** Decodes the result of {@link encodeProgress}. */
 export function decodeProgress(value: Buffer): ProgressRecord {
-  // Builds up to 47249dc stored no version.
-  const [phase, occurrences, version = 0] = decode(value) as [
+  const fields = decode(value) as unknown[];
+  if (fields[0] === PROGRESS_FORMAT) fields.shift();
+  // Builds up to 47249dc stored neither a format nor a version.
+  const [phase, occurrences, version = 0] = fields as [
     JobPhase,
     Array<[number, boolean, TaskRow[][]]>,
     number?,
--- a/src/work/job_records_test.ts
+++ b/src/work/job_records_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {encode} from 'cbor-x';
+import {decode, encode} from 'cbor-x';
 
 import {JobPhase} from './job_definition.js';
 import {decodeProgress, encodeProgress, TaskRecord} from './job_records.js';
@@ -60,3 +60,16 @@
   assert.deepEqual(tasks![0], TASK);
   assert.deepEqual(tasks![1]!.crashes, {counts, losses: []});
 });
+
+test('a record without a format is read, and one with it fails in older builds', () => {
+  // Older builds ignore the changes beside a record. Guards against a takeover
+  // by one of them that starts tasks which run already.
+  const older = encode([JobPhase.RUNNING, [[0, false, [[[3, 2, 1, 0]]]]]]);
+  const {version, phase, occurrences} = decodeProgress(older);
+  assert.deepEqual([version, phase], [0, JobPhase.RUNNING]);
+  assert.equal(occurrences[0]!.steps[0]![0]!.run, 2);
+  const value = encodeProgress({version: 4, phase, occurrences});
+  assert.equal(decodeProgress(value).version, 4);
+  const [, readAsOccurrences] = decode(value) as unknown[];
+  assert.ok(!Array.isArray(readAsOccurrences));
+});
