Take the age limit of registrations from the drain notice of the workers

The limit of 1.7 s was a fixed figure; workers of the large site take starts for 4 s after they have said that they leave (bounds.drainMs), and an owner that is behind reads each answer late. The limit is now that notice, as workers.drainNoticeMs of the settings (2 s by default), less 300 ms for the start itself.

Tests: the limit follows the notice; a mirror of a store that answers each call 250 ms late and drops its history once is never 1.7 s without an answer.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -262,6 +262,7 @@
       table,
       term,
       registrationAgeMs: () => this.mirrors.registrationAgeMs,
+      drainNoticeMs: settings.workers.drainNoticeMs,
       countEvent: (event) => this.metrics.increment(event),
       longestLeaseMs: settings.workers.longestLeaseMs,
       keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -26,6 +26,11 @@
   workers: z.strictObject({
     /** Maximum lease in ms that a worker grants. */
     longestLeaseMs: milliseconds,
+    /**
+     * Time in ms after the registration of a worker says that it drains from
+     * which on it is given no start.
+     */
+    drainNoticeMs: milliseconds.default(2000),
   }),
   jobs: z.strictObject({
     /** Retention time of finished jobs in seconds. */
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -60,6 +60,11 @@
    * be current. @default 0
    */
   registrationAgeMs?: () => number;
+  /**
+   * Time in ms after a worker has said that it drains from which on it is given
+   * no start. @default 2000
+   */
+  drainNoticeMs?: number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -103,12 +108,14 @@
  */
 const MAX_STUCK_DOUBLINGS = 5;
 
+/** Default of {@link OrchestratorOptions.drainNoticeMs}. */
+const DRAIN_NOTICE_MS = 2000;
+
 /**
- * Maximum age in ms of the registrations for a start. A worker that drains may be
- * given no start 2 s after it has said so; a watch without changes returns each
- * second.
+ * Time in ms that is kept for the start itself between the last moment at which
+ * the registrations count as current and the end of the drain notice.
  */
-const REGISTRATION_AGE_LIMIT_MS = 1700;
+const START_MARGIN_MS = 300;
 
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
@@ -728,8 +735,8 @@
 
   /** Whether a worker that drains would be known to drain. */
   private get areRegistrationsCurrent(): boolean {
-    const ageMs = this.options.registrationAgeMs?.() ?? 0;
-    return ageMs <= REGISTRATION_AGE_LIMIT_MS;
+    const {registrationAgeMs, drainNoticeMs = DRAIN_NOTICE_MS} = this.options;
+    return (registrationAgeMs?.() ?? 0) <= drainNoticeMs - START_MARGIN_MS;
   }
 
   private sendStart(task: TaskState): void {
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -43,6 +43,11 @@
    * be current. @default 0
    */
   registrationAgeMs?: () => number;
+  /**
+   * Time in ms after a worker has said that it drains from which on it is given
+   * no start. @default 2000
+   */
+  drainNoticeMs?: number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
--- a/src/orchestrator/stale_registration_test.ts
+++ b/src/orchestrator/stale_registration_test.ts
@@ -6,7 +6,7 @@
 import {idleEffects} from '../../testing/idle_effects.js';
 import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
+import {Orchestrator, OrchestratorOptions} from './orchestrator.js';
 
 interface Fixture {
   orchestrator: Orchestrator;
@@ -16,12 +16,15 @@
 }
 
 /** Creates an owner with one worker and one job. */
-function createFixture(): Fixture {
+function createFixture(
+  options: Pick<OrchestratorOptions, 'drainNoticeMs'> = {},
+): Fixture {
   const sent: string[] = [];
   const state = {registrationAgeMs: 0};
   const orchestrator = createOrchestrator({
     effects: idleEffects({start: ({name}) => sent.push(name)}),
     registrationAgeMs: () => state.registrationAgeMs,
+    ...options,
   });
   orchestrator.upsertWorker(simpleWorker('w'));
   const report = {clockMs: 0, bornMs: 1, running: [], ended: []};
@@ -56,3 +59,13 @@
   applyPending(orchestrator.takePending());
   assert.deepEqual(sent, ['a.0.0.0']);
 });
+
+test('the limit follows the drain notice of the deployment', () => {
+  // Guards against an owner that is behind and starts nothing, although workers
+  // take starts for longer after they have said that they leave.
+  const {orchestrator, sent, state} = createFixture({drainNoticeMs: 4000});
+  state.registrationAgeMs = 3600;
+  orchestrator.schedule();
+  applyPending(orchestrator.takePending());
+  assert.deepEqual(sent, ['a.0.0.0']);
+});
--- a/src/store/prefix_mirror_test.ts
+++ b/src/store/prefix_mirror_test.ts
@@ -40,14 +40,17 @@
   return createBenchOn(new MemoryStore());
 }
 
-function createBenchOn<Store extends MemoryStore>(store: Store): Bench<Store> {
+function createBenchOn<Store extends MemoryStore>(
+  store: Store,
+  {waitMs = 20} = {},
+): Bench<Store> {
   const values = new Map<string, string>();
   const mirror = new PrefixMirror({
     store,
     clock: new SystemClock(),
     log: silentLog(),
     prefix: 'a/',
-    waitMs: 20,
+    waitMs,
     onChange: ({key, value}) => {
       if (value) values.set(key, value.toString());
       else values.delete(key);
@@ -138,3 +141,41 @@
   mirror.stop();
   assert.ok(!values.has('a/2'));
 });
+
+/** Store that answers each call 250 ms late. */
+class SlowStore extends MemoryStore {
+  override async list(prefix: string): ReturnType<MemoryStore['list']> {
+    const answer = await super.list(prefix);
+    await sleep(250);
+    return answer;
+  }
+
+  override async watch(
+    ...call: Parameters<MemoryStore['watch']>
+  ): ReturnType<MemoryStore['watch']> {
+    const answer = await super.watch(...call);
+    await sleep(250);
+    return answer;
+  }
+}
+
+test('a slow store and a dropped history leave the mirror current', async () => {
+  // Guards against an owner that starts nothing any more because it takes the
+  // registrations for out of date.
+  const {store, mirror} = createBenchOn(new SlowStore(), {waitMs: 1000});
+  mirror.start();
+  await sleep(600);
+  assert.equal(mirror.isLoaded, true);
+  let oldestMs = 0;
+  const clock = new SystemClock();
+  for (let sample = 0; sample < 100; sample++) {
+    if (sample === 40) {
+      store.put('outside', Buffer.from('1'));
+      store.compact();
+    }
+    await sleep(40);
+    oldestMs = Math.max(oldestMs, clock.nowMs() - mirror.lastResponseMs);
+  }
+  mirror.stop();
+  assert.ok(oldestMs < 1700, `${oldestMs} ms without a response`);
+});
