--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -544,7 +544,9 @@
 
   private endRun(task: TaskState, how: string): void {
     if (!task.isPlaced) return;
-    if (LOST_RUN_ENDS.has(how)) task.job.history.lostRuns += 1;
+    if (task.hasBegun && LOST_RUN_ENDS.has(how)) {
+      task.job.history.lostRuns += 1;
+    }
     this.options.log.logDetail('run-ended', {
       task: task.name,
       run: task.run,
--- a/src/orchestrator/start_in_doubt_test.ts
+++ b/src/orchestrator/start_in_doubt_test.ts
@@ -78,6 +78,11 @@
     this.orchestrator.cancel(jobId);
   }
 
+  /** Returns the number of runs of a job that were lost with their worker. */
+  countLostRuns(jobId: string): number {
+    return this.orchestrator.jobs.get(jobId)!.history.summary().lostRuns;
+  }
+
   phaseOf(jobId: string): JobPhase {
     return this.orchestrator.jobs.get(jobId)!.phase;
   }
@@ -94,6 +99,16 @@
   assert.notEqual(bench.phaseOf('job'), JobPhase.FAILED);
 });
 
+test('a start that nobody has seen is no lost run', () => {
+  // Guards against a line about the end of a job that tells of runs which have
+  // never begun.
+  const bench = new CrashBench(['job', 'other']);
+  bench.crashWorker(IN_DOUBT);
+  assert.equal(bench.countLostRuns('job'), 0);
+  bench.crashWorker(CONFIRMED);
+  assert.equal(bench.countLostRuns('job'), 1);
+});
+
 test('crashes after two starts that were seen end a job', () => {
   // Guards against a third worker that is lost although the cause is clear.
   const bench = new CrashBench(['job', 'other']);
@@ -228,7 +243,7 @@
 });
 
 /** Seeds with which owners are replaced while crashes are not counted yet. */
-const LATE_SEEDS = [108, 262];
+const LATE_SEEDS = [108, 194, 262];
 
 test('crashing tasks are given up in time while owners are replaced', () => {
   // Guards against a task that takes six workers and more, because its first
