Estimate the wait of a burst by the slots that have been in use

Callers saw some of 300 requests refused with code 2005 (deadline unreachable) within 0.4 s, although they gave 5 s and the burst ended in well under that.

Cause: until the rate of a queue is measured, the expected wait is its position times the run time divided by the slots in use at that moment. The most slots that the service has used are taken instead.

The new test failed before: 99 of 300 requests were admitted. The caller of the tests keeps the text of a refusal. Some refusals named 24,958 ms; their cause is a rate measured over the first second and is not changed here.

--- a/src/admission/fair_queueing_policy_test.ts
+++ b/src/admission/fair_queueing_policy_test.ts
@@ -177,6 +177,19 @@
   assert.equal(driver.policy.offer({...short, deadlineMs: 1e6}).admitted, true);
 });
 
+// Guards against requests that are refused at the start of a burst although they
+// would end long before their deadline: few slots are in use at that moment.
+test('a burst is admitted by the slots that the service has used before', () => {
+  const driver = new Driver([{customer: 'one'}]);
+  driver.offer(96);
+  driver.serve(96, 48, 50);
+  driver.clock.advance(1000);
+  driver.offer(1);
+  driver.policy.dequeue(SERVICE);
+  const deadlineMs = driver.clock.nowMs() + 5000;
+  assert.equal(driver.offer(300, {deadlineMs}), 300);
+});
+
 // Guards against a requeued request that overtakes more urgent ones, loses its
 // position among the requests of its caller, or stays charged to its caller.
 test('a requeued request waits for its turn again', () => {
--- a/src/admission/service_queue.ts
+++ b/src/admission/service_queue.ts
@@ -80,6 +80,8 @@
   private readonly floors = new FloorScheduler<Account>();
   private readonly runTime = new RunTimeMean();
   private slotsInUse = 0;
+  /** Most slots in use at once since the queue was created. */
+  private mostSlotsInUse = 0;
   private waitingTotal = 0;
 
   /** @param classFloor - Fraction of slots guaranteed to each class, 0 to 1. */
@@ -160,6 +162,7 @@
     const costMs = this.runTimeMs(queued.request.urgency);
     this.remove(queued);
     this.slotsInUse += 1;
+    this.mostSlotsInUse = Math.max(this.mostSlotsInUse, this.slotsInUse);
     queued.chargedMs = costMs;
     classQueue.rate.recordDequeue();
     classQueue.customers.charge(customer, costMs);
@@ -225,9 +228,10 @@
   }
 
   private dequeueIntervalMs(classQueue: ClassQueue, nowMs: number): number {
-    // Until the dequeue rate is known, the class is assumed to get all slots.
+    // Until the dequeue rate is known, the class is assumed to get all slots. At
+    // the start of a burst most of them are not in use yet.
     const runTimeMs = this.runTime.estimateMs;
-    const byRunTimeMs = runTimeMs / Math.max(1, this.slotsInUse);
+    const byRunTimeMs = runTimeMs / Math.max(1, this.mostSlotsInUse);
     return classQueue.rate.meanIntervalMs(nowMs, 2 * runTimeMs) ?? byRunTimeMs;
   }
 
--- a/testing/caller.ts
+++ b/testing/caller.ts
@@ -165,6 +165,7 @@
       code: Number(answer.headers['banyanmux-code'] ?? 0),
       status: answer.statusCode,
       isCorrect: !isSuccess || isExpectedResponse(text, {body, echo}),
+      error: isSuccess ? undefined : messageOf(text),
     };
   }
 
@@ -190,6 +191,15 @@
   }
 }
 
+/** Returns the text of a refusal; undefined if the response has none. */
+function messageOf(responseText: string): string | undefined {
+  try {
+    return (JSON.parse(responseText) as {message?: string}).message;
+  } catch {
+    return undefined;
+  }
+}
+
 function isExpectedResponse(
   text: string,
   expected: {body: string; echo: string},
