Check the lease of the term again when a start leaves its queue

An owner checks its lease before it passes a start to the HTTP client, where the start may wait up to a second for one of three connections. If the process is suspended meanwhile, the response before it is read before any timer runs, and the start is sent although the lease has ended and another node may own the partition. The worker carries it out if the new owner has not polled it yet.

--- a/src/orchestrator/command_sender.ts
+++ b/src/orchestrator/command_sender.ts
@@ -53,6 +53,7 @@
       fencingToken: term.token,
       checkpoint,
       ticket,
+      isPermitted: () => term.isLeaseValid,
     });
     if (!term.isOver) onStart(task, run, outcome);
   }
--- a/src/orchestrator/command_sender_test.ts
+++ b/src/orchestrator/command_sender_test.ts
@@ -61,6 +61,16 @@
   assert.deepEqual(outcomes, [{kind: 'done'}]);
 });
 
+test('the permission of a start ends with the lease of the term', async () => {
+  // Guards against a start that waits for a connection while the process is
+  // suspended, and is sent after the pause.
+  const {sender, task, worker, term, sent} = createFixture();
+  await sender.start(task, worker);
+  assert.equal(sent[0]!.isPermitted?.(), true);
+  term.isLeaseValid = false;
+  assert.equal(sent[0]!.isPermitted?.(), false);
+});
+
 test('an owner that was paused beyond its lease starts nothing', async () => {
   // A commit succeeds, the process is suspended, and its successor waits for
   // the leases that this owner can have granted. Guards against a start after
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -102,6 +102,11 @@
   checkpoint?: string;
   /** Ticket of the advice service. @default none */
   ticket?: string;
+  /**
+   * Returns whether the command may still be sent; it may wait for a connection
+   * first. @default it may
+   */
+  isPermitted?: () => boolean;
 }
 
 /** Command about an existing run. */
