Show a task that crashes silent workers and is never given up

If a worker crashes before it has confirmed a start and its poll times out in place of failing, the time of the loss is not known: the crash is then neither immediate nor unproven, and counts as in doubt. CrashCounts has no limit for that count, also if the task is alone on each worker and each of them is known to have been replaced. The test sees 10 crashes and no end. Not fixed: which number of them is evidence enough is a choice between this and an innocent job whose starts were sent to workers that were already down.

--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/attribute_crash_test.ts
@@ -214,3 +214,24 @@
   assert.equal(parts.get(inherited)?.isImmediate, false);
   assert.equal(parts.get(inherited)?.isUnproven, false);
 });
+
+test('a task that crashes silent workers before it is seen is given up', () => {
+  // Guards against a task that crashes one worker after another: its starts are
+  // never confirmed, and the polls of its workers time out, so that the time of
+  // the loss is not known. Nothing else is on any of them.
+  const steps = [simpleStep()];
+  const job = new JobState(simpleJob('silent', {steps}), 0);
+  const [task] = job.occurrence(0).steps[0]!.tasks;
+  const worst = 10;
+  let crashes = 0;
+  while (crashes < worst && !task!.crashes.isOverLimit) {
+    task!.apply('assigned');
+    task!.apply('committed');
+    task!.startedMs = LOST_MS - 1000;
+    const scene = {tasks: [task!], lostMs: LOST_MS, isLossTimeKnown: false};
+    task!.crashes.add(attributeCrash(scene).get(task!)!);
+    task!.apply('ended');
+    crashes += 1;
+  }
+  assert.ok(crashes < worst, `${crashes} workers crashed`);
+});
