--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -159,8 +159,6 @@
   private readonly jobs: JobDefinition[] = [];
   /** Whether a command is being executed that its worker has held back. */
   private isExecutingLate = false;
-  /** Running tasks that their worker started late, by worker id. */
-  private readonly lateRuns = new Map<string, Set<string>>();
   private readonly cancelled = new Set<string>();
   /** Workers that run a task now. */
   private readonly workersByTask = new Map<string, Set<string>>();
@@ -366,7 +364,6 @@
       onStarted: (task, run) => this.recordStart(id, task, run),
       onRemoved: (task) => {
         this.workersByTask.get(task)?.delete(id);
-        this.lateRuns.get(id)?.delete(task);
       },
       onCompleted: (task, run) => this.recordCompletion(task, run),
     });
@@ -390,8 +387,8 @@
       Math.max(run, this.latestStartedRuns.get(task) ?? 0),
     );
     workers.add(workerId);
-    if (this.isExecutingLate) this.recordLateStart(workerId, task);
-    else if (this.options.capacityChangeRate) {
+    const isOnTime = !this.isExecutingLate;
+    if (isOnTime && this.options.capacityChangeRate) {
       this.checkCapacity(workerId, task);
     }
     if (this.options.crashingTasks?.includes(task)) {
@@ -399,23 +396,15 @@
     }
   }
 
-  private recordLateStart(workerId: string, task: string): void {
-    const late = this.lateRuns.get(workerId) ?? new Set();
-    this.lateRuns.set(workerId, late.add(task));
-  }
-
   /**
-   * Checks that the runs on a worker fit a capacity it lately had. No owner
-   * knows of starts that the worker has held back. Best-effort tasks do not
-   * count.
+   * Checks that the runs on a worker fit a capacity it lately had. Best-effort
+   * tasks do not count.
    */
   private checkCapacity(workerId: string, task: string): void {
     if (this.stepOf(task).usesLeftoverCpu) return;
-    const late = this.lateRuns.get(workerId);
     const cpu = this.workers
       .get(workerId)!
-      .running.filter((name) => !late?.has(name))
-      .map((name) => this.stepOf(name))
+      .running.map((name) => this.stepOf(name))
       .filter(({usesLeftoverCpu}) => !usesLeftoverCpu)
       .reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
     const {capacity} = this.registered.get(workerId)!;
