Let a suspect use the worker that is reserved for it

Tasks of a step share the workers that were found for the task before them, if their scores are the same. The reservation of a worker for one suspect was left out of this comparison: another suspect of the step that may not use the worker came first, found none, and the one for which the worker is kept free found none either, until the reservation ended a second later. A suspect with a reservation now looks for itself, and so does the one after it.

The test fails without the change (no assignment in place of 'w'); with it, it passes, as do suspect_isolation, suspect_placement, task_scheduler, unplaceable_steps, task_placement, waiting_task and idle_capacity.

--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -312,6 +312,7 @@
   private crashedAddress: string | undefined;
   private isSuspect = false;
   private wasRefused = false;
+  private hasReservation = false;
 
   constructor(
     private readonly options: TaskSchedulerOptions,
@@ -344,7 +345,10 @@
     task: TaskState,
     preferredRack: string | undefined,
   ): CandidateSet {
+    const hasReservation = this.isReservedFor(task);
     const isSame =
+      !hasReservation &&
+      !this.hasReservation &&
       this.preferredRack === preferredRack &&
       this.isSuspect === task.isSuspect &&
       this.failedWorkerId === task.failedWorkerId &&
@@ -357,12 +361,20 @@
     this.crashedAddress = task.crashedAddress;
     this.isSuspect = task.isSuspect;
     this.wasRefused = task.refusedBy.size > 0;
+    this.hasReservation = hasReservation;
     const {placement} = this.options;
     const context = {...this.context, preferredRack};
     const {workers} = this;
     this.candidates = new CandidateSet({task, workers, placement, context});
     return this.candidates;
   }
+
+  /** Returns whether a worker is kept free for a task, and only for it. */
+  private isReservedFor(task: TaskState): boolean {
+    if (!task.isSuspect) return false;
+    const {nowMs} = this.context;
+    return this.workers.some((worker) => worker.reservedFor(nowMs) === task);
+  }
 }
 
 /** Returns tasks with those that may crash their worker at the end. */
