--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -7,6 +7,7 @@
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
 import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
+import {blockRefusingWorker} from './block_refusing_worker.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
@@ -20,6 +21,7 @@
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {StuckRuns} from './stuck_runs.js';
 import {StartWindow} from './start_window.js';
 import {StepAdvice} from './step_advice.js';
 import {StepContexts} from './step_contexts.js';
@@ -78,36 +80,6 @@
 /** Time in ms after which an unanswered stop command is sent again. */
 const STOP_RESEND_MS = 600;
 
-/** Time in ms for which a worker that reports itself unhealthy is blocked. */
-const UNHEALTHY_BLOCK_MS = 1500;
-
-/**
- * Time in ms for which a worker is blocked that no connection could be opened
- * to; by then its poll has failed or a report shows that it is back.
- */
-const UNREACHABLE_BLOCK_MS = 500;
-
-/** Time in ms for which a worker that lacked capacity is blocked. */
-const NO_ROOM_BLOCK_MS = 300;
-
-/** Time in ms for which a worker with a stuck task is blocked. */
-const STUCK_BLOCK_MS = 6000;
-
-/** Time in ms without progress after which a task counts as stuck. */
-const STUCK_AFTER_MS = 1800;
-
-/**
- * Fraction of the blocked workers of a service from which no more are blocked
- * for runs without progress.
- */
-const MAX_STUCK_SHARE = 0.5;
-
-/**
- * Maximum number of times that the time without progress is doubled for a task,
- * once for each of its runs that was stopped for it: it may just be slow.
- */
-const MAX_STUCK_DOUBLINGS = 5;
-
 /** Default of {@link OrchestratorOptions.drainNoticeMs}. */
 const DRAIN_NOTICE_MS = 2000;
 
@@ -124,9 +96,6 @@
   EndKind.LEASE_ENDED,
 ]);
 
-/** Additional time without progress, as a fraction of the task estimate. */
-const STUCK_ESTIMATE_FRACTION = 0.1;
-
 /**
  * Decides which tasks run on which workers. Performs no I/O: events are passed
  * to its methods and commands go through {@link OrchestratorEffects}.
@@ -144,6 +113,7 @@
   private readonly waits: WaitMonitor;
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
+  private readonly stuckRuns: StuckRuns;
   private configuration: Configuration | undefined;
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
@@ -164,6 +134,10 @@
       onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
       onCounted: (task) => this.handleCrashCount(task),
     });
+    this.stuckRuns = new StuckRuns({
+      workers: this.workers,
+      onStuck: (task) => this.requestStop(task, 'no-progress'),
+    });
     this.changes = new PendingChanges({
       keys: options.keys,
       queueOf: (job) => this.queueOf(job),
@@ -311,7 +285,7 @@
     if (report.ended.length > 0) this.changes.addProcessedEnds(worker);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
     this.adjustSpeedLimits(worker, nowMs);
-    this.stopStuck(worker, nowMs);
+    this.stuckRuns.check(worker, nowMs);
     this.crashes.recordProgress(worker);
     if (worker.registration.isDraining) this.drain(worker);
   }
@@ -771,13 +745,7 @@
       this.advice.invalidate(stepOf(task), worker.registration.id);
     }
     const nowMs = this.options.clock.nowMs();
-    if (reason === RefusalReason.UNHEALTHY) {
-      worker.health.block(nowMs, UNHEALTHY_BLOCK_MS);
-    } else if (reason === RefusalReason.UNREACHABLE) {
-      worker.health.block(nowMs, UNREACHABLE_BLOCK_MS);
-    } else if (reason === RefusalReason.NO_ROOM) {
-      worker.health.block(nowMs, NO_ROOM_BLOCK_MS);
-    }
+    blockRefusingWorker(worker, {reason, nowMs});
   }
 
   private expireLease(worker: WorkerState, nowMs: number): void {
@@ -821,51 +789,6 @@
     }
   }
 
-  private stopStuck(worker: WorkerState, nowMs: number): void {
-    for (const task of worker.tasks) {
-      if (task.state !== 'running' || task.step.isLongRunning) continue;
-      if (task.speedLimitPercent < 100 || task.step.isGang) continue;
-      const limitMs =
-        STUCK_AFTER_MS + task.step.estimatedMs * STUCK_ESTIMATE_FRACTION;
-      const patience = 2 ** Math.min(task.stuckRuns, MAX_STUCK_DOUBLINGS);
-      if (nowMs - task.lastProgressMs < limitMs * patience) continue;
-      this.stopStuckRun(task, worker, nowMs);
-    }
-  }
-
-  /**
-   * Stops a run that makes no progress. Its worker is blocked unless half of the
-   * workers of its service are: then the tasks are the likely cause, and would
-   * keep the work of others from all workers.
-   */
-  private stopStuckRun(
-    task: TaskState,
-    worker: WorkerState,
-    nowMs: number,
-  ): void {
-    task.stuckRuns += 1;
-    task.failedWorkerId = worker.registration.id;
-    worker.health.recordFailure(nowMs);
-    if (
-      this.blockedShareOf(worker.registration.service, nowMs) < MAX_STUCK_SHARE
-    ) {
-      worker.health.block(nowMs, STUCK_BLOCK_MS);
-    }
-    this.requestStop(task, 'no-progress');
-  }
-
-  /** Returns the fraction of the workers of a service that are blocked. */
-  private blockedShareOf(service: string, nowMs: number): number {
-    let blocked = 0;
-    let total = 0;
-    for (const {registration, isRegistered, health} of this.workers.values()) {
-      if (registration.service !== service || !isRegistered) continue;
-      total += 1;
-      if (health.isBlocked(nowMs)) blocked += 1;
-    }
-    return blocked / Math.max(1, total);
-  }
-
   private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
     this.bestEffort.removeTasks(job.tasks());
