Count a crash under a start in doubt that was alone on its worker

Found by the review: a task that crashes its workers before it confirms a start, and whose workers are noticed by polls that time out, was never given up, since such crashes counted as starts in doubt, which end no job.

Such a crash is a likely one now if the task was a suspect before and nothing else was on the worker; three of them end the job. A start in doubt beside anything else still ends none.

--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/crash_counts.ts
@@ -79,6 +79,10 @@
       if (isAlone && isImmediate) this.increment('causedAlone');
     } else if (isOnlyTask && (isUnproven || (isCause && hasBegun))) {
       this.increment('likely');
+    } else if (isCause && isOnlyTask && isAlone) {
+      // Neither the run nor the time of the loss was seen, but nothing else was
+      // sent there.
+      this.increment('likely');
     } else {
       this.increment(hasBegun ? 'suspected' : 'inDoubt');
     }
--- a/src/orchestrator/crash_counts_test.ts
+++ b/src/orchestrator/crash_counts_test.ts
@@ -66,6 +66,16 @@
   assert.equal(isOverLimit(onBadMachine, onBadMachine, onBadMachine), true);
 });
 
+test('three crashes of silent workers on which nothing else was end a job', () => {
+  // Guards against a task that crashes its workers before a start is confirmed,
+  // and whose workers are noticed only by polls that time out.
+  const silent = crash(CAUSE, {...LATE, ...IN_DOUBT, isAlone: true});
+  assert.equal(isOverLimit(silent, silent), false);
+  assert.equal(isOverLimit(silent, silent, silent), true);
+  const beside = {...silent, isAlone: false};
+  assert.equal(isOverLimit(beside, beside, beside, beside), false);
+});
+
 test('crashes beside a more likely cause never end a job', () => {
   // Guards against an innocent job that is given up because it stood on four
   // workers that other tasks crashed.
