Take the age of the registrations from when the store can have answered

An owner that is behind by 3 s, or a response that takes as long, made it 0 while the drain notice of a worker waited unread, and tasks were started there. It is now measured from the end of the wait that the watch asked for, if that is earlier, so that lateness counts; a quiet store makes no difference. A watch that is answered with a change before its wait has ended may still count up to a second too young.

--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -124,7 +124,7 @@
 
   /** Time in ms since the store told which workers are registered. */
   get registrationAgeMs(): number {
-    return this.options.clock.nowMs() - this.registry.lastResponseMs;
+    return this.options.clock.nowMs() - this.registry.knownAsOfMs;
   }
 
   /** Whether the store responded to the latest requests of this node. */
--- a/src/store/prefix_mirror.ts
+++ b/src/store/prefix_mirror.ts
@@ -28,6 +28,11 @@
   revision = 0;
   /** Time in ms of the last response of the store; -Infinity before. */
   lastResponseMs = -Infinity;
+  /**
+   * Time in ms as of which the keys are known; -Infinity before the first
+   * listing. Earlier than {@link lastResponseMs} if a response was read late.
+   */
+  knownAsOfMs = -Infinity;
   private readonly revisions = new Map<string, number>();
   /** Revisions of deletions that arrived while a listing was in progress. */
   private readonly deletions = new Map<string, number>();
@@ -72,8 +77,10 @@
   async reload(): Promise<void> {
     this.listings += 1;
     try {
-      const {store, prefix} = this.options;
+      const {store, prefix, clock} = this.options;
+      const sentMs = clock.nowMs();
       this.applyListing(await store.list(prefix));
+      this.recordKnown(sentMs);
     } finally {
       this.listings -= 1;
       if (this.listings === 0) this.deletions.clear();
@@ -117,6 +124,7 @@
 
   private async watchOnce(): Promise<void> {
     const {store, prefix, clock, waitMs = 1000} = this.options;
+    const sentMs = clock.nowMs();
     const result = await store.watch(prefix, {
       afterRevision: this.revision,
       waitMs,
@@ -131,6 +139,9 @@
       return;
     }
     this.lastResponseMs = clock.nowMs();
+    // A watch without changes is answered after `waitMs`; one with changes
+    // earlier, so that this may be up to `waitMs` too late.
+    this.recordKnown(Math.min(this.lastResponseMs, sentMs + waitMs));
     for (const change of result.changes) {
       // A concurrent listing has already covered changes up to its revision.
       if (change.revision > this.revision) this.apply(change);
@@ -139,6 +150,10 @@
     if (result.changes.length > 0) this.options.onBatch?.();
   }
 
+  private recordKnown(asOfMs: number): void {
+    this.knownAsOfMs = Math.max(this.knownAsOfMs, asOfMs);
+  }
+
   private apply(change: StoreChange): void {
     const known = this.revisions.get(change.key) ?? 0;
     if (change.value === undefined) {
