--- a/measure/scenarios/owner_process.ts
+++ b/measure/scenarios/owner_process.ts
@@ -19,7 +19,7 @@
   ProfileWindow,
   readProfile,
 } from '../owner_process/cost_profile.js';
-import {PlatformCounts} from '../owner_process/platform_process.js';
+import {PlatformCounts} from '../../testing/owner_platform_process.js';
 import {ScenarioOptions, ScenarioResult} from '../scenario.js';
 
 /** Default number of workers. */
@@ -105,7 +105,7 @@
   child: ChildProcess;
   counts: () => PlatformCounts;
 } {
-  const child = fork('build/measure/owner_process/platform_process.js', [
+  const child = fork('build/testing/owner_platform_process.js', [
     JSON.stringify(argument),
   ]);
   let latest: PlatformCounts | undefined;
--- a/measure/owner_process/load_worker.ts
+++ b/testing/load_worker.ts
@@ -1,7 +1,7 @@
 import {Server as HttpServer} from 'node:http';
 import {AddressInfo, createServer} from 'node:net';
 
-import {RandomSource} from '../../src/random/random_source.js';
+import {RandomSource} from '../src/random/random_source.js';
 
 /** Body of a command or poll of the executors' protocol. */
 export interface WorkerCall {
--- a/measure/owner_process/platform_process.ts
+++ b/testing/owner_platform_process.ts
@@ -1,13 +1,13 @@
 import {createServer, IncomingMessage, ServerResponse} from 'node:http';
 
-import {sleep} from '../../src/clock/sleep.js';
-import {PartitionKeys} from '../../src/leadership/partition_keys.js';
-import {SeededRandom} from '../../src/random/seeded_random.js';
-import {JobDefinition, StepDefinition} from '../../src/work/job_definition.js';
-import {encodeSubmission} from '../../src/work/job_records.js';
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
-import {readJson, writeJson} from '../../testing/stand_in_http.js';
-import {StoreStandIn} from '../../testing/store_stand_in.js';
+import {sleep} from '../src/clock/sleep.js';
+import {PartitionKeys} from '../src/leadership/partition_keys.js';
+import {SeededRandom} from '../src/random/seeded_random.js';
+import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
+import {encodeSubmission} from '../src/work/job_records.js';
+import {simpleJob, simpleStep} from './simple_definitions.js';
+import {readJson, writeJson} from './stand_in_http.js';
+import {StoreStandIn} from './store_stand_in.js';
 import {
   listenFor,
   LoadWorker,
