--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the scripts of the cases and their stand-ins into build/review/.
+set -e
+cd "$(dirname "$0")/.."
+npx tsc -p review/tsconfig.json
