Show that a job is forgotten before status_s is over

Cause: the time is counted from the owner's decision, not from when the state is stored. Case review/4: the store is down for 4.5 s while jobs end; 88.5 s after they were first shown as succeeded they are answered 410, with status_s 90 (LOST).

--- a/review/stand_ins/deployment.ts
+++ b/review/stand_ins/deployment.ts
@@ -42,6 +42,10 @@
   observer: RunObserver;
   maxAttempts?: number;
   store?: StoreOptions;
+  /** Time in s for which a state is kept (`status_s`). @default 120 */
+  keepFinishedSeconds?: number;
+  /** Whether tasks save their progress. @default false */
+  saves?: boolean;
   /** Time in ms that each gang works; all tasks are of gangs then. */
   gangWorkMs?: number;
 }
@@ -74,6 +78,7 @@
     }
     this.nodes = new Nodes({
       count: options.nodes,
+      keepFinishedSeconds: options.keepFinishedSeconds,
       record: options.record,
       storePort: () => this.store.port,
     });
@@ -202,7 +207,7 @@
   private executorOptions(number: number): ExecutorOptions {
     const {record, observer, endingOf, cpu, memoryMb} = this.options;
     return {
-      id: `ex${number + 1}`,
+      id: `i-7f3a91c${number + 1}`,
       rack: `r${Math.floor(number / 4) + 1}`,
       cpu,
       memoryMb,
@@ -211,6 +216,7 @@
       endingOf,
       needsOf: (task) => this.needsOf(task),
       gangs: this.gangs,
+      saves: this.options.saves,
     };
   }
 
--- a/review/stand_ins/executor.ts
+++ b/review/stand_ins/executor.ts
@@ -42,6 +42,8 @@
   endingOf: (run: RunName) => Ending | undefined;
   /** Returns what a task takes of the capacity. */
   needsOf: (task: string) => {cpu: number; memoryMb: number};
+  /** Whether tasks save their progress each 2 s. @default false */
+  saves?: boolean;
   /** Where the members of gangs meet. @default no task is of a gang */
   gangs?: GangHall;
 }
@@ -62,6 +64,9 @@
 /** Longest lease in ms (`maxHoldMs`). */
 const MAX_HOLD_MS = 6000;
 
+/** `checkpointIntervalS` in ms. */
+const CHECKPOINT_INTERVAL_MS = 2000;
+
 /** Ends that one answer lists at most. */
 const ENDS_IN_ANSWER = 500;
 
@@ -82,6 +87,7 @@
   /** Ends with numbers up to this one were listed before the lease lapsed. */
   private lapsedUpTo = 0;
   private readonly runs = new Map<string, Run>();
+  private readonly used = {cpu: 0, memoryMb: 0};
   private ends: End[] = [];
   private readonly highest = new Map<string, number>();
   private readonly waiters = new Set<() => void>();
@@ -111,6 +117,7 @@
     for (const run of [...this.runs.values()]) {
       clearTimeout(run.timer);
       this.runs.delete(run.task);
+      this.use(run.task, -1);
       observer.ended(run, 'crashed', this);
       this.options.gangs?.leave(run);
     }
@@ -159,8 +166,9 @@
     };
   }
 
-  get runCount(): number {
-    return this.runs.size;
+  /** Thousandths of a core that its tasks request. */
+  get usedCpu(): number {
+    return this.used.cpu;
   }
 
   /** Names of the tasks that run here. */
@@ -225,6 +233,7 @@
       setTimeout(() => this.end(name.task, ending.how), ending.afterMs);
     const startedMs = performance.now();
     this.runs.set(name.task, {...name, startedMs, timer, checkpoint});
+    this.use(name.task, 1);
     if (checkpoint !== '') {
       record.add(`${name.task} run ${name.run} carries "${checkpoint}"`);
     }
@@ -237,14 +246,17 @@
 
   private hasRoomFor(task: string): boolean {
     const {needsOf, cpu, memoryMb} = this.options;
-    let usedCpu = 0;
-    let usedMemory = 0;
-    for (const name of [task, ...this.runs.keys()]) {
-      const needs = needsOf(name);
-      usedCpu += needs.cpu;
-      usedMemory += needs.memoryMb;
-    }
-    return usedCpu <= cpu && usedMemory <= memoryMb;
+    const needs = needsOf(task);
+    return (
+      this.used.cpu + needs.cpu <= cpu &&
+      this.used.memoryMb + needs.memoryMb <= memoryMb
+    );
+  }
+
+  private use(task: string, sign: 1 | -1): void {
+    const needs = this.options.needsOf(task);
+    this.used.cpu += sign * needs.cpu;
+    this.used.memoryMb += sign * needs.memoryMb;
   }
 
   private stopRun(body: CallBody): Answer {
@@ -300,7 +312,8 @@
     const percent = ending
       ? Math.min(99, Math.floor((100 * ageMs) / ending.afterMs))
       : 100;
-    return [task, run, '', percent, this.options.needsOf(task).cpu];
+    const saved = this.options.saves ? savedAfter(ageMs) : '';
+    return [task, run, saved, percent, this.options.needsOf(task).cpu];
   }
 
   private acknowledge(lastSeen: number): void {
@@ -337,6 +350,7 @@
     const {gangs, observer} = this.options;
     const saved = gangs?.savedOf(run, run.checkpoint) ?? '';
     this.runs.delete(task);
+    this.use(task, -1);
     const highest = this.highest.get(task) ?? 0;
     this.highest.set(task, Math.max(highest, run.run));
     const number = this.nextNumber++;
@@ -359,5 +373,11 @@
   }
 }
 
+/** Checkpoint after a time of work in ms, with a new value each 2 s. */
+function savedAfter(ageMs: number): string {
+  const values = Math.floor(ageMs / CHECKPOINT_INTERVAL_MS);
+  return values === 0 ? '' : values.toString(16).padStart(16, '0');
+}
+
 /** Decoded body of a call. */
 type CallBody = {[key: string]: unknown};
--- a/review/stand_ins/nodes.ts
+++ b/review/stand_ins/nodes.ts
@@ -19,6 +19,8 @@
   record: Record;
   /** Port of the store, by number of the node. */
   storePort: (node: number) => number;
+  /** Time in s for which a state is kept (`status_s`). @default 120 */
+  keepFinishedSeconds?: number;
 }
 
 /** Program and arguments of `run` in deploy/system.toml, without settings. */
@@ -149,7 +151,7 @@
       store: {address: `127.0.0.1:${this.options.storePort(number)}`},
       processor: {share: 0.675, speed: 1},
       workers: {longestLeaseMs: 6000, drainNoticeMs: 2000},
-      jobs: {keepFinishedSeconds: 120},
+      jobs: {keepFinishedSeconds: this.options.keepFinishedSeconds ?? 120},
       stop: {gracePeriodSeconds: 6},
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
--- a/review/stand_ins/store.ts
+++ b/review/stand_ins/store.ts
@@ -40,6 +40,7 @@
   port = 0;
   /** Number of transactions refused because of a value that is too long. */
   tooLong = 0;
+  private isDown = false;
   private revision = 100;
   private readonly items = new Map<string, Item>();
   private readonly history: Event[] = [];
@@ -52,7 +53,9 @@
   constructor(private readonly options: StoreOptions = {}) {
     this.server = serve(async (call) => {
       await sleep(this.options.answerMs ?? 4);
-      return this.handle(call.method, call.url, call.body);
+      if (this.isDown) return {status: 503};
+      const answer = await this.handle(call.method, call.url, call.body);
+      return this.isDown ? {status: 503} : answer;
     });
     this.timer = setInterval(() => this.endLeases(), 50);
   }
@@ -67,6 +70,17 @@
     this.server.close();
   }
 
+  /** Answers 503 to all calls for a time in ms; leases pause meanwhile. */
+  async goDown(forMs: number): Promise<void> {
+    this.isDown = true;
+    const sinceMs = performance.now();
+    this.wake();
+    await sleep(forMs);
+    const downMs = performance.now() - sinceMs;
+    for (const lease of this.leases.values()) lease.endsMs += downMs;
+    this.isDown = false;
+  }
+
   /** Writes a key as the operator or an executor does. */
   put(key: string, value: unknown): void {
     this.revision += 1;
@@ -226,6 +240,7 @@
   }
 
   private endLeases(): void {
+    if (this.isDown) return;
     const nowMs = performance.now();
     for (const [id, {endsMs}] of [...this.leases]) {
       if (endsMs <= nowMs) this.endLease(id);
