--- a/review/2/one_crash.ts
+++ b/review/3/one_crash.ts
@@ -4,7 +4,7 @@
 import {RunRules} from '../stand_ins/run_rules.js';
 
 const isTrouble = process.env.TROUBLE !== '0';
-const record = new Record('review/2/record.txt');
+const record = new Record('review/3/record.txt');
 const rules = new RunRules(record);
 
 /** A scheduled job: two tasks of 28 s, every 3 s. */
