Set case 1 of the review so that it does not depend on a race

The calls to executors now take 5.4 ms one way, as between zones, and the tasks begin to end after the kill. Ports are no longer drawn from those of outgoing connections, a possible cause.

--- a/review/1/many_ends.ts
+++ b/review/1/many_ends.ts
@@ -7,10 +7,16 @@
 const record = new Record('review/1/record.txt');
 const rules = new RunRules(record);
 
-/** Jobs of 36 tasks, each of which takes 1.7 s of a small part of an executor. */
-const JOBS = 40;
+/** Jobs of 36 tasks, each of which takes 3.5 s of a small part of an executor. */
+const JOBS = 36;
 const TASKS = 36;
-const TASK_MS = 1700;
+const TASK_MS = 3500;
+
+/** Time in ms for which no node is up. */
+const DOWN_MS = 2800;
+
+/** One way in ms between zones, as on the sheet. */
+const ZONE_DELAY_MS = 5.4;
 
 const deployment = new Deployment({
   record,
@@ -20,6 +26,7 @@
   memoryMb: 128_000,
   endingOf: () => ({afterMs: TASK_MS, how: 'done'}),
   observer: rules,
+  executorDelayMs: ZONE_DELAY_MS,
 });
 
 async function play(): Promise<number> {
@@ -42,7 +49,7 @@
     await Promise.all(
       deployment.nodes.all.map((node) => deployment.nodes.kill(node)),
     );
-    await sleep(1400);
+    await sleep(DOWN_MS);
     for (const node of deployment.nodes.all) deployment.nodes.launch(node);
   }
   await sleep(isTrouble ? 14_000 : 8000);
--- a/review/stand_ins/deployment.ts
+++ b/review/stand_ins/deployment.ts
@@ -44,6 +44,8 @@
   store?: StoreOptions;
   /** Time in s for which a state is kept (`status_s`). @default 120 */
   keepFinishedSeconds?: number;
+  /** Delay in ms between nodes and executors, one way. @default 0 */
+  executorDelayMs?: number;
   /** Whether tasks save their progress. @default false */
   saves?: boolean;
   /** Time in ms that each gang works; all tasks are of gangs then. */
@@ -217,6 +219,7 @@
       needsOf: (task) => this.needsOf(task),
       gangs: this.gangs,
       saves: this.options.saves,
+      delayMs: this.options.executorDelayMs,
     };
   }
 
--- a/review/stand_ins/executor.ts
+++ b/review/stand_ins/executor.ts
@@ -1,7 +1,7 @@
 import {Server} from 'node:http';
 
 import {GangHall} from './gang_hall.js';
-import {Answer, listen, serve} from './http.js';
+import {Answer, listen, serve, sleep} from './http.js';
 import {Record} from './record.js';
 
 /** How a run ends by itself. */
@@ -42,6 +42,8 @@
   endingOf: (run: RunName) => Ending | undefined;
   /** Returns what a task takes of the capacity. */
   needsOf: (task: string) => {cpu: number; memoryMb: number};
+  /** Delay in ms of each call and of each answer. @default 0 */
+  delayMs?: number;
   /** Whether tasks save their progress each 2 s. @default false */
   saves?: boolean;
   /** Where the members of gangs meet. @default no task is of a gang */
@@ -101,9 +103,14 @@
 
   /** Starts to listen; later lives use the same port. */
   async start(): Promise<void> {
-    this.server = serve(({url, body, headers}) =>
-      this.handle(url.pathname, body, headers['expected-instance']),
-    );
+    const {delayMs = 0} = this.options;
+    this.server = serve(async ({url, body, headers}) => {
+      if (delayMs > 0) await sleep(delayMs);
+      const instance = headers['expected-instance'];
+      const answer = await this.handle(url.pathname, body, instance);
+      if (delayMs > 0) await sleep(delayMs);
+      return answer;
+    });
     this.port = await listen(this.server, this.port);
     this.isUp = true;
   }
--- a/review/stand_ins/http.ts
+++ b/review/stand_ins/http.ts
@@ -1,5 +1,5 @@
 import {createServer, IncomingMessage, request, Server} from 'node:http';
-import {AddressInfo, createServer as createSocketServer} from 'node:net';
+import {createServer as createSocketServer} from 'node:net';
 
 /** Response of a stand-in; undefined means that none is sent. */
 export interface Answer {
@@ -48,37 +48,44 @@
 }
 
 /** Listens on a port of 127.0.0.1; returns the port, a free one if 0. */
-export function listen(server: Server, port = 0): Promise<number> {
+export async function listen(server: Server, port = 0): Promise<number> {
+  const chosen = port === 0 ? (await freePorts(1))[0]! : port;
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, '127.0.0.1', () => {
+    server.listen(chosen, '127.0.0.1', () => {
       server.off('error', reject);
-      resolve((server.address() as AddressInfo).port);
+      resolve(chosen);
     });
   });
 }
 
-/** Returns ports of 127.0.0.1 that are free now. */
+/** Ports from which free ones are drawn; outgoing connections use higher ones. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
+const drawnPorts = new Set<number>();
+
+/** Returns ports of 127.0.0.1 that are free now, each only once. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createSocketServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) =>
-          server.listen(0, '127.0.0.1', () =>
-            resolve((server.address() as AddressInfo).port),
-          ),
-        ),
-    ),
-  );
-  await Promise.all(
-    servers.map(
-      (server) => new Promise<void>((resolve) => server.close(() => resolve())),
-    ),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const range = LAST_PORT - FIRST_PORT;
+    const port = FIRST_PORT + Math.floor(Math.random() * range);
+    if (drawnPorts.has(port) || !(await isFree(port))) continue;
+    drawnPorts.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
+function isFree(port: number): Promise<boolean> {
+  const server = createSocketServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
 /** Sends one request; status 0 means that there was no complete response. */
 export function call(
   options: {
--- a/review/stand_ins/nodes.ts
+++ b/review/stand_ins/nodes.ts
@@ -46,7 +46,14 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'review-'));
   private isStopped = false;
 
-  constructor(private readonly options: NodesOptions) {}
+  constructor(private readonly options: NodesOptions) {
+    // A script that is ended from outside ends its programs, too.
+    process.once('SIGTERM', () => process.exit(2));
+    process.once('SIGINT', () => process.exit(2));
+    process.once('exit', () => {
+      for (const {child} of this.all) child?.kill('SIGKILL');
+    });
+  }
 
   /** Starts all nodes and waits until they are ready. */
   async start(): Promise<void> {
