--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/crash_counts.ts
@@ -45,7 +45,7 @@
   /** Whether the task may be what crashed a worker. */
   get isSuspect(): boolean {
     const {beside, inDoubt} = this.counts;
-    return this.possible + inDoubt > 0 || beside >= SUSPECT_BESIDE;
+    return this.possibleCrashes + inDoubt > 0 || beside >= SUSPECT_BESIDE;
   }
 
   /** Whether the task has crashed so many workers that it must not start. */
@@ -53,7 +53,7 @@
     const {caused, causedAlone, likely, suspected} = this.counts;
     if (causedAlone > 0 && suspected > 0) return true;
     if (caused >= MAX_CAUSED || caused + likely >= MAX_LIKELY) return true;
-    return this.possible >= MAX_POSSIBLE;
+    return this.possibleCrashes >= MAX_POSSIBLE;
   }
 
   /** Whether more than one worker has crashed under the task. */
@@ -66,6 +66,12 @@
     return this.total === 0;
   }
 
+  /** Crashes of which the task may have been the cause. */
+  get possibleCrashes(): number {
+    const {caused, likely, suspected} = this.counts;
+    return caused + likely + suspected;
+  }
+
   /** Counts one crash. */
   add(part: CrashPart): void {
     const {role, isImmediate, hasBegun = false, isAlone = false} = part;
@@ -107,14 +113,8 @@
     this.counts = {...this.counts, [count]: this.counts[count] + 1};
   }
 
-  /** Crashes of which the task may have been the cause. */
-  private get possible(): number {
-    const {caused, likely, suspected} = this.counts;
-    return caused + likely + suspected;
-  }
-
   private get total(): number {
     const {beside, inDoubt} = this.counts;
-    return this.possible + beside + inDoubt;
+    return this.possibleCrashes + beside + inDoubt;
   }
 }
--- a/src/orchestrator/critical_path.ts
+++ b/src/orchestrator/critical_path.ts
@@ -25,10 +25,14 @@
 ): number {
   const ends: number[] = [];
   job.definition.steps.forEach(({after, estimatedMs}, step) => {
-    const startMs = Math.max(0, ...after.map((earlier) => ends[earlier] ?? 0));
+    // Lists from callers may be too long to be passed as arguments.
+    const startMs = after.reduce(
+      (latestMs, earlier) => Math.max(latestMs, ends[earlier] ?? 0),
+      0,
+    );
     ends.push(startMs + (isDone(step) ? 0 : estimatedMs));
   });
-  return Math.max(0, ...ends);
+  return ends.reduce((latestMs, endMs) => Math.max(latestMs, endMs), 0);
 }
 
 function isStepDone(occurrence: OccurrenceState, step: number): boolean {
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -11,10 +11,10 @@
 
 /** Returns the record to store for a job, under its present version. */
 export function progressOf(job: JobState): ProgressRecord {
-  const {progressVersion: version, phase} = job;
+  const {progressVersion: version, phase, doneBefore} = job;
   if (job.isFinal) return {version, phase, occurrences: []};
   const occurrences = [...job.occurrences.values()].map(occurrenceRecord);
-  return {version, phase, occurrences};
+  return {version, phase, doneBefore, occurrences};
 }
 
 /** Returns what to store of tasks that changed since the latest record. */
@@ -33,10 +33,15 @@
 export function restoreProgress(job: JobState, record: ProgressRecord): void {
   job.progressVersion = record.version;
   job.phase = record.phase;
+  job.doneBefore = record.doneBefore ?? 0;
   for (const stored of record.occurrences) {
-    const occurrence = job.occurrence(stored.number);
-    if (stored.isDone) finishOccurrence(job, occurrence);
-    else restoreOccurrence(job, occurrence, stored);
+    if (!stored.isDone) {
+      restoreOccurrence(job, job.occurrence(stored.number), stored);
+    } else if (job.definition.repetitions > 0) {
+      job.restoreDoneOccurrence(stored.number);
+    } else {
+      finishOccurrence(job, job.occurrence(stored.number));
+    }
   }
 }
 
@@ -96,10 +101,11 @@
 function restoreTask(job: JobState, task: TaskState, row: TaskRecord): void {
   task.run = row.run;
   task.failures = row.failures;
-  task.checkpoint = row.checkpoint ?? '';
+  // Members of a gang share one checkpoint, which not all of them have stored.
+  if (row.checkpoint) task.checkpoint = row.checkpoint;
   if (row.crashes) {
     task.crashes.restore(toCrashCounts(row.crashes.counts));
-    task.losses.push(...row.crashes.losses);
+    task.storedLosses.push(...row.crashes.losses);
   }
   if (row.isDone) {
     task.apply('done');
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -1,7 +1,22 @@
 import {isFinalPhase, JobDefinition, JobPhase} from '../work/job_definition.js';
+import {CheckpointSlot} from './checkpoint_slot.js';
 import {JobHistory} from './job_history.js';
 import {TaskState} from './task_state.js';
 
+/**
+ * Maximum number of tasks that a scheduled job has in occurrences that are not
+ * done. Further occurrences that are due are created as these end, so that a
+ * schedule that is long overdue does not fill the memory. One occurrence exists
+ * however many tasks it has.
+ */
+export const MAX_OPEN_SCHEDULED_TASKS = 500;
+
+/**
+ * Maximum number of occurrences between the first that is not done and the last
+ * that exists; each is an entry of the progress record.
+ */
+const MAX_OCCURRENCE_SPAN = 10_000;
+
 /** Tasks of one step in one occurrence. */
 export interface StepState {
   /** Job, occurrence and number, for example "5c0e7a21d94b36f8.0.1". */
@@ -29,7 +44,11 @@
   /** Version of the latest progress record that was written; 0 before. */
   progressVersion = 0;
   readonly history = new JobHistory();
+  /** Occurrences that exist, except for those before {@link doneBefore}. */
   readonly occurrences = new Map<number, OccurrenceState>();
+  /** All occurrences of a scheduled job with lower numbers are done. */
+  doneBefore = 0;
+  private nextOccurrence = 0;
   /** Number of tasks in state 'waiting', of all occurrences created so far. */
   waitingCount = 0;
   /** Time in ms at which this owner added the job. */
@@ -65,27 +84,64 @@
     return Math.max(1, this.definition.repetitions);
   }
 
-  /** Returns an occurrence, creating it with all tasks waiting. */
+  /**
+   * Returns an occurrence, creating it with all tasks waiting.
+   *
+   * @throws Error if it is done and released; its tasks must not run again.
+   */
   occurrence(number: number): OccurrenceState {
     const known = this.occurrences.get(number);
     if (known) return known;
+    if (number < this.doneBefore) {
+      throw new Error(`Cannot create occurrence ${number}: it is done`);
+    }
     const created = this.createOccurrence(number);
     this.occurrences.set(number, created);
     return created;
   }
 
-  /** Creates the occurrences that are due; returns whether any are new. */
-  createDueOccurrences(wallMs: number): boolean {
-    const {repetitions, firstRunMs, intervalMs} = this.definition;
-    let isNew = false;
-    for (let number = 0; number < this.occurrenceCount; number++) {
-      const dueMs = repetitions > 0 ? firstRunMs + number * intervalMs : 0;
-      if (dueMs > wallMs) break;
-      if (this.occurrences.has(number)) continue;
-      this.occurrence(number);
-      isNew = true;
+  /**
+   * Creates occurrences that are due, as long as not too many tasks are open.
+   *
+   * @returns The new occurrences.
+   */
+  createDueOccurrences(wallMs: number): OccurrenceState[] {
+    const created: OccurrenceState[] = [];
+    this.nextOccurrence = Math.max(this.nextOccurrence, this.doneBefore);
+    while (this.nextOccurrence < this.occurrenceCount) {
+      const number = this.nextOccurrence;
+      if (!this.occurrences.has(number)) {
+        if (this.dueMsOf(number) > wallMs || !this.hasRoomFor(number)) break;
+        created.push(this.occurrence(number));
+      }
+      this.nextOccurrence += 1;
     }
-    return isNew;
+    return created;
+  }
+
+  /**
+   * Releases the steps of the occurrences of a scheduled job that are done.
+   *
+   * @returns The released steps.
+   */
+  releaseDoneOccurrences(): StepState[] {
+    if (this.definition.repetitions === 0) return [];
+    const released: StepState[] = [];
+    for (const occurrence of this.occurrences.values()) {
+      if (!occurrence.isDone || occurrence.steps.length === 0) continue;
+      released.push(...occurrence.steps);
+      occurrence.steps = [];
+    }
+    while (this.occurrences.get(this.doneBefore)?.isDone) {
+      this.occurrences.delete(this.doneBefore);
+      this.doneBefore += 1;
+    }
+    return released;
+  }
+
+  /** Restores a stored occurrence that is done. */
+  restoreDoneOccurrence(number: number): void {
+    this.occurrences.set(number, {number, steps: [], isDone: true});
   }
 
   /** Returns whether all predecessors of a step are done. */
@@ -108,10 +164,11 @@
     const {after, isLongRunning} = this.definition.steps[number]!;
     const idleMs = isLongRunning ? longestIdleTaskMs(step) : idleStepMs(step);
     if (idleMs === undefined) return undefined;
-    const doneMs = after.map(
-      (earlier) => occurrence.steps[earlier]!.lastDoneMs,
+    return after.reduce(
+      (sinceMs, earlier) =>
+        Math.max(sinceMs, occurrence.steps[earlier]!.lastDoneMs),
+      idleMs,
     );
-    return Math.max(idleMs, ...doneMs);
   }
 
   /**
@@ -146,18 +203,18 @@
 
   /** Whether all occurrences exist and are done. */
   get isComplete(): boolean {
-    if (this.occurrences.size < this.occurrenceCount) return false;
+    const known = this.doneBefore + this.occurrences.size;
+    if (known < this.occurrenceCount) return false;
     return [...this.occurrences.values()].every(({isDone}) => isDone);
   }
 
   /** Unix time in ms from which the objective of the job is measured. */
   get dueWallMs(): number {
-    const {repetitions, firstRunMs, intervalMs} = this.definition;
-    if (repetitions === 0) return this.acceptedWallMs;
+    if (this.definition.repetitions === 0) return this.acceptedWallMs;
     for (const {number, isDone} of this.occurrences.values()) {
-      if (!isDone) return firstRunMs + number * intervalMs;
+      if (!isDone) return this.dueMsOf(number);
     }
-    return firstRunMs;
+    return this.dueMsOf(this.doneBefore);
   }
 
   /** Iterates over the tasks of all occurrences created so far. */
@@ -167,21 +224,47 @@
     }
   }
 
+  /** Unix time in ms at which an occurrence is due; 0 if it always is. */
+  private dueMsOf(number: number): number {
+    const {repetitions, firstRunMs, intervalMs} = this.definition;
+    return repetitions > 0 ? firstRunMs + number * intervalMs : 0;
+  }
+
+  /** Returns whether a further occurrence may be created now. */
+  private hasRoomFor(number: number): boolean {
+    let openOccurrences = 0;
+    for (const {isDone} of this.occurrences.values()) {
+      if (!isDone) openOccurrences += 1;
+    }
+    if (openOccurrences === 0) return true;
+    if (number - this.doneBefore >= MAX_OCCURRENCE_SPAN) return false;
+    const tasks = this.definition.steps.reduce(
+      (sum, {taskCount}) => sum + taskCount,
+      0,
+    );
+    return (openOccurrences + 1) * tasks <= MAX_OPEN_SCHEDULED_TASKS;
+  }
+
   private createOccurrence(number: number): OccurrenceState {
-    const steps = this.definition.steps.map((step, stepNumber) => ({
-      name: `${this.definition.id}.${number}.${stepNumber}`,
-      doneCount: 0,
-      lastDoneMs: -Infinity,
-      tasks: Array.from(
-        {length: step.taskCount},
-        (_, index) =>
-          new TaskState(this, step, {
-            occurrence: number,
-            step: stepNumber,
-            index,
-          }),
-      ),
-    }));
+    const steps = this.definition.steps.map((step, stepNumber) => {
+      // The checkpoint of any member of a gang is valid for all of them.
+      const shared = step.isGang ? new CheckpointSlot() : undefined;
+      const createTask = (index: number): TaskState =>
+        new TaskState(
+          this,
+          step,
+          {occurrence: number, step: stepNumber, index},
+          shared,
+        );
+      return {
+        name: `${this.definition.id}.${number}.${stepNumber}`,
+        doneCount: 0,
+        lastDoneMs: -Infinity,
+        tasks: Array.from({length: step.taskCount}, (_, index) =>
+          createTask(index),
+        ),
+      };
+    });
     return {number, steps, isDone: false};
   }
 }
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -13,11 +13,11 @@
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
 import {JobIndex} from './job_index.js';
-import {JobState} from './job_state.js';
+import {JobState, StepState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
 import {PendingChanges} from './pending_changes.js';
-import {restartDelayMs} from './restart_delay.js';
+import {crashPauseMs, restartDelayMs} from './restart_delay.js';
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {SchedulingTime} from './scheduling_time.js';
@@ -142,7 +142,8 @@
       keys: options.keys,
       queueOf: (job) => this.queueOf(job),
       onStart: (task) => this.sendStart(task),
-      onPhases: (phases) => options.effects.publishPhases(phases),
+      onPhases: (phases) => this.publishPhases(phases),
+      onRecordTooLarge: (job) => this.failTooLargeJob(job),
     });
     const decisions = {
       workers: this.workers,
@@ -371,8 +372,10 @@
       for (const task of worker.tasks) this.resendStop(task, nowMs);
     }
     for (const job of this.jobIndex.open) {
-      if (!job.createDueOccurrences(wallMs)) continue;
-      for (const task of job.tasks()) this.registerTask(task);
+      job.releaseDoneOccurrences().forEach(this.forgetStep, this);
+      for (const {steps} of job.createDueOccurrences(wallMs)) {
+        for (const {tasks} of steps) tasks.forEach(this.registerTask, this);
+      }
     }
     const forgottenMs = nowMs - this.options.keepFinishedMs;
     for (const job of this.jobIndex.finishedUntil(forgottenMs)) {
@@ -480,12 +483,13 @@
     if (pairs.length > 0) this.options.log.logSummary('interference', {pairs});
   }
 
+  /** Registers a task that was just created or restored, once. */
   private registerTask(task: TaskState): void {
     const nowMs = this.options.clock.nowMs();
     this.tasksByName.set(task.name, task);
     task.waitingSinceMs = nowMs;
     if (task.lastActiveMs === -Infinity) task.lastActiveMs = nowMs;
-    for (const loss of task.losses.splice(0)) {
+    for (const loss of task.storedLosses.splice(0)) {
       this.crashes.restoreLoss(task, loss);
     }
     if (task.state !== 'inherited' || !task.assignment) return;
@@ -603,13 +607,20 @@
   }
 
   /**
-   * Stores the changed crash counts of a task. A task that has crashed too many
-   * workers is not started again, which ends its job.
+   * Stores the changed crash counts of a task. A finite task that has crashed too
+   * many workers is not started again, which ends its job; a long-running one is
+   * started again after a pause that grows with its crashes.
    */
   private handleCrashCount(task: TaskState): void {
     if (task.job.isFinal) return;
     this.markDirty(task.job);
     if (task.isSuspect) this.workerOf(task)?.addSuspect(task);
+    if (task.step.isLongRunning) {
+      // It runs until its job is cancelled, whatever happens to its workers.
+      const nowMs = this.options.clock.nowMs();
+      task.notBeforeMs = nowMs + crashPauseMs(task.crashes.possibleCrashes);
+      return;
+    }
     if (!task.crashes.isOverLimit) return;
     const {job, name, run} = task;
     this.options.countEvent?.(OrchestratorEvent.TASK_GIVEN_UP);
@@ -629,7 +640,6 @@
     cause: {cause?: string; task?: string} = {},
   ): void {
     job.phase = phase;
-    job.finalSinceMs = this.options.clock.nowMs();
     this.jobIndex.finish(job);
     if (phase === JobPhase.FAILED) {
       this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
@@ -649,6 +659,24 @@
     this.markDirty(job);
   }
 
+  /** Ends a job whose progress does not fit a stored value. */
+  private failTooLargeJob(job: JobState): void {
+    this.endJob(job, JobPhase.FAILED, {cause: 'record-too-large'});
+  }
+
+  /** Publishes phases that were just stored. */
+  private publishPhases(
+    phases: ReadonlyArray<[jobId: string, phase: JobPhase]>,
+  ): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const [jobId] of phases) {
+      const job = this.jobs.get(jobId);
+      // The retention time starts when callers can see the final phase.
+      if (job?.isFinal) job.finalSinceMs = Math.min(job.finalSinceMs, nowMs);
+    }
+    this.options.effects.publishPhases(phases);
+  }
+
   private requestStop(task: TaskState, reason: string): void {
     if (!task.apply('stopRequested')) return;
     task.absentAfterMs = Infinity;
@@ -791,16 +819,20 @@
 
   private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
-    this.bestEffort.removeTasks(job.tasks());
     for (const {steps} of job.occurrences.values()) {
-      for (const step of steps) this.advice.removeStep(step);
+      steps.forEach(this.forgetStep, this);
     }
     this.jobIndex.remove(job);
-    for (const task of job.tasks()) this.tasksByName.delete(task.name);
     this.changes.removeJob(job);
     this.options.effects.requestCommit();
   }
 
+  private forgetStep(step: StepState): void {
+    this.advice.removeStep(step);
+    this.bestEffort.removeTasks(step.tasks);
+    for (const {name} of step.tasks) this.tasksByName.delete(name);
+  }
+
   private requestAdvice(nowMs: number): void {
     const request = this.advice.nextRequest(
       (id) => this.workers.get(id)?.incarnation ?? 0,
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -1,5 +1,6 @@
 import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
+import {MAX_VALUE_BYTES, StoreWrite} from '../store/metadata_store.js';
 import {Queue} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
 import {JobState} from './job_state.js';
@@ -17,6 +18,8 @@
   onStart: (task: TaskState) => void;
   /** Called with the phases that are committed and have changed. */
   onPhases: (phases: ReadonlyArray<[jobId: string, phase: JobPhase]>) => void;
+  /** Called to end a job whose progress does not fit a value of the store. */
+  onRecordTooLarge: (job: JobState) => void;
 }
 
 /** Number of records of a job. */
@@ -141,9 +144,10 @@
     startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
   ): CommitBatch {
     const {onStart} = this.options;
+    const changes = jobs.map((job) => this.createWrite(job));
     const phases = jobs.map((job) => [job, job.phase] as const);
     return {
-      changes: jobs.map((job) => this.writerOf(job).createWrite()),
+      changes,
       onStored: () => {
         this.publishPhases(phases);
         for (const job of jobs) {
@@ -153,6 +157,17 @@
     };
   }
 
+  /**
+   * Returns the write for a job. One that the store would refuse for its size
+   * would keep all other changes from being stored: its job ends instead.
+   */
+  private createWrite(job: JobState): StoreWrite {
+    const write = this.writerOf(job).createWrite();
+    if (write.value.length <= MAX_VALUE_BYTES) return write;
+    this.options.onRecordTooLarge(job);
+    return this.writerOf(job).createWrite();
+  }
+
   private writerOf(job: JobState): ProgressWriter {
     let writer = this.writers.get(job);
     if (!writer) {
--- a/src/orchestrator/report_processor.ts
+++ b/src/orchestrator/report_processor.ts
@@ -30,8 +30,8 @@
   constructor(private readonly handlers: ReportHandlers) {}
 
   /**
-   * Processes a report. Tasks that it does not list have ended if the poll was
-   * sent late enough to be conclusive.
+   * Processes a report. Tasks that it does not list have ended if it is complete
+   * and the poll was sent late enough to be conclusive.
    *
    * @param times - Times in ms at which the poll was sent and answered.
    */
@@ -53,6 +53,8 @@
       }
     }
     this.handlers.onOrphanRuns(orphans, worker);
+    // The end of a task that is not listed may be among those kept back.
+    if (report.mayOmitEnds) return;
     for (const task of [...worker.tasks]) {
       if (listed.has(task) || task.state === 'assigned') continue;
       if (times.sentMs > task.absentAfterMs) {
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -1,5 +1,6 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {formatTaskName} from '../work/task_name.js';
+import {CheckpointSlot} from './checkpoint_slot.js';
 import {CrashCounts} from './crash_counts.js';
 import {CrashRole} from '../work/crash_role.js';
 import {StoredLoss} from '../work/stored_loss.js';
@@ -25,8 +26,6 @@
   failures = 0;
   /** Set while a run is or may be active on a worker. */
   assignment: Assignment | undefined;
-  /** Latest checkpoint to resume from; empty if none. */
-  checkpoint = '';
   /** Progress in percent, as last reported. */
   percent = 0;
   /** Time in ms at which `percent` last changed. */
@@ -93,6 +92,8 @@
   readonly crashes = new CrashCounts();
   /** Losses of its workers of which it is not known whether they crashed. */
   readonly losses: StoredLoss[] = [];
+  /** Losses that an earlier owner stored and this one has not taken up yet. */
+  readonly storedLosses: StoredLoss[] = [];
   /** Time in ms at which the current run was first known to be active. */
   runningSinceMs = Infinity;
   /**
@@ -107,15 +108,29 @@
   /** Worker on which the latest run failed or made no progress. */
   failedWorkerId: string | undefined;
 
+  /**
+   * @param checkpointSlot - Shared by the members of a gang, which resume from
+   *     the same checkpoint. @default one of its own
+   */
   constructor(
     readonly job: JobState,
     readonly step: StepDefinition,
     readonly position: {occurrence: number; step: number; index: number},
+    private readonly checkpointSlot = new CheckpointSlot(),
   ) {
     this.name = formatTaskName({jobId: job.definition.id, ...position});
     if (this.currentState === 'waiting') job.waitingCount += 1;
   }
 
+  /** Latest checkpoint to resume from; empty if none. */
+  get checkpoint(): string {
+    return this.checkpointSlot.value;
+  }
+
+  set checkpoint(checkpoint: string) {
+    this.checkpointSlot.value = checkpoint;
+  }
+
   /** State of the latest run, or 'waiting' if a worker has to be found. */
   get state(): RunState {
     return this.currentState;
--- a/src/orchestrator/worker_port.ts
+++ b/src/orchestrator/worker_port.ts
@@ -43,6 +43,11 @@
   bornMs: number | undefined;
   running: readonly RunningReport[];
   ended: readonly EndReport[];
+  /**
+   * Whether the worker may hold further ends that did not fit this report. A
+   * run that such a report does not list may have ended. @default false
+   */
+  mayOmitEnds?: boolean;
 }
 
 /** Why a worker refused a command. */
--- a/src/store/metadata_store.ts
+++ b/src/store/metadata_store.ts
@@ -42,6 +42,9 @@
   | {kind: 'changes'; changes: readonly StoreChange[]; revision: number}
   | {kind: 'history-lost'};
 
+/** Maximum size of a value in bytes. */
+export const MAX_VALUE_BYTES = 1_048_576;
+
 /** Maximum number of keys in one transaction. */
 export const MAX_TRANSACTION_KEYS = 32;
 
--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -49,6 +49,11 @@
   /** Rises with each record of the job; see {@link ProgressChanges}. */
   version: number;
   phase: JobPhase;
+  /**
+   * All occurrences with lower numbers are done and have no record.
+   * @default 0
+   */
+  doneBefore?: number;
   /** Empty once the phase is final. */
   occurrences: OccurrenceRecord[];
 }
@@ -88,6 +93,12 @@
  */
 const PROGRESS_FORMAT = 2;
 
+/**
+ * Format of a record that leaves out occurrences that are done. Builds that do
+ * not know it would run these again; they fail to decode it.
+ */
+const SHORTENED_PROGRESS_FORMAT = 3;
+
 /** Encodes a submission as CBOR. */
 export function encodeSubmission(record: SubmissionRecord): Buffer {
   return encode(record);
@@ -100,8 +111,9 @@
 
 /** Encodes progress as CBOR, with arrays for tasks to keep the value small. */
 export function encodeProgress(record: ProgressRecord): Buffer {
+  const {doneBefore = 0} = record;
   return encode([
-    PROGRESS_FORMAT,
+    doneBefore > 0 ? SHORTENED_PROGRESS_FORMAT : PROGRESS_FORMAT,
     record.phase,
     record.occurrences.map(({number, isDone, steps}) => [
       number,
@@ -109,22 +121,27 @@
       steps.map((tasks) => tasks.map(toRow)),
     ]),
     record.version,
+    ...(doneBefore > 0 ? [doneBefore] : []),
   ]);
 }
 
 /** Decodes the result of {@link encodeProgress}. */
 export function decodeProgress(value: Buffer): ProgressRecord {
   const fields = decode(value) as unknown[];
-  if (fields[0] === PROGRESS_FORMAT) fields.shift();
+  const isFormatStored =
+    fields[0] === PROGRESS_FORMAT || fields[0] === SHORTENED_PROGRESS_FORMAT;
+  if (isFormatStored) fields.shift();
   // Builds up to 47249dc stored neither a format nor a version.
-  const [phase, occurrences, version = 0] = fields as [
+  const [phase, occurrences, version = 0, doneBefore = 0] = fields as [
     JobPhase,
     Array<[number, boolean, TaskRow[][]]>,
     number?,
+    number?,
   ];
   return {
     version,
     phase,
+    doneBefore,
     occurrences: occurrences.map(([number, isDone, steps]) => ({
       number,
       isDone,
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -22,6 +22,7 @@
 } from '../src/work/job_definition.js';
 import {Configuration} from '../src/work/configuration.js';
 import {AdviceRequest} from '../src/orchestrator/advice_port.js';
+import {parseTaskName} from '../src/work/task_name.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeStoredProgress} from '../src/work/stored_progress.js';
 import {CapacityHistory} from './capacity_history.js';
@@ -452,12 +453,20 @@
 
   private recordCrashingStart(workerId: string, task: string): void {
     const crashes = this.countCrashes(task);
-    if (this.crashLimit.isExceededBy(task, crashes)) {
+    // Long-running tasks have no limit: they restart until they are cancelled.
+    const isLimited = !this.isLongRunning(task);
+    if (isLimited && this.crashLimit.isExceededBy(task, crashes)) {
       this.violations.push(`${task} was started again and again`);
     }
     this.scheduleMessage(0, () => this.crash(workerId));
   }
 
+  private isLongRunning(task: string): boolean {
+    const {jobId, step} = parseTaskName(task)!;
+    const job = this.jobs.find(({id}) => id === jobId);
+    return job?.steps[step]?.isLongRunning ?? false;
+  }
+
   private recordCompletion(task: string, run: number): void {
     this.completedRuns.set(task, run);
     const latest = this.latestStartedRuns.get(task) ?? 0;
