Evacuate a data centre at the request of an operator

Cause: the store's key op/evacuate/DATA-CENTRE was not read, so that work went on to start in a data centre that operators had evacuated.

Change: nodes keep the requests; the owner places nothing there, withdraws starts that wait for their commit, and checks once more when a command is written to a socket. A successor reads the requests before its first pass. GET /evacuations and banyanmux-node evacuations list them. The checks before a start move from the orchestrator to StartGuard.

--- a/src/node/banyanmux_node.ts
+++ b/src/node/banyanmux_node.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import {evacuationsCommand} from '../evacuation/evacuations_command.js';
 import {runDaemon} from '../settings/run_daemon.js';
 import {whyCommand} from '../why/why_command.js';
 import {runNode} from './node_program.js';
@@ -10,6 +11,9 @@
   schema: nodeSettingsSchema,
   run: runNode,
   commands: {
+    evacuations: evacuationsCommand({
+      write: (text) => process.stdout.write(text),
+    }),
     why: whyCommand({write: (text) => process.stdout.write(text)}),
   },
 });
--- a/src/node/metrics_listener.ts
+++ b/src/node/metrics_listener.ts
@@ -1,5 +1,9 @@
 import {RequestListener, ServerResponse} from 'node:http';
 
+import {
+  EvacuatedDataCentre,
+  EvacuationsResponse,
+} from '../evacuation/evacuations_response.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {GatewayResult} from './gateway_result.js';
 import {NodeMetrics} from './node_metrics.js';
@@ -12,16 +16,21 @@
   gateway: {explain(jobId: string): Promise<GatewayResult>};
   /** Name of this node. */
   node: string;
+  /** Returns the evacuated data centres. */
+  evacuations: () => EvacuatedDataCentre[];
   /** Returns the name of the owner of the partition, if it is known. */
   ownerName: () => string | undefined;
 }
 
+/** Path of the list of evacuated data centres. */
+const EVACUATIONS_PATH = '/evacuations';
+
 /** Path of explanations; the id of a job follows. */
 const WHY_PATH = '/why/';
 
 /**
  * Creates the listener of the metrics address, which serves operators: metrics
- * on each path but `/why/ID`, which explains a job.
+ * on each path but `/why/ID`, which explains a job, and `/evacuations`.
  */
 export function createMetricsListener(
   options: MetricsListenerOptions,
@@ -33,11 +42,28 @@
       void respondWithExplanation(jobId, response, options);
       return;
     }
+    if (path === EVACUATIONS_PATH) {
+      respondWithEvacuations(response, options);
+      return;
+    }
     response.setHeader('content-type', 'text/plain');
     response.end(options.metrics.toPrometheusText());
   };
 }
 
+function respondWithEvacuations(
+  response: ServerResponse,
+  {evacuations, node, ownerName}: MetricsListenerOptions,
+): void {
+  const body: EvacuationsResponse = {
+    node,
+    owner: ownerName(),
+    evacuations: evacuations(),
+  };
+  response.setHeader('content-type', 'application/json');
+  response.end(JSON.stringify(body));
+}
+
 async function respondWithExplanation(
   jobId: string,
   response: ServerResponse,
--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../clock/clock.js';
+import {EvacuationList} from '../evacuation/evacuation_list.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {decodeOwner, OwnerRecord} from '../leadership/owner_record.js';
 import {NodeLog} from '../logging/node_log.js';
@@ -22,6 +23,8 @@
   isLinked: () => boolean;
   /** Called with each configuration that can be decoded. */
   onConfiguration: (configuration: Configuration) => void;
+  /** Called when an evacuation is requested or taken back. */
+  onEvacuations: () => void;
   /** Called when a worker registers or changes its registration. */
   onWorker: (entry: WorkerRegistration) => void;
   /** Called when the registration of a worker is deleted. */
@@ -55,6 +58,8 @@
 export class NodeMirrors {
   /** Registered workers by id. */
   readonly workers = new Map<string, WorkerRegistration>();
+  /** Evacuations that operators have requested. */
+  readonly evacuations = new EvacuationList();
   /** Mirror of the partition's keys. */
   readonly jobs: PrefixMirror;
   private readonly operators: PrefixMirror;
@@ -100,6 +105,11 @@
     this.registry.start();
   }
 
+  /** Reads what operators have requested, which a new owner has to know. */
+  async loadOperators(): Promise<void> {
+    await this.operators.reload();
+  }
+
   /** Stops all watches. */
   stop(): void {
     for (const mirror of [this.operators, this.jobs, this.registry]) {
@@ -127,6 +137,11 @@
     return this.options.clock.nowMs() - this.registry.knownAsOfMs;
   }
 
+  /** Time in ms since the store told which evacuations are requested. */
+  get evacuationAgeMs(): number {
+    return this.options.clock.nowMs() - this.operators.knownAsOfMs;
+  }
+
   /** Whether the store responded to the latest requests of this node. */
   get isStoreResponding(): boolean {
     return this.operators.isResponding && this.jobs.isResponding;
@@ -134,6 +149,10 @@
 
   private applyOperator(change: StoreChange): void {
     const {platform, log, onConfiguration} = this.options;
+    if (change.key.startsWith(platform.evacuationPrefix)) {
+      this.applyEvacuation(change);
+      return;
+    }
     if (change.key !== platform.configurationKey || !change.value) return;
     try {
       const configuration = platform.decodeConfiguration(change.value);
@@ -148,6 +167,21 @@
     }
   }
 
+  private applyEvacuation({key, value, revision}: StoreChange): void {
+    const {platform, clock, log, onEvacuations} = this.options;
+    const dataCentre = key.slice(platform.evacuationPrefix.length);
+    const isRequested = value !== undefined;
+    log.logDecision('evacuation', {dataCentre, isRequested, revision});
+    if (dataCentre === '') return;
+    const knownSinceWallMs = clock.wallMs();
+    if (isRequested) {
+      this.evacuations.add({dataCentre, revision, knownSinceWallMs});
+    } else {
+      this.evacuations.remove(dataCentre);
+    }
+    onEvacuations();
+  }
+
   private applyJob(change: StoreChange): void {
     const {keys, onOwner} = this.options;
     if (change.key !== keys.owner) {
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -3,6 +3,7 @@
 
 import {Clock} from '../clock/clock.js';
 import {sleep} from '../clock/sleep.js';
+import {EvacuatedDataCentre} from '../evacuation/evacuations_response.js';
 import {OwnerElection} from '../leadership/owner_election.js';
 import {OwnerRecord} from '../leadership/owner_record.js';
 import {OwnerTerm} from '../leadership/owner_term.js';
@@ -151,6 +152,8 @@
       isOwner: () => this.term?.isOver === false,
       isLinked: () => this.ownerLink.isOpen,
       onConfiguration: (configuration) => this.configure(configuration),
+      onEvacuations: () =>
+        this.runtime?.setEvacuations(this.mirrors.evacuations.dataCentres),
       onWorker: (entry) => this.runtime?.upsertWorker(entry),
       onWorkerRemoved: (id) => this.runtime?.unregisterWorker(id),
       onOwner: (owner) => {
@@ -203,6 +206,7 @@
           metrics: this.metrics,
           gateway: this.gateway,
           node: settings.node,
+          evacuations: () => this.listEvacuations(),
           ownerName: () => this.ownerLink.ownerName,
         }),
       }),
@@ -263,6 +267,8 @@
       term,
       registrationAgeMs: () => this.mirrors.registrationAgeMs,
       drainNoticeMs: settings.workers.drainNoticeMs,
+      evacuationAgeMs: () => this.mirrors.evacuationAgeMs,
+      evacuationNoticeMs: settings.operators.evacuationNoticeMs,
       countEvent: (event) => this.metrics.increment(event),
       longestLeaseMs: settings.workers.longestLeaseMs,
       keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
@@ -271,6 +277,7 @@
     this.runtime.start({
       configuration: this.gateway.configuration,
       workers: this.mirrors.workers.values(),
+      evacuations: this.mirrors.evacuations.dataCentres,
       progress,
     });
   }
@@ -313,6 +320,7 @@
           platform.store.list(keys.progressPrefix),
           this.mirrors.jobs.reload(),
           this.mirrors.loadRegistry(),
+          this.mirrors.loadOperators(),
         ]);
         if (term.isOver) return undefined;
         return groupProgress(progress.items, keys);
@@ -325,6 +333,14 @@
     return undefined;
   }
 
+  private listEvacuations(): EvacuatedDataCentre[] {
+    const {requests} = this.mirrors.evacuations;
+    return requests.map((evacuation) => ({
+      ...evacuation,
+      runningTasks: this.runtime?.countTasksIn(evacuation.dataCentre),
+    }));
+  }
+
   private readGauges(table: JobTable): Record<string, number> {
     return {
       owner: this.term?.isOver === false ? 1 : 0,
@@ -332,6 +348,7 @@
       configuration_version: this.gateway.configuration?.version ?? 0,
       store_reachable: this.mirrors.isStoreReachable ? 1 : 0,
       resident_memory_bytes: process.memoryUsage.rss(),
+      evacuated_data_centres: this.mirrors.evacuations.requests.length,
       ...this.readWaitGauges(),
     };
   }
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -32,6 +32,16 @@
      */
     drainNoticeMs: milliseconds.default(2000),
   }),
+  operators: z
+    .strictObject({
+      /**
+       * Time in ms after the request of an evacuation from which on nothing
+       * starts in its data centre, also while the store is out of reach.
+       * @default no bound while the store is out of reach
+       */
+      evacuationNoticeMs: milliseconds.optional(),
+    })
+    .prefault({}),
   jobs: z.strictObject({
     /** Retention time of finished jobs in seconds. */
     keepFinishedSeconds: z.number().positive().max(86_400),
--- a/src/node/platform_binding.ts
+++ b/src/node/platform_binding.ts
@@ -18,6 +18,11 @@
   operatorPrefix: string;
   /** Key of the current configuration. */
   configurationKey: string;
+  /**
+   * Store prefix of requests to evacuate a data centre, below
+   * {@link operatorPrefix}; followed by its name.
+   */
+  evacuationPrefix: string;
   /** Store prefix of worker registrations; followed by the worker's id. */
   workerPrefix: string;
   /** Path of the load balancer's readiness probe. */
--- a/src/node/registration_age_test.ts
+++ b/src/node/registration_age_test.ts
@@ -53,6 +53,7 @@
     isOwner: () => true,
     isLinked: () => false,
     onConfiguration: () => undefined,
+    onEvacuations: () => undefined,
     onWorker: () => undefined,
     onWorkerRemoved: () => undefined,
     onOwner: () => undefined,
--- a/src/orchestrator/command_sender.ts
+++ b/src/orchestrator/command_sender.ts
@@ -31,7 +31,8 @@
   /**
    * Starts the current run of a task on its worker. Sends nothing if the lease
    * of the term may have ended, as after a pause of the process: a successor
-   * does not wait for leases that are granted later.
+   * does not wait for leases that are granted later. A start that waits for a
+   * connection is not sent either once the data centre is evacuated.
    */
   async start(task: TaskState, worker: WorkerState): Promise<void> {
     const {clock, term, port, longestLeaseMs, onStart} = this.options;
@@ -53,7 +54,7 @@
       fencingToken: term.token,
       checkpoint,
       ticket,
-      isPermitted: () => term.isLeaseValid,
+      isPermitted: () => term.isLeaseValid && !worker.isEvacuated,
     });
     if (!term.isOver) onStart(task, run, outcome);
   }
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -21,6 +21,7 @@
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
 import {StuckRuns} from './stuck_runs.js';
 import {StartWindow} from './start_window.js';
 import {StepAdvice} from './step_advice.js';
@@ -40,7 +41,7 @@
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link Orchestrator}. */
-export interface OrchestratorOptions {
+export interface OrchestratorOptions extends StartGuardOptions {
   clock: Clock;
   log: NodeLog;
   keys: PartitionKeys;
@@ -57,16 +58,6 @@
   placement?: TaskPlacement;
   /** Returns whether the process is behind with its events. @default never */
   isBehind?: () => boolean;
-  /**
-   * Returns the time in ms since the registrations of all workers were known to
-   * be current. @default 0
-   */
-  registrationAgeMs?: () => number;
-  /**
-   * Time in ms after a worker has said that it drains from which on it is given
-   * no start. @default 2000
-   */
-  drainNoticeMs?: number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -80,15 +71,6 @@
 /** Time in ms after which an unanswered stop command is sent again. */
 const STOP_RESEND_MS = 600;
 
-/** Default of {@link OrchestratorOptions.drainNoticeMs}. */
-const DRAIN_NOTICE_MS = 2000;
-
-/**
- * Time in ms that is kept for the start itself between the last moment at which
- * the registrations count as current and the end of the drain notice.
- */
-const START_MARGIN_MS = 300;
-
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -114,6 +96,7 @@
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
   private readonly stuckRuns: StuckRuns;
+  private readonly startGuard: StartGuard;
   private configuration: Configuration | undefined;
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
@@ -134,6 +117,7 @@
       onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
       onCounted: (task) => this.handleCrashCount(task),
     });
+    this.startGuard = new StartGuard(options);
     this.stuckRuns = new StuckRuns({
       workers: this.workers,
       onStuck: (task) => this.requestStop(task, 'no-progress'),
@@ -232,6 +216,11 @@
     this.endJob(job, JobPhase.CANCELLED);
   }
 
+  /** Replaces the data centres whose workers are given no start. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.registry.setEvacuations(dataCentres);
+  }
+
   /** Adds a worker or updates its registration. */
   upsertWorker(registration: WorkerRegistration): void {
     const worker = this.registry.upsert(registration);
@@ -385,7 +374,7 @@
 
   /** Runs a scheduling pass and requests advice for steps that need it. */
   schedule(): void {
-    if (!this.configuration || !this.areRegistrationsCurrent) return;
+    if (!this.configuration || !this.startGuard.isInformed) return;
     const time = this.schedulingTime;
     this.scheduler.schedule(this.jobIndex.open, time);
     this.requestAdvice(time.nowMs);
@@ -737,22 +726,12 @@
     }
   }
 
-  /** Whether a worker that drains would be known to drain. */
-  private get areRegistrationsCurrent(): boolean {
-    const {registrationAgeMs, drainNoticeMs = DRAIN_NOTICE_MS} = this.options;
-    return (registrationAgeMs?.() ?? 0) <= drainNoticeMs - START_MARGIN_MS;
-  }
-
   private sendStart(task: TaskState): void {
     if (task.state !== 'assigned') return;
     const worker = this.workerOf(task);
-    const canStart =
-      worker &&
-      !worker.hasEnded &&
-      this.areRegistrationsCurrent &&
-      !worker.registration.isDraining &&
-      worker.isWithinCapacityFor(task.step);
-    if (task.job.isFinal || !canStart) {
+    const refusal = this.startGuard.refusalOf(task, worker);
+    if (!worker || refusal !== undefined) {
+      if (refusal === StartRefusal.EVACUATED) this.recordHeldStart(task);
       this.endRun(task, 'withdrawn');
       if (task.step.isGang) this.abandonGangRun(task);
       return;
@@ -764,6 +743,17 @@
     this.options.effects.start(task, worker);
   }
 
+  /** Records that an evacuation held back the start of a task. */
+  private recordHeldStart(task: TaskState): void {
+    this.options.countEvent?.(OrchestratorEvent.START_HELD_BACK);
+    this.options.log.logDecision('start-held-back', {
+      task: task.name,
+      run: task.run,
+      worker: task.assignment?.workerId,
+      dataCentre: this.workerOf(task)?.registration.dataCentre,
+    });
+  }
+
   private handleRefusal(
     task: TaskState,
     worker: WorkerState,
--- a/src/orchestrator/orchestrator_event.ts
+++ b/src/orchestrator/orchestrator_event.ts
@@ -2,6 +2,7 @@
 export const OrchestratorEvent = {
   WORKER_CRASHED: 'worker_crashes_total',
   TASK_GIVEN_UP: 'tasks_given_up_total',
+  START_HELD_BACK: 'starts_held_back_total',
   JOB_FAILED: 'jobs_failed_total',
 } as const;
 
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -19,13 +19,14 @@
 import {EventLoopDelay} from './event_loop_delay.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
+import {StartGuardOptions} from './start_guard.js';
 import {WaitSummary} from './wait_monitor.js';
 import {WorkerPort} from './worker_port.js';
 import {WorkerSession} from './worker_session.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link OrchestratorRuntime}. */
-export interface OrchestratorRuntimeOptions {
+export interface OrchestratorRuntimeOptions extends StartGuardOptions {
   clock: Clock;
   log: NodeLog;
   store: MetadataStore;
@@ -38,16 +39,6 @@
   longestLeaseMs: number;
   /** Retention time in ms of finished jobs. */
   keepFinishedMs: number;
-  /**
-   * Returns the time in ms since the registrations of all workers were known to
-   * be current. @default 0
-   */
-  registrationAgeMs?: () => number;
-  /**
-   * Time in ms after a worker has said that it drains from which on it is given
-   * no start. @default 2000
-   */
-  drainNoticeMs?: number;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
@@ -56,6 +47,8 @@
 export interface InitialState {
   configuration: Configuration | undefined;
   workers: Iterable<WorkerRegistration>;
+  /** Data centres whose workers are given no start. */
+  evacuations: ReadonlySet<string>;
   /** Progress by job id, as the store holds it. */
   progress: ReadonlyMap<string, StoredProgress>;
 }
@@ -98,8 +91,10 @@
   }
 
   /** Starts with the jobs of the table, which must be current for this term. */
-  start({configuration, workers, progress}: InitialState): void {
+  start(initial: InitialState): void {
+    const {configuration, workers, evacuations, progress} = initial;
     const {table, log, term} = this.options;
+    this.orchestrator.setEvacuations(evacuations);
     if (configuration) this.orchestrator.configure(configuration);
     for (const worker of workers) this.upsertWorker(worker);
     for (const [jobId, entry] of table.entries) {
@@ -138,6 +133,21 @@
     this.requestScheduling();
   }
 
+  /** Replaces the data centres whose workers are given no start. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.orchestrator.setEvacuations(dataCentres);
+    this.requestScheduling();
+  }
+
+  /** Returns the number of tasks that are or may be active in a data centre. */
+  countTasksIn(dataCentre: string): number {
+    let count = 0;
+    for (const {registration, tasks} of this.orchestrator.workers.values()) {
+      if (registration.dataCentre === dataCentre) count += tasks.size;
+    }
+    return count;
+  }
+
   /** Adds a worker or updates its registration. */
   upsertWorker(registration: WorkerRegistration): void {
     this.orchestrator.upsertWorker(registration);
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -185,6 +185,7 @@
   if (!worker.hasReported) return WorkerExclusion.NOT_REPORTED;
   if (worker.hasEnded) return WorkerExclusion.ENDED;
   if (worker.registration.isDraining) return WorkerExclusion.DRAINING;
+  if (worker.isEvacuated) return WorkerExclusion.EVACUATED;
   if (worker.hasUnknownRuns) return WorkerExclusion.UNKNOWN_RUNS;
   if (worker.isSilent) return WorkerExclusion.SILENT;
   if (nowMs - worker.lastReportMs > REPORT_AGE_LIMIT_MS) {
--- a/src/orchestrator/worker_exclusion.ts
+++ b/src/orchestrator/worker_exclusion.ts
@@ -7,6 +7,8 @@
   /** Another incarnation has answered at its address. */
   ENDED: 'ended',
   DRAINING: 'draining',
+  /** Its data centre is evacuated. */
+  EVACUATED: 'evacuated',
   /** Runs something of which the request is not known. */
   UNKNOWN_RUNS: 'unknown-runs',
   /** Did not answer the latest poll. */
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -39,6 +39,7 @@
   /** Workers that are registered or may still run a task, by id. */
   readonly workers = new Map<string, WorkerState>();
   private readonly termStartMs: number;
+  private evacuations: ReadonlySet<string> = new Set();
 
   constructor(private readonly options: WorkerRegistryOptions) {
     this.termStartMs = options.clock.nowMs();
@@ -57,9 +58,16 @@
       });
     }
     existing.register(registration);
+    this.applyEvacuation(existing);
     return existing;
   }
 
+  /** Replaces the data centres whose workers are given no start. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.evacuations = dataCentres;
+    for (const worker of this.workers.values()) this.applyEvacuation(worker);
+  }
+
   /** Handles the removal of a registration; the lease may still be valid. */
   unregister(id: string): void {
     const worker = this.workers.get(id);
@@ -99,8 +107,14 @@
     this.moveTasks(worker, 0);
   }
 
+  private applyEvacuation(worker: WorkerState): void {
+    const {dataCentre} = worker.registration;
+    worker.isEvacuated = this.evacuations.has(dataCentre);
+  }
+
   private add(registration: WorkerRegistration): WorkerState {
     const worker = new WorkerState(registration);
+    this.applyEvacuation(worker);
     // A previous owner may have extended the lease of the worker until now.
     const {previousTermLeaseMs, longestLeaseMs} = this.options;
     worker.leaseEndsMs =
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -61,6 +61,7 @@
   private orphanSteps: readonly StepDefinition[] = [];
   /** Whether it runs something of which the request is not known. */
   hasUnknownRuns = false;
+  private isInEvacuation = false;
   /** Time in ms of the latest assignment of a task. */
   lastStartMs = -Infinity;
   private reservation: {task: TaskState; untilMs: number} | undefined;
@@ -95,6 +96,17 @@
     this.version += 1;
   }
 
+  /** Whether an operator has asked to give its data centre no new work. */
+  get isEvacuated(): boolean {
+    return this.isInEvacuation;
+  }
+
+  set isEvacuated(isEvacuated: boolean) {
+    if (this.isInEvacuation === isEvacuated) return;
+    this.isInEvacuation = isEvacuated;
+    this.version += 1;
+  }
+
   /**
    * CPU in millicores of the machine: the largest capacity that this
    * incarnation has shown, at least 1. Interference depends on the machine, also
--- a/src/why/why_command_test.ts
+++ b/src/why/why_command_test.ts
@@ -29,6 +29,7 @@
       metrics: new NodeMetrics(() => ({owner: 1})),
       gateway: {explain},
       node: 'n1',
+      evacuations: () => [],
       ownerName: () => 'n2',
     }),
   );
--- a/testing/busy_owner.ts
+++ b/testing/busy_owner.ts
@@ -133,6 +133,7 @@
       workers: Array.from({length: options.workers}, (_, number) =>
         this.addWorker(`w${number}`),
       ),
+      evacuations: new Set(),
       progress: new Map(),
     });
     this.stepWorkers();
--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -180,6 +180,16 @@
     return this.version;
   }
 
+  /** Asks as an operator to evacuate a data centre. */
+  requestEvacuation(dataCentre: string): void {
+    this.put(`op/evacuate/${dataCentre}`, {});
+  }
+
+  /** Takes the request to evacuate a data centre back. */
+  takeBackEvacuation(dataCentre: string): void {
+    this.store.store.remove(`op/evacuate/${dataCentre}`);
+  }
+
   /** Waits until the readiness endpoint of a node returns 200. */
   async waitUntilReady(node: FleetNode): Promise<void> {
     const url = `http://127.0.0.1:${node.readinessPort}/api/readiness`;
