Bound what clients that misbehave can hold of a node

Cause: a node bounded each body alone. Bodies that stopped short of their end, chunks, connections without an end, requests sent ahead and jobs of very many steps or tasks ran it out of memory, descriptors or time.

On the code before (ulimit 500, heap 96 MB, one node): 486 to 500 descriptors with 450 to 700 connections (bound 400), 241 and 247 MB with 200 chunked bodies (bound 210), no job taken or run after bodies without an end, jobs of 20,000 steps, jobs of 100,000 tasks, requests sent ahead.

--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -6,6 +6,7 @@
   encodeSubmission,
   SubmissionRecord,
 } from '../work/job_records.js';
+import {countTasks, definitionBytes, JobSizeLimits} from '../work/job_size.js';
 import {
   GatewayResult,
   storeUnavailable,
@@ -15,7 +16,13 @@
 import {OwnerMessage} from './owner_messages.js';
 
 /** Options of {@link JobGateway}. */
-export type JobGatewayOptions = JobLookUpOptions;
+export interface JobGatewayOptions extends JobLookUpOptions {
+  /** Limits on the size of jobs. @default none */
+  limits?: JobSizeLimits;
+}
+
+/** Retry-after time in ms while the known jobs take too much memory. */
+const TOO_MANY_JOBS_RETRY_MS = 2000;
 
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
@@ -68,6 +75,8 @@
     const {table, clock} = this.options;
     const {id} = definition;
     if (table.entries.get(id)?.submission) return this.logAccepted(id, 'known');
+    const refusal = this.checkSize(definition);
+    if (refusal) return refusal;
     const submission = {definition, acceptedWallMs: clock.wallMs()};
     const deadlineMs = clock.nowMs() + remainingMs - RESPONSE_MARGIN_MS;
     let mayBeStored = false;
@@ -84,6 +93,30 @@
     }
   }
 
+  /** Returns why a job is not stored because of its size; not if it may be. */
+  private checkSize(definition: JobDefinition): GatewayResult | undefined {
+    const {limits, log, table} = this.options;
+    if (!limits) return undefined;
+    const steps = definition.steps.length;
+    const tasks = countTasks(definition);
+    const knownBytes = table.definitionBytes;
+    const isTooLarge = steps > limits.mostSteps || tasks > limits.mostTasks;
+    const areTooMany =
+      knownBytes + definitionBytes(definition) > limits.mostJobBytes;
+    if (!isTooLarge && !areTooMany) return undefined;
+    const result = isTooLarge
+      ? {code: ResultCodes.BAD_REQUEST}
+      : {code: ResultCodes.QUEUE_FULL, retryAfterMs: TOO_MANY_JOBS_RETRY_MS};
+    log.logDecision('refuse', {
+      job: definition.id,
+      code: result.code.number,
+      steps,
+      tasks,
+      knownBytes,
+    });
+    return result;
+  }
+
   /**
    * Stores a submission, through the owner if the store is unreachable from
    * this node or the direct attempt fails.
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -3,6 +3,9 @@
 
 import {Clock} from '../clock/clock.js';
 import {sleep} from '../clock/sleep.js';
+import {DoorServer, DoorServerOptions} from '../door/door_server.js';
+import {JobDoor} from '../door/job_door.js';
+import {RefusalLog} from '../door/refusal_log.js';
 import {EvacuatedDataCentre} from '../evacuation/evacuations_response.js';
 import {OwnerElection} from '../leadership/owner_election.js';
 import {OwnerRecord} from '../leadership/owner_record.js';
@@ -10,6 +13,7 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {LinkIdentity} from '../links/link_message.js';
 import {NodeLog} from '../logging/node_log.js';
+import {createJobOrder} from '../orchestrator/create_job_order.js';
 import {OrchestratorRuntime} from '../orchestrator/orchestrator_runtime.js';
 import {RandomSource} from '../random/random_source.js';
 import {Configuration} from '../work/configuration.js';
@@ -17,7 +21,6 @@
 import {groupProgress, StoredProgress} from '../work/stored_progress.js';
 import {JobGateway} from './job_gateway.js';
 import {createMetricsListener} from './metrics_listener.js';
-import {NodeHttpServer} from './node_http_server.js';
 import {NodeMetrics} from './node_metrics.js';
 import {NodeMirrors} from './node_mirrors.js';
 import {NodeSettings, splitAddress} from './node_settings.js';
@@ -42,6 +45,9 @@
 /** Fraction of the grace period after which idle connections are closed. */
 const CLOSE_START_FRACTION = 0.7;
 
+/** Part of the connections of callers that other listeners may have. */
+const INTERNAL_CONNECTIONS_SHARE = 0.1;
+
 /** Delay in ms before the initial load of a new owner is retried. */
 const TAKEOVER_RETRY_MS = 150;
 
@@ -58,7 +64,7 @@
   private readonly metrics: NodeMetrics;
   private readonly servers: Record<
     'callers' | 'readiness' | 'metrics',
-    NodeHttpServer
+    DoorServer
   >;
   private term: OwnerTerm | undefined;
   private runtime: OrchestratorRuntime | undefined;
@@ -89,6 +95,7 @@
     this.mirrors = this.createMirrors(keys, table);
     this.gateway = new JobGateway({
       ...options,
+      limits: settings.door,
       store: platform.store,
       keys,
       table,
@@ -184,23 +191,34 @@
 
   private createServers(): Record<
     'callers' | 'readiness' | 'metrics',
-    NodeHttpServer
+    DoorServer
   > {
     const {settings, platform} = this.options;
-    const handler = platform.createJobRequestHandler(this.gateway);
+    const {door: limits} = settings;
+    const callers = this.createDoorOptions('callers');
+    const door = new JobDoor({...callers, limits});
+    const handler = platform.createJobRequestHandler(this.gateway, door);
+    const mostConnections = Math.ceil(
+      limits.mostConnections * INTERNAL_CONNECTIONS_SHARE,
+    );
     return {
-      callers: new NodeHttpServer({
+      callers: new DoorServer({
+        ...callers,
         address: splitAddress(settings.callers),
         listener: (request, response) => {
           this.recordRequest(request.method ?? '', response);
           handler(request, response);
         },
       }),
-      readiness: new NodeHttpServer({
+      readiness: new DoorServer({
+        ...this.createDoorOptions('readiness'),
+        mostConnections,
         address: splitAddress(settings.readiness),
         listener: this.createReadinessListener(),
       }),
-      metrics: new NodeHttpServer({
+      metrics: new DoorServer({
+        ...this.createDoorOptions('metrics'),
+        mostConnections,
         address: splitAddress(settings.metrics),
         listener: createMetricsListener({
           metrics: this.metrics,
@@ -213,6 +231,23 @@
     };
   }
 
+  private createDoorOptions(
+    listener: string,
+  ): Pick<DoorServerOptions, 'clock' | 'limits' | 'recordRefusal'> {
+    const {clock, log, settings} = this.options;
+    const refusals = new RefusalLog({
+      clock,
+      log,
+      listener,
+      increment: (series) => this.metrics.increment(series),
+    });
+    return {
+      clock,
+      limits: settings.door,
+      recordRefusal: (reason) => refusals.record(reason),
+    };
+  }
+
   private createReadinessListener(): RequestListener {
     const {readinessPath} = this.options.platform;
     return (request, response) => {
@@ -259,6 +294,8 @@
     if (!progress) return;
     this.runtime = new OrchestratorRuntime({
       ...this.options,
+      ...createJobOrder(settings.scheduling.order),
+      hasUrgentPasses: settings.scheduling.urgentPasses,
       store: platform.store,
       port: platform.workers,
       advice: platform.advice,
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
 
+import {doorLimitsSchema} from '../door/door_limits.js';
+
 const address = z.string().regex(/^[^\s:]+:\d+$/, 'allowed: HOST:PORT');
 
 const milliseconds = z.number().positive().max(3_600_000);
@@ -42,6 +44,22 @@
       evacuationNoticeMs: milliseconds.optional(),
     })
     .prefault({}),
+  /** Bounds on what clients can hold. */
+  door: doorLimitsSchema.prefault({}),
+  scheduling: z
+    .strictObject({
+      /**
+       * Order of waiting jobs: by deadlines from declared run times, or by
+       * deadlines from learned run times, ending what has begun first.
+       */
+      order: z.enum(['deadline', 'learned-deadline']).default('deadline'),
+      /**
+       * Whether most scheduling passes look at the most urgent queues only while
+       * many jobs wait.
+       */
+      urgentPasses: z.boolean().default(false),
+    })
+    .prefault({}),
   jobs: z.strictObject({
     /** Retention time of finished jobs in seconds. */
     keepFinishedSeconds: z.number().positive().max(86_400),
--- a/src/node/platform_binding.ts
+++ b/src/node/platform_binding.ts
@@ -1,5 +1,6 @@
 import {RequestListener} from 'node:http';
 
+import {JobDoor} from '../door/job_door.js';
 import {AdvicePort} from '../orchestrator/advice_port.js';
 import {WorkerPort} from '../orchestrator/worker_port.js';
 import {MetadataStore} from '../store/metadata_store.js';
@@ -32,7 +33,7 @@
   /** Decodes a worker registration; throws if it is not valid. */
   decodeWorker(id: string, value: Buffer): WorkerRegistration;
   /** Creates the handler of the job API's HTTP requests. */
-  createJobRequestHandler(gateway: JobGateway): RequestListener;
+  createJobRequestHandler(gateway: JobGateway, door: JobDoor): RequestListener;
   /** Closes all connections. */
   close(): Promise<void>;
 }
--- /dev/null
+++ b/src/work/job_size.ts
@@ -0,0 +1,30 @@
+import {JobDefinition} from './job_definition.js';
+
+/** Limits on the size of jobs, and of all jobs together. */
+export interface JobSizeLimits {
+  /** Steps of one job. */
+  mostSteps: number;
+  /** Tasks of one job, or of one occurrence of a scheduled job. */
+  mostTasks: number;
+  /** Bytes that the definitions of all known jobs may take. */
+  mostJobBytes: number;
+}
+
+/** Estimated memory in bytes of a job without steps, and of one step. */
+const JOB_BYTES = 500;
+const STEP_BYTES = 600;
+const PREDECESSOR_BYTES = 8;
+
+/** Returns the estimated memory in bytes of a definition. */
+export function definitionBytes(definition: JobDefinition): number {
+  const {specification, steps} = definition;
+  return steps.reduce(
+    (sum, {after}) => sum + STEP_BYTES + PREDECESSOR_BYTES * after.length,
+    JOB_BYTES + specification.length,
+  );
+}
+
+/** Returns the number of tasks of a job, or of one of its occurrences. */
+export function countTasks({steps}: JobDefinition): number {
+  return steps.reduce((sum, {taskCount}) => sum + taskCount, 0);
+}
--- a/src/work/job_table.ts
+++ b/src/work/job_table.ts
@@ -1,6 +1,7 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {StoreChange} from '../store/metadata_store.js';
 import {isFinalPhase, JobPhase} from './job_definition.js';
+import {definitionBytes} from './job_size.js';
 import {decodeSubmission, SubmissionRecord} from './job_records.js';
 
 /** Local view of a job in the store. */
@@ -24,10 +25,16 @@
 /** Local copy of the jobs of a partition, updated by a mirror of the store. */
 export class JobTable {
   readonly entries = new Map<string, JobEntry>();
+  private definitions = 0;
   private listener: JobListener | undefined;
 
   constructor(private readonly keys: PartitionKeys) {}
 
+  /** Estimated memory in bytes of the definitions of all jobs. */
+  get definitionBytes(): number {
+    return this.definitions;
+  }
+
   /** Replaces the listener. */
   setListener(listener: JobListener | undefined): void {
     this.listener = listener;
@@ -48,6 +55,7 @@
     const entry = this.getOrCreateEntry(jobId);
     if (entry.submission) return;
     entry.submission = submission;
+    this.definitions += definitionBytes(submission.definition);
     this.listener?.onSubmitted(jobId, entry);
   }
 
@@ -98,6 +106,8 @@
     if (change.value) {
       this.addSubmission(jobId, decodeSubmission(change.value));
     } else {
+      const known = this.entries.get(jobId)?.submission;
+      if (known) this.definitions -= definitionBytes(known.definition);
       this.entries.delete(jobId);
     }
   }
--- a/testing/managed_process.ts
+++ b/testing/managed_process.ts
@@ -13,6 +13,8 @@
   logFile: string;
   /** Additional command-line options of Node.js itself. @default none */
   nodeArguments?: readonly string[];
+  /** Limit on open descriptors of the process. @default that of this process */
+  descriptorLimit?: number;
 }
 
 /** A Node.js child process that can be signalled, stopped and started again. */
@@ -35,12 +37,25 @@
   /** Starts the process, appending its output to the log file. */
   start(): void {
     const {script, logFile, nodeArguments = []} = this.options;
+    const {descriptorLimit} = this.options;
     const file = openSync(logFile, 'a');
-    const child = spawn(
+    const command = [
       process.execPath,
-      [...nodeArguments, script, ...this.options.arguments],
-      {stdio: ['ignore', file, file]},
-    );
+      ...nodeArguments,
+      script,
+      ...this.options.arguments,
+    ];
+    const [program, ...rest] =
+      descriptorLimit === undefined
+        ? command
+        : [
+            'sh',
+            '-c',
+            `ulimit -n ${descriptorLimit}; exec "$@"`,
+            '-',
+            ...command,
+          ];
+    const child = spawn(program!, rest, {stdio: ['ignore', file, file]});
     closeSync(file);
     this.child = child;
     this.exited = new Promise((resolve) =>
--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -27,6 +27,12 @@
   workers?: number;
   /** Run time of each task in ms. @default 300 */
   taskMs?: number;
+  /** Settings of the door of each node. @default those of the schema */
+  door?: Readonly<Record<string, number>>;
+  /** Limit on open descriptors of a node. @default that of this process */
+  descriptorLimit?: number;
+  /** Limit in MB on the heap of a node. @default that of Node.js */
+  heapLimitMb?: number;
   /**
    * Connects each node to the store, and all nodes to each worker, through
    * faulty links.
@@ -369,10 +375,17 @@
       workers: {longestLeaseMs: 6000},
       jobs: {keepFinishedSeconds: 120},
       stop: {gracePeriodSeconds: 3},
+      ...(this.options.door ? {door: this.options.door} : {}),
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
+    const {descriptorLimit, heapLimitMb} = this.options;
     const process = new ManagedProcess({
       name,
+      descriptorLimit,
+      nodeArguments:
+        heapLimitMb === undefined
+          ? []
+          : [`--max-old-space-size=${heapLimitMb}`],
       script: 'build/src/node/banyanmux_node.js',
       arguments: ['--settings', settingsFile],
       logFile,
