Order waiting jobs by learned run times, and end first what has begun

Cause: deadlines from declared run times begin each job at the last moment. Under overload all jobs begin and few end in time; jobs that could be in time count as late, since a step takes as long as its longest task.

While many jobs wait, most passes look at urgent queues only.

Ruled out: ratios of actual to declared times (objectives four times too long), latest first, smallest first (docs/design/learned_deadlines.md).

--- a/src/orchestrator/job_order.ts
+++ b/src/orchestrator/job_order.ts
@@ -1,6 +1,12 @@
 import {Queue} from '../work/configuration.js';
 import {JobState} from './job_state.js';
-import {remainingCriticalPathMs, totalCriticalPathMs} from './critical_path.js';
+import {
+  declaredDuration,
+  remainingCriticalPathMs,
+  StepDuration,
+  totalCriticalPathMs,
+} from './critical_path.js';
+import {RunTimeEstimates} from './run_time_estimates.js';
 
 /** Inputs of a {@link JobOrder} besides the jobs. */
 export interface JobOrderContext {
@@ -49,10 +55,36 @@
   job: JobState;
   priority: number;
   deadlineClass: number;
+  /** Whether the job counts as one that has not begun. */
+  isFresh: boolean;
   /** Unix time in ms by which the remaining critical path has to start. */
   latestStartMs: number;
 }
 
+/** Options of {@link DeadlineOrder}. */
+export interface DeadlineOrderOptions {
+  /**
+   * Expected run times, from which objectives and remaining times are taken.
+   * @default as declared
+   */
+  estimates?: RunTimeEstimates;
+  /**
+   * Whether jobs that have begun go before others of their class. Under
+   * overload, the order of deadlines alone begins each job at the last moment
+   * and then ends none of them in time.
+   *
+   * @default false
+   */
+  finishesBegun?: boolean;
+  /**
+   * Multiple of the remaining time that a job must have left to be begun as one
+   * that can be on time.
+   *
+   * @default 1
+   */
+  freshMargin?: number;
+}
+
 /**
  * Orders by the priority of the queue, then by {@link DeadlineClass}, then by
  * the latest start that meets the objective. Under overload, first come, first
@@ -60,46 +92,75 @@
  * resources by themselves, so jobs that can finish on time go before them.
  */
 export class DeadlineOrder implements JobOrder {
+  private readonly finishesBegun: boolean;
+  private readonly freshMargin: number;
+
+  constructor(private readonly options: DeadlineOrderOptions = {}) {
+    this.finishesBegun = options.finishesBegun ?? false;
+    this.freshMargin = options.freshMargin ?? 1;
+  }
+
   sort(jobs: Iterable<JobState>, context: JobOrderContext): JobState[] {
-    const ranked = [...jobs].map((job) => rank(job, context));
+    const ranked = [...jobs].map((job) => this.rank(job, context));
     ranked.sort(
       (left, right) =>
         left.priority - right.priority ||
         left.deadlineClass - right.deadlineClass ||
+        Number(left.isFresh) - Number(right.isFresh) ||
         left.latestStartMs - right.latestStartMs,
     );
     return ranked.map(({job}) => job);
   }
+
+  private rank(job: JobState, context: JobOrderContext): RankedJob {
+    const queue = context.queueOf(job);
+    const priority = priorityOf(job, context);
+    const isFresh = this.finishesBegun && !hasBegun(job);
+    const {steps} = job.definition;
+    if (!queue || steps.some(({isLongRunning}) => isLongRunning)) {
+      const deadlineClass = DeadlineClass.LONG_RUNNING;
+      const latestStartMs = job.acceptedWallMs;
+      return {job, priority, deadlineClass, isFresh: false, latestStartMs};
+    }
+    const duration = durationOf(queue, this.options.estimates);
+    const limitMs = objectiveMs(job, queue, duration);
+    const remainingMs = remainingCriticalPathMs(job, duration);
+    const neededMs = remainingMs * (isFresh ? this.freshMargin : 1);
+    const dueMs = job.dueWallMs;
+    const latestStartMs = dueMs + limitMs - neededMs;
+    const usefulUntilMs =
+      dueMs + limitMs * USEFUL_OBJECTIVE_MULTIPLE - remainingMs;
+    let deadlineClass: number = DeadlineClass.EXPIRED;
+    if (context.wallMs <= latestStartMs) deadlineClass = DeadlineClass.ON_TIME;
+    else if (context.wallMs <= usefulUntilMs) {
+      deadlineClass = DeadlineClass.LATE;
+    }
+    return {job, priority, deadlineClass, isFresh, latestStartMs};
+  }
+}
+
+/** Returns the expected durations of the steps of a queue. */
+export function durationOf(
+  queue: Queue,
+  estimates: RunTimeEstimates | undefined,
+): StepDuration {
+  if (!estimates) return declaredDuration;
+  return (step, state) => estimates.stepMs(queue.name, step, state?.runTimes);
 }
 
 /** Returns the time in ms, from its due time, in which a job should end. */
-export function objectiveMs(job: JobState, queue: Queue): number {
-  return queue.stretch * totalCriticalPathMs(job) + queue.targetLatencyMs;
+export function objectiveMs(
+  job: JobState,
+  queue: Queue,
+  duration: StepDuration = declaredDuration,
+): number {
+  const pathMs = totalCriticalPathMs(job, duration);
+  return queue.stretch * pathMs + queue.targetLatencyMs;
 }
 
-function rank(job: JobState, context: JobOrderContext): RankedJob {
-  const queue = context.queueOf(job);
-  const priority = priorityOf(job, context);
-  const isLongRunning = job.definition.steps.some((step) => step.isLongRunning);
-  if (isLongRunning || !queue) {
-    const latestStartMs = job.acceptedWallMs;
-    return {
-      job,
-      priority,
-      deadlineClass: DeadlineClass.LONG_RUNNING,
-      latestStartMs,
-    };
-  }
-  const limitMs = objectiveMs(job, queue);
-  const remainingMs = remainingCriticalPathMs(job);
-  const dueMs = job.dueWallMs;
-  const latestStartMs = dueMs + limitMs - remainingMs;
-  const usefulUntilMs =
-    dueMs + limitMs * USEFUL_OBJECTIVE_MULTIPLE - remainingMs;
-  let deadlineClass: number = DeadlineClass.EXPIRED;
-  if (context.wallMs <= latestStartMs) deadlineClass = DeadlineClass.ON_TIME;
-  else if (context.wallMs <= usefulUntilMs) deadlineClass = DeadlineClass.LATE;
-  return {job, priority, deadlineClass, latestStartMs};
+/** Whether a job has begun; each occurrence of a scheduled job begins anew. */
+function hasBegun({definition, hasStarted}: JobState): boolean {
+  return hasStarted && definition.repetitions === 0;
 }
 
 function priorityOf(job: JobState, context: JobOrderContext): number {
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -1,6 +1,8 @@
 import {isFinalPhase, JobDefinition, JobPhase} from '../work/job_definition.js';
+import {countTasks} from '../work/job_size.js';
 import {CheckpointSlot} from './checkpoint_slot.js';
 import {JobHistory} from './job_history.js';
+import {StepRunTimes} from './step_run_times.js';
 import {TaskState} from './task_state.js';
 
 /**
@@ -25,6 +27,8 @@
   doneCount: number;
   /** Time in ms at which this owner last saw a task end; else -Infinity. */
   lastDoneMs: number;
+  /** Durations of runs that this owner has seen. */
+  runTimes: StepRunTimes;
 }
 
 /** State of one occurrence of a job, in which each step runs once. */
@@ -37,8 +41,7 @@
 /** State of a job as tracked by the owner of its partition. */
 export class JobState {
   phase: JobPhase = JobPhase.QUEUED;
-  /** Estimated duration in ms of the critical path; cached on first use. */
-  criticalPathMs: number | undefined;
+
   /** Latest phase whose storage is confirmed to this owner. */
   storedPhase: JobPhase = JobPhase.QUEUED;
   /** Version of the latest progress record that was written; 0 before. */
@@ -103,15 +106,20 @@
   /**
    * Creates occurrences that are due, as long as not too many tasks are open.
    *
+   * @param mayCreate - Returns whether a number of tasks may be created.
    * @returns The new occurrences.
    */
-  createDueOccurrences(wallMs: number): OccurrenceState[] {
+  createDueOccurrences(
+    wallMs: number,
+    mayCreate: (tasks: number) => boolean = () => true,
+  ): OccurrenceState[] {
     const created: OccurrenceState[] = [];
     this.nextOccurrence = Math.max(this.nextOccurrence, this.doneBefore);
     while (this.nextOccurrence < this.occurrenceCount) {
       const number = this.nextOccurrence;
       if (!this.occurrences.has(number)) {
         if (this.dueMsOf(number) > wallMs || !this.hasRoomFor(number)) break;
+        if (!mayCreate(countTasks(this.definition))) break;
         created.push(this.occurrence(number));
       }
       this.nextOccurrence += 1;
@@ -139,6 +147,17 @@
     return released;
   }
 
+  /**
+   * Releases the steps of a job that has ended and runs nothing any more.
+   *
+   * @returns The released steps.
+   */
+  releaseEnded(): StepState[] {
+    const released = [...this.occurrences.values()].flatMap(({steps}) => steps);
+    this.occurrences.clear();
+    return released;
+  }
+
   /** Restores a stored occurrence that is done. */
   restoreDoneOccurrence(number: number): void {
     this.occurrences.set(number, {number, steps: [], isDone: true});
@@ -238,11 +257,8 @@
     }
     if (openOccurrences === 0) return true;
     if (number - this.doneBefore >= MAX_OCCURRENCE_SPAN) return false;
-    const tasks = this.definition.steps.reduce(
-      (sum, {taskCount}) => sum + taskCount,
-      0,
-    );
-    return (openOccurrences + 1) * tasks <= MAX_OPEN_SCHEDULED_TASKS;
+    const tasks = (openOccurrences + 1) * countTasks(this.definition);
+    return tasks <= MAX_OPEN_SCHEDULED_TASKS;
   }
 
   private createOccurrence(number: number): OccurrenceState {
@@ -260,6 +276,7 @@
         name: `${this.definition.id}.${number}.${stepNumber}`,
         doneCount: 0,
         lastDoneMs: -Infinity,
+        runTimes: new StepRunTimes(),
         tasks: Array.from({length: step.taskCount}, (_, index) =>
           createTask(index),
         ),
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -6,20 +6,21 @@
 import {parseTaskName} from '../work/task_name.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
-import {JobOrder, objectiveMs, DeadlineOrder} from './job_order.js';
+import {DeadlineOrder, durationOf, JobOrder, objectiveMs} from './job_order.js';
 import {blockRefusingWorker} from './block_refusing_worker.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
 import {JobIndex} from './job_index.js';
-import {JobState, StepState} from './job_state.js';
+import {JobState, OccurrenceState, StepState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
 import {PendingChanges} from './pending_changes.js';
 import {crashPauseMs, restartDelayMs} from './restart_delay.js';
 import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
+import {RunTimeEstimates} from './run_time_estimates.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
 import {StuckRuns} from './stuck_runs.js';
@@ -54,6 +55,16 @@
   previousTermLeaseMs: number;
   /** @default a {@link DeadlineOrder} */
   order?: JobOrder;
+  /**
+   * Learns run times, which the order may rest on. @default objectives rest on
+   * declared run times
+   */
+  estimates?: RunTimeEstimates;
+  /**
+   * Whether most passes look at urgent jobs only while many jobs wait.
+   * @default false
+   */
+  hasUrgentPasses?: boolean;
   /** @default an {@link InterferenceAwarePlacement} */
   placement?: TaskPlacement;
   /** Returns whether the process is behind with its events. @default never */
@@ -71,6 +82,12 @@
 /** Time in ms after which an unanswered stop command is sent again. */
 const STOP_RESEND_MS = 600;
 
+/**
+ * Maximum number of tasks in memory, at about 1 KB each. Jobs beyond it wait
+ * without tasks until others have ended.
+ */
+const MAX_HELD_TASKS = 60_000;
+
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -97,6 +114,8 @@
   private readonly crashes: CrashTracker;
   private readonly stuckRuns: StuckRuns;
   private readonly startGuard: StartGuard;
+  /** Jobs that have ended and still have tasks in memory. */
+  private readonly endedJobs = new Set<JobState>();
   private configuration: Configuration | undefined;
   private summaryMs = -Infinity;
   private interferenceLogMs = -Infinity;
@@ -140,6 +159,9 @@
       ...decisions,
       order: options.order ?? new DeadlineOrder(),
       countFreeStarts: (job) => this.countFreeStarts(job),
+      isUrgent: options.hasUrgentPasses
+        ? (job) => this.isUrgent(job)
+        : undefined,
       isBehind: options.isBehind,
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
@@ -203,10 +225,10 @@
     if (job.isFinal) {
       job.finalSinceMs = job.knownSinceMs;
     } else {
-      job.createDueOccurrences(this.options.clock.wallMs());
+      this.createDueOccurrences(job);
     }
     this.jobIndex.add(job);
-    for (const task of job.tasks()) this.registerTask(task);
+    this.registerTasks(job.tasks());
   }
 
   /** Cancels a job: no further task starts and running tasks are stopped. */
@@ -355,17 +377,17 @@
   tick(): void {
     const nowMs = this.options.clock.nowMs();
     if (nowMs - this.summaryMs >= SUMMARY_INTERVAL_MS) this.logSummaries(nowMs);
-    const wallMs = this.options.clock.wallMs();
     for (const worker of this.workers.values()) {
       this.expireLease(worker, nowMs);
       for (const task of worker.tasks) this.resendStop(task, nowMs);
     }
     for (const job of this.jobIndex.open) {
-      job.releaseDoneOccurrences().forEach(this.forgetStep, this);
-      for (const {steps} of job.createDueOccurrences(wallMs)) {
-        for (const {tasks} of steps) tasks.forEach(this.registerTask, this);
+      for (const step of job.releaseDoneOccurrences()) this.forgetStep(step);
+      for (const {steps} of this.createDueOccurrences(job)) {
+        for (const {tasks} of steps) this.registerTasks(tasks);
       }
     }
+    for (const job of this.endedJobs) this.releaseEndedJob(job);
     const forgottenMs = nowMs - this.options.keepFinishedMs;
     for (const job of this.jobIndex.finishedUntil(forgottenMs)) {
       this.removeFinishedJob(job);
@@ -450,7 +472,8 @@
   private objectiveMsOf(job: JobState): number | undefined {
     const queue = this.queueOf(job);
     if (!queue) return undefined;
-    return Math.round(objectiveMs(job, queue));
+    const duration = durationOf(queue, this.options.estimates);
+    return Math.round(objectiveMs(job, queue, duration));
   }
 
   private get schedulingTime(): SchedulingTime {
@@ -472,6 +495,25 @@
     if (pairs.length > 0) this.options.log.logSummary('interference', {pairs});
   }
 
+  /** Creates occurrences of a job while the owner has room for their tasks. */
+  private createDueOccurrences(job: JobState): OccurrenceState[] {
+    return job.createDueOccurrences(this.options.clock.wallMs(), (tasks) => {
+      const held = this.tasksByName.size;
+      return held === 0 || held + tasks <= MAX_HELD_TASKS;
+    });
+  }
+
+  /** Releases the tasks of a job that has ended once none of them is placed. */
+  private releaseEndedJob(job: JobState): void {
+    for (const task of job.tasks()) if (task.isPlaced) return;
+    this.endedJobs.delete(job);
+    for (const step of job.releaseEnded()) this.forgetStep(step);
+  }
+
+  private registerTasks(tasks: Iterable<TaskState>): void {
+    for (const task of tasks) this.registerTask(task);
+  }
+
   /** Registers a task that was just created or restored, once. */
   private registerTask(task: TaskState): void {
     const nowMs = this.options.clock.nowMs();
@@ -553,6 +595,7 @@
       estimatedMs: task.step.estimatedMs,
     });
     this.recordStarted(task.job);
+    this.recordRunTime(task);
     this.workerOf(task)?.health.recordSuccess(nowMs);
     if (task.step.isLongRunning) {
       this.endRun(task, 'done');
@@ -563,6 +606,15 @@
     this.completeJob(task.job);
   }
 
+  private recordRunTime(task: TaskState): void {
+    const tookMs = this.ranMsOf(task);
+    if (tookMs === undefined || !task.isUnlimitedRun) return;
+    const {estimatedMs} = task.step;
+    const step = stepOf(task).runTimes;
+    const {queue} = task.job.definition;
+    this.options.estimates?.record(queue, {estimatedMs, tookMs, step});
+  }
+
   private markDone(task: TaskState): void {
     if (!task.apply('done')) return;
     this.clearAssignment(task);
@@ -630,6 +682,7 @@
   ): void {
     job.phase = phase;
     this.jobIndex.finish(job);
+    this.endedJobs.add(job);
     if (phase === JobPhase.FAILED) {
       this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
     }
@@ -802,6 +855,7 @@
         to: percent,
       });
       task.speedLimitPercent = percent;
+      task.isUnlimitedRun = false;
       task.lastProgressMs = nowMs;
       this.options.effects.setSpeedLimit(task, worker);
     }
@@ -810,7 +864,7 @@
   private removeFinishedJob(job: JobState): void {
     for (const task of job.tasks()) if (task.isPlaced) return;
     for (const {steps} of job.occurrences.values()) {
-      steps.forEach(this.forgetStep, this);
+      for (const step of steps) this.forgetStep(step);
     }
     this.jobIndex.remove(job);
     this.changes.removeJob(job);
@@ -848,6 +902,8 @@
   private assign(task: TaskState, worker: WorkerState, run: number): void {
     task.apply('assigned');
     task.run = run;
+    task.isUnlimitedRun =
+      task.startSpeedPercent === 100 && task.checkpoint === '';
     task.percent = 0;
     task.gauge = undefined;
     task.overLimitSinceMs = Infinity;
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -14,11 +14,13 @@
 import {CommitLoop} from './commit_loop.js';
 import {JobExplanation} from './job_explanation.js';
 import {restoreProgress} from './job_progress.js';
+import {JobOrder} from './job_order.js';
 import {JobState} from './job_state.js';
 import {CommandSender} from './command_sender.js';
 import {EventLoopDelay} from './event_loop_delay.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
+import {RunTimeEstimates} from './run_time_estimates.js';
 import {StartGuardOptions} from './start_guard.js';
 import {WaitSummary} from './wait_monitor.js';
 import {WorkerPort} from './worker_port.js';
@@ -39,6 +41,15 @@
   longestLeaseMs: number;
   /** Retention time in ms of finished jobs. */
   keepFinishedMs: number;
+  /** @default a {@link DeadlineOrder} on declared run times */
+  order?: JobOrder;
+  /** Learns run times. @default not learned */
+  estimates?: RunTimeEstimates;
+  /**
+   * Whether most passes look at urgent jobs only while many jobs wait.
+   * @default false
+   */
+  hasUrgentPasses?: boolean;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
 }
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -1,6 +1,7 @@
 import {Queue} from '../work/configuration.js';
 import {StepDefinition} from '../work/job_definition.js';
 import {CandidateSet} from './candidate_set.js';
+import {FullPasses} from './full_passes.js';
 import {JobOrder} from './job_order.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
@@ -25,6 +26,11 @@
   queueOf: (job: JobState) => Queue | undefined;
   /** Returns how many tasks of a job may be assigned now. @default any */
   countFreeStarts?: (job: JobState) => number;
+  /**
+   * Returns whether a job is looked at in each pass, however many wait.
+   * @default all are
+   */
+  isUrgent?: (job: JobState) => boolean;
   /**
    * Returns whether the process is behind with its events. A move costs it a
    * stop and a start for work that goes on anyway. @default never
@@ -70,21 +76,28 @@
   private readonly unplaceable = new UnplaceableSteps();
   private readonly contexts: StepContexts;
   private readonly starved: StarvedSteps;
+  private readonly fullPasses: FullPasses;
   private lastMoveCheckMs = -Infinity;
   private lastStarvedCheckMs = -Infinity;
 
   constructor(private readonly options: TaskSchedulerOptions) {
     this.contexts = new StepContexts(options);
+    this.fullPasses = new FullPasses(options.isUrgent !== undefined);
     const {workers} = options;
     this.starved = new StarvedSteps({workers, contexts: this.contexts});
   }
 
-  /** Runs one pass: assigns waiting tasks and moves throttled tasks. */
+  /**
+   * Runs one pass: assigns waiting tasks and moves throttled tasks. While many
+   * jobs wait, most passes look at urgent jobs only.
+   */
   schedule(jobs: Iterable<JobState>, {nowMs, wallMs}: SchedulingTime): void {
-    const {order, queueOf} = this.options;
+    const {order, queueOf, isUrgent} = this.options;
+    const isFull = this.fullPasses.isDue(nowMs);
     const waiting = [...jobs].filter(
-      (job) => !job.isFinal && job.hasReadyTasks,
+      (job) => (isFull || isUrgent?.(job)) && !job.isFinal && job.hasReadyTasks,
     );
+    if (isFull) this.fullPasses.record(waiting.length, nowMs);
     this.changes.beginPass(this.options.workers.values());
     this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
     const sorted = order.sort(waiting, {wallMs, queueOf});
@@ -96,6 +109,7 @@
         this.options.onJobError(job, error as Error);
       }
     }
+    if (!isFull) return;
     this.assignStarved(sorted, nowMs);
     if (this.options.isBehind?.()) return;
     if (nowMs - this.lastMoveCheckMs < MOVE_CHECK_MS) return;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -37,6 +37,11 @@
    * have limited or paused a run that it left.
    */
   isSpeedKnown = true;
+  /**
+   * Whether the current run began without a checkpoint and was never limited, so
+   * that its duration tells how long such tasks take.
+   */
+  isUnlimitedRun = false;
   /** Percentage of full speed to which its current run is limited at first. */
   startSpeedPercent = 100;
   /** Time in ms since which its tail latency exceeds its limit, or Infinity. */
