Hold room for tasks that are too large for the gaps of small ones

Change: a waiting task gets a held room on the worker where it is expected to fit first; others are placed there only if they end before or leave enough.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -296,6 +296,7 @@
       ...this.options,
       ...createJobOrder(settings.scheduling.order),
       hasUrgentPasses: settings.scheduling.urgentPasses,
+      looksAhead: settings.scheduling.lookAhead,
       store: platform.store,
       port: platform.workers,
       advice: platform.advice,
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -58,6 +58,11 @@
        * many jobs wait.
        */
       urgentPasses: z.boolean().default(false),
+      /**
+       * Whether room is held for tasks that are too large for the gaps which
+       * others leave; needs the order "learned-deadline".
+       */
+      lookAhead: z.boolean().default(false),
     })
     .prefault({}),
   jobs: z.strictObject({
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -60,6 +60,11 @@
    * declared run times
    */
   estimates?: RunTimeEstimates;
+  /**
+   * Whether room is held for tasks that are too large for the gaps; needs
+   * {@link estimates}. @default false
+   */
+  looksAhead?: boolean;
   /**
    * Whether most passes look at urgent jobs only while many jobs wait.
    * @default false
@@ -148,7 +153,18 @@
       onPhases: (phases) => this.publishPhases(phases),
       onRecordTooLarge: (job) => this.failTooLargeJob(job),
     });
+    const {estimates, looksAhead = false} = options;
+    const duration =
+      estimates && looksAhead
+        ? (task: TaskState) =>
+            estimates.runMs(
+              task.job.definition.queue,
+              task.step,
+              stepOf(task).runTimes,
+            )
+        : undefined;
     const decisions = {
+      duration,
       workers: this.workers,
       placement:
         options.placement ?? new InterferenceAwarePlacement(this.bestEffort),
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -45,6 +45,11 @@
   order?: JobOrder;
   /** Learns run times. @default not learned */
   estimates?: RunTimeEstimates;
+  /**
+   * Whether room is held for tasks that are too large for the gaps; needs
+   * {@link estimates}. @default false
+   */
+  looksAhead?: boolean;
   /**
    * Whether most passes look at urgent jobs only while many jobs wait.
    * @default false
--- a/src/orchestrator/run_time_estimates.ts
+++ b/src/orchestrator/run_time_estimates.ts
@@ -44,6 +44,14 @@
     evidence?.add(Math.log(estimatedMs), Math.log(tookMs), spread);
   }
 
+  /** Returns the expected duration in ms of one run of a step. */
+  runMs(queue: string, step: StepDefinition, known: StepRunTimes): number {
+    if (!(step.estimatedMs > 0)) return 0;
+    if (known.count >= ENOUGH_RUNS) return Math.exp(known.meanLogarithm);
+    const evidence = this.queues.get(queue) ?? NO_EVIDENCE;
+    return Math.exp(evidence.expect(Math.log(step.estimatedMs)));
+  }
+
   /**
    * Returns the expected duration in ms of a step whose tasks run in parallel.
    *
--- a/src/orchestrator/step_contexts.ts
+++ b/src/orchestrator/step_contexts.ts
@@ -1,4 +1,5 @@
 import {Queue} from '../work/configuration.js';
+import {RunDuration} from './expected_end.js';
 import {JobState, StepState} from './job_state.js';
 import {StepAdvice} from './step_advice.js';
 import {PlacementContext} from './task_placement.js';
@@ -10,6 +11,8 @@
   advice: StepAdvice;
   /** Looks up the queue of a job; undefined if it was removed. */
   queueOf: (job: JobState) => Queue | undefined;
+  /** Returns how long a run of a task is expected to take. @default not known */
+  duration?: RunDuration;
 }
 
 /** Context of the placement of one step; the counts change as it proceeds. */
@@ -21,9 +24,10 @@
 
   /** Creates the context of a step at a time in ms. */
   create(job: JobState, step: StepState, nowMs: number): StepContext {
-    const {advice} = this.options;
+    const {advice, duration} = this.options;
     const context = {
       nowMs,
+      expectedMs: duration?.(step.tasks[0]!),
       service: this.serviceOf(job),
       siblings: siblingsOf(step),
     };
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/task_placement.ts
@@ -1,5 +1,6 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
+import {leavesHeldRoom} from './held_rooms.js';
 import {isolationExclusion} from './suspect_isolation.js';
 import {TaskState} from './task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
@@ -14,6 +15,11 @@
   siblings: ReadonlyMap<string, number>;
   /** Rack that a rack-sensitive step already uses. @default none */
   preferredRack?: string;
+  /**
+   * Time in ms that a run of the step is expected to take.
+   * @default not known: longer than any room is held
+   */
+  expectedMs?: number;
   /** Returns whether a worker may run the task. @default all workers may */
   isAllowed?: (worker: WorkerState) => boolean;
   /**
@@ -112,7 +118,8 @@
       stateExclusion(worker, context) ??
       isolationExclusion(task, worker, context) ??
       siblingExclusion(task.step, worker, context) ??
-      roomExclusion(task.step, worker, context);
+      roomExclusion(task.step, worker, context) ??
+      heldRoomExclusion(task, worker, context);
     if (exclusion !== undefined) return exclusion;
     const headroomScore = this.headroomScore(task, worker, context);
     if (headroomScore === undefined) return WorkerExclusion.INTERFERENCE;
@@ -206,6 +213,17 @@
   return count >= step.mostPerWorker ? WorkerExclusion.STEP_LIMIT : undefined;
 }
 
+function heldRoomExclusion(
+  task: TaskState,
+  worker: WorkerState,
+  {nowMs, expectedMs = Infinity}: PlacementContext,
+): WorkerExclusion | undefined {
+  if (!worker.heldRoom || worker.heldRoom.task === task) return undefined;
+  return leavesHeldRoom(task.step, worker, {nowMs, expectedMs})
+    ? undefined
+    : WorkerExclusion.HELD_ROOM;
+}
+
 /** Returns why a worker lacks the label or the capacity for a task of a step. */
 function roomExclusion(
   step: StepDefinition,
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -1,7 +1,9 @@
 import {Queue} from '../work/configuration.js';
 import {StepDefinition} from '../work/job_definition.js';
 import {CandidateSet} from './candidate_set.js';
+import {RunDuration} from './expected_end.js';
 import {FullPasses} from './full_passes.js';
+import {HeldRooms} from './held_rooms.js';
 import {JobOrder} from './job_order.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
@@ -14,6 +16,7 @@
 import {endIsolation} from './suspect_isolation.js';
 import {TaskState} from './task_state.js';
 import {WorkerChanges} from './worker_changes.js';
+import {WorkerExclusion} from './worker_exclusion.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link TaskScheduler}. */
@@ -36,6 +39,11 @@
    * stop and a start for work that goes on anyway. @default never
    */
   isBehind?: () => boolean;
+  /**
+   * Returns how long a run of a task is expected to take; room is then held for
+   * tasks that are too large for the gaps. @default no room is held
+   */
+  duration?: RunDuration;
   /** Called to assign a run of a task to a worker. */
   onAssign: (task: TaskState, worker: WorkerState, run: number) => void;
   /** Called to revert an assignment made in the same pass. */
@@ -77,13 +85,15 @@
   private readonly contexts: StepContexts;
   private readonly starved: StarvedSteps;
   private readonly fullPasses: FullPasses;
+  private readonly heldRooms: HeldRooms | undefined;
   private lastMoveCheckMs = -Infinity;
   private lastStarvedCheckMs = -Infinity;
 
   constructor(private readonly options: TaskSchedulerOptions) {
     this.contexts = new StepContexts(options);
     this.fullPasses = new FullPasses(options.isUrgent !== undefined);
-    const {workers} = options;
+    const {workers, duration} = options;
+    this.heldRooms = duration && new HeldRooms({workers, duration});
     this.starved = new StarvedSteps({workers, contexts: this.contexts});
   }
 
@@ -98,6 +108,7 @@
       (job) => (isFull || isUrgent?.(job)) && !job.isFinal && job.hasReadyTasks,
     );
     if (isFull) this.fullPasses.record(waiting.length, nowMs);
+    this.heldRooms?.beginPass(nowMs);
     this.changes.beginPass(this.options.workers.values());
     this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
     const sorted = order.sort(waiting, {wallMs, queueOf});
@@ -188,12 +199,23 @@
       // A suspect is placed on fewer workers than other tasks of its step.
       this.endIsolation(task, context);
       if (task.isSuspect) continue;
+      this.holdRoom(task, context);
       unplaceable.add(definition, origin);
       break;
     }
     if (unplaced && origin.needsAdvice) this.requestAdvice(unplaced, context);
   }
 
+  /** Holds room for a task where nothing but its request keeps it out. */
+  private holdRoom(task: TaskState, context: PlacementContext): void {
+    const {placement} = this.options;
+    this.heldRooms?.hold(
+      task,
+      (worker) => lacksRoomOnly(placement.evaluate(task, worker, context)),
+      context.nowMs,
+    );
+  }
+
   private endIsolation(task: TaskState, context: PlacementContext): void {
     const {placement} = this.options;
     const workers = [...this.options.workers.values()];
@@ -391,6 +413,15 @@
   }
 }
 
+/** Whether only a lack of room keeps a task from a worker. */
+function lacksRoomOnly(evaluation: number | WorkerExclusion): boolean {
+  return (
+    evaluation === WorkerExclusion.CPU ||
+    evaluation === WorkerExclusion.MEMORY ||
+    evaluation === WorkerExclusion.ACCELERATORS
+  );
+}
+
 /** Returns tasks with those that may crash their worker at the end. */
 function suspectsLast(tasks: readonly TaskState[]): TaskState[] {
   return [
--- a/src/orchestrator/worker_exclusion.ts
+++ b/src/orchestrator/worker_exclusion.ts
@@ -26,6 +26,8 @@
   START_IN_DOUBT: 'start-in-doubt',
   /** Kept free of other starts for a task that may crash it. */
   RESERVED: 'reserved',
+  /** Room there is kept for a larger task that has waited. */
+  HELD_ROOM: 'held-room',
   MISSING_LABEL: 'missing-label',
   /** Has the maximum number of tasks of the step. */
   STEP_LIMIT: 'step-limit',
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -1,5 +1,6 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
+import {HeldRoom} from './held_rooms.js';
 import {RunState} from './run_life_cycle.js';
 import {TaskState} from './task_state.js';
 import {WorkerHealth} from './worker_health.js';
@@ -62,6 +63,7 @@
   /** Whether it runs something of which the request is not known. */
   hasUnknownRuns = false;
   private isInEvacuation = false;
+  private held: HeldRoom | undefined;
   /** Time in ms of the latest assignment of a task. */
   lastStartMs = -Infinity;
   private reservation: {task: TaskState; untilMs: number} | undefined;
@@ -96,6 +98,16 @@
     this.version += 1;
   }
 
+  /** Room that is kept for a task that waits, if any. */
+  get heldRoom(): HeldRoom | undefined {
+    return this.held;
+  }
+
+  set heldRoom(heldRoom: HeldRoom | undefined) {
+    this.held = heldRoom;
+    this.version += 1;
+  }
+
   /** Whether an operator has asked to give its data centre no new work. */
   get isEvacuated(): boolean {
     return this.isInEvacuation;
