--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -13,17 +13,18 @@
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
 import {JobIndex} from './job_index.js';
-import {JobState, OccurrenceState, StepState} from './job_state.js';
+import {HeldTasks, isAnyPlaced} from './held_tasks.js';
+import {JobState, StepState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
 import {PendingChanges} from './pending_changes.js';
 import {crashPauseMs, restartDelayMs} from './restart_delay.js';
-import {summarizeLoad} from './load_summary.js';
 import {ReportProcessor} from './report_processor.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
 import {StuckRuns} from './stuck_runs.js';
+import {SummaryLog} from './summary_log.js';
 import {StartWindow} from './start_window.js';
 import {StepAdvice} from './step_advice.js';
 import {StepContexts} from './step_contexts.js';
@@ -78,21 +79,9 @@
   countEvent?: (event: OrchestratorEvent) => void;
 }
 
-/** Interval in ms between load summaries in the log. */
-const SUMMARY_INTERVAL_MS = 1000;
-
-/** Interval in ms between summaries of the interference model in the log. */
-const INTERFERENCE_LOG_INTERVAL_MS = 10_000;
-
 /** Time in ms after which an unanswered stop command is sent again. */
 const STOP_RESEND_MS = 600;
 
-/**
- * Maximum number of tasks in memory, at about 1 KB each. Jobs beyond it wait
- * without tasks until others have ended.
- */
-const MAX_HELD_TASKS = 60_000;
-
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -107,7 +96,7 @@
 export class Orchestrator {
   private readonly jobIndex = new JobIndex();
   private readonly registry: WorkerRegistry;
-  private readonly tasksByName = new Map<string, TaskState>();
+  private readonly tasks: HeldTasks;
   private readonly changes: PendingChanges;
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
@@ -119,11 +108,8 @@
   private readonly crashes: CrashTracker;
   private readonly stuckRuns: StuckRuns;
   private readonly startGuard: StartGuard;
-  /** Jobs that have ended and still have tasks in memory. */
-  private readonly endedJobs = new Set<JobState>();
+  private readonly summaries: SummaryLog;
   private configuration: Configuration | undefined;
-  private summaryMs = -Infinity;
-  private interferenceLogMs = -Infinity;
   private queuesByName = new Map<string, Queue>();
   /** Priority of the most urgent queues. */
   private topPriority = 0;
@@ -142,6 +128,10 @@
       onCounted: (task) => this.handleCrashCount(task),
     });
     this.startGuard = new StartGuard(options);
+    this.tasks = new HeldTasks({
+      onAdded: (task) => this.registerTask(task),
+      onReleased: (step) => this.forgetStep(step),
+    });
     this.stuckRuns = new StuckRuns({
       workers: this.workers,
       onStuck: (task) => this.requestStop(task, 'no-progress'),
@@ -201,8 +191,14 @@
       contexts,
       explainer: this.explainer,
     });
+    this.summaries = new SummaryLog({
+      log: options.log,
+      waits: this.waits,
+      bestEffort: this.bestEffort,
+      workers: this.workers,
+    });
     this.reportProcessor = new ReportProcessor({
-      taskOf: (name) => this.tasksByName.get(name),
+      taskOf: (name) => this.tasks.get(name),
       onConfirmed: (task) => this.confirm(task),
       onEnded: (task, end) => this.endRun(task, end),
       onObsolete: (task) => this.withdrawUnsent(task),
@@ -238,13 +234,9 @@
     const {id} = job.definition;
     if (this.jobs.has(id)) return;
     job.knownSinceMs = this.options.clock.nowMs();
-    if (job.isFinal) {
-      job.finalSinceMs = job.knownSinceMs;
-    } else {
-      this.createDueOccurrences(job);
-    }
+    if (job.isFinal) job.finalSinceMs = job.knownSinceMs;
     this.jobIndex.add(job);
-    this.registerTasks(job.tasks());
+    this.tasks.addJob(job, this.options.clock.wallMs());
   }
 
   /** Cancels a job: no further task starts and running tasks are stopped. */
@@ -392,18 +384,12 @@
   /** Handles timeouts: expired leases, unanswered stops, due occurrences. */
   tick(): void {
     const nowMs = this.options.clock.nowMs();
-    if (nowMs - this.summaryMs >= SUMMARY_INTERVAL_MS) this.logSummaries(nowMs);
+    this.summaries.logDue(this.jobIndex.open, this.schedulingTime);
     for (const worker of this.workers.values()) {
       this.expireLease(worker, nowMs);
       for (const task of worker.tasks) this.resendStop(task, nowMs);
     }
-    for (const job of this.jobIndex.open) {
-      for (const step of job.releaseDoneOccurrences()) this.forgetStep(step);
-      for (const {steps} of this.createDueOccurrences(job)) {
-        for (const {tasks} of steps) this.registerTasks(tasks);
-      }
-    }
-    for (const job of this.endedJobs) this.releaseEndedJob(job);
+    this.tasks.update(this.jobIndex.open, this.options.clock.wallMs());
     const forgottenMs = nowMs - this.options.keepFinishedMs;
     for (const job of this.jobIndex.finishedUntil(forgottenMs)) {
       this.removeFinishedJob(job);
@@ -497,43 +483,9 @@
     return {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
   }
 
-  /** Logs the load, jobs that wait and, less often, the interference model. */
-  private logSummaries(nowMs: number): void {
-    this.summaryMs = nowMs;
-    const summary = summarizeLoad(this.jobIndex.open, this.workers.values());
-    const waits = this.waits.check(this.jobIndex.open, this.schedulingTime);
-    this.options.log.logSummary('load', {...summary, ...waits});
-    if (nowMs - this.interferenceLogMs < INTERFERENCE_LOG_INTERVAL_MS) {
-      return;
-    }
-    this.interferenceLogMs = nowMs;
-    const pairs = this.bestEffort.interference.pairs();
-    if (pairs.length > 0) this.options.log.logSummary('interference', {pairs});
-  }
-
-  /** Creates occurrences of a job while the owner has room for their tasks. */
-  private createDueOccurrences(job: JobState): OccurrenceState[] {
-    return job.createDueOccurrences(this.options.clock.wallMs(), (tasks) => {
-      const held = this.tasksByName.size;
-      return held === 0 || held + tasks <= MAX_HELD_TASKS;
-    });
-  }
-
-  /** Releases the tasks of a job that has ended once none of them is placed. */
-  private releaseEndedJob(job: JobState): void {
-    for (const task of job.tasks()) if (task.isPlaced) return;
-    this.endedJobs.delete(job);
-    for (const step of job.releaseEnded()) this.forgetStep(step);
-  }
-
-  private registerTasks(tasks: Iterable<TaskState>): void {
-    for (const task of tasks) this.registerTask(task);
-  }
-
-  /** Registers a task that was just created or restored, once. */
+  /** Registers a task that was just created or restored; called once. */
   private registerTask(task: TaskState): void {
     const nowMs = this.options.clock.nowMs();
-    this.tasksByName.set(task.name, task);
     task.waitingSinceMs = nowMs;
     if (task.lastActiveMs === -Infinity) task.lastActiveMs = nowMs;
     for (const loss of task.storedLosses.splice(0)) {
@@ -698,7 +650,7 @@
   ): void {
     job.phase = phase;
     this.jobIndex.finish(job);
-    this.endedJobs.add(job);
+    this.tasks.recordEnded(job);
     if (phase === JobPhase.FAILED) {
       this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
     }
@@ -878,10 +830,8 @@
   }
 
   private removeFinishedJob(job: JobState): void {
-    for (const task of job.tasks()) if (task.isPlaced) return;
-    for (const {steps} of job.occurrences.values()) {
-      for (const step of steps) this.forgetStep(step);
-    }
+    if (isAnyPlaced(job)) return;
+    this.tasks.releaseJob(job);
     this.jobIndex.remove(job);
     this.changes.removeJob(job);
     this.options.effects.requestCommit();
@@ -890,7 +840,6 @@
   private forgetStep(step: StepState): void {
     this.advice.removeStep(step);
     this.bestEffort.removeTasks(step.tasks);
-    for (const {name} of step.tasks) this.tasksByName.delete(name);
   }
 
   private requestAdvice(nowMs: number): void {
