Check a configuration before it is sent

banyanmux-node check-configuration FILE --in-force FILE lists errors, entries that never match, limits that contradict each other and what would change; exit status 2, 1 or 0.

--- a/src/node/banyanmux_node.ts
+++ b/src/node/banyanmux_node.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+import {decodeConfiguration} from '../../platform/decode_entries.js';
+import {checkConfigurationCommand} from '../configuration_check/check_configuration_command.js';
 import {evacuationsCommand} from '../evacuation/evacuations_command.js';
 import {runDaemon} from '../settings/run_daemon.js';
 import {whyCommand} from '../why/why_command.js';
@@ -11,6 +13,11 @@
   schema: nodeSettingsSchema,
   run: runNode,
   commands: {
+    'check-configuration': checkConfigurationCommand({
+      decode: decodeConfiguration,
+      write: (text) => process.stdout.write(text),
+      setExitStatus: (status) => (process.exitCode = status),
+    }),
     evacuations: evacuationsCommand({
       write: (text) => process.stdout.write(text),
     }),
