Bound what peers that have not authenticated themselves hold of a node

Cause: at the address for links a stranger could send frames of 4 MB and keep 512 links.

Change: one frame of 4 KB within 5 s before the handshake; of 128 strangers the oldest makes room. Urgent jobs may have 15,000 tasks beyond the 60,000 that an owner holds.

--- a/src/links/frame_codec.ts
+++ b/src/links/frame_codec.ts
@@ -32,6 +32,8 @@
 
 /** Decodes frames from a byte stream; buffers at most one incomplete frame. */
 export class FrameDecoder {
+  /** Maximum size in bytes of the next frames. */
+  limitBytes = MAX_FRAME_BYTES;
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private expectedBytes: number | undefined;
@@ -41,7 +43,7 @@
    *
    * @param chunk - Bytes in the order received; may end within a frame.
    * @returns Decoded values of all frames that this chunk completes.
-   * @throws RangeError if a length prefix exceeds {@link MAX_FRAME_BYTES}.
+   * @throws RangeError if a length prefix exceeds {@link limitBytes}.
    * @throws Error if a frame is not valid CBOR.
    */
   push(chunk: Buffer): unknown[] {
@@ -64,9 +66,9 @@
   private readHeader(): number | undefined {
     if (this.bufferedBytes < HEADER_BYTES) return undefined;
     const length = this.consume(HEADER_BYTES).readUInt32BE(0);
-    if (length > MAX_FRAME_BYTES) {
+    if (length > this.limitBytes) {
       throw new RangeError(
-        `Cannot decode frame: ${length} bytes exceed the limit of ${MAX_FRAME_BYTES}`,
+        `Cannot decode frame: ${length} bytes exceed the limit of ${this.limitBytes}`,
       );
     }
     return length;
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -4,7 +4,7 @@
 import {Clock} from '../clock/clock.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
-import {encodeFrame, FrameDecoder} from './frame_codec.js';
+import {encodeFrame, FrameDecoder, MAX_FRAME_BYTES} from './frame_codec.js';
 import {
   AnswerFrame,
   HelloFrame,
@@ -46,6 +46,12 @@
  */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
+/** Maximum size of the frame with which a peer authenticates itself. */
+const MAX_HELLO_BYTES = 4096;
+
+/** Time in ms in which a peer has to authenticate itself. */
+const HANDSHAKE_TIMEOUT_MS = 5000;
+
 const CODES_BY_NUMBER = new Map<number, ResultCode>(
   Object.values(ResultCodes).map((code) => [code.number, code]),
 );
@@ -67,6 +73,7 @@
   private readonly timer: NodeJS.Timeout;
   private readonly silenceLimitMs: number;
   private lastReceivedMs: number;
+  private readonly openedMs: number;
   private nextId = 1;
   private closed = false;
 
@@ -78,7 +85,9 @@
     options: LinkOptions = {},
   ) {
     this.silenceLimitMs = options.silenceLimitMs ?? 1000;
-    this.lastReceivedMs = clock.nowMs();
+    this.openedMs = clock.nowMs();
+    this.lastReceivedMs = this.openedMs;
+    this.decoder.limitBytes = MAX_HELLO_BYTES;
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', (error) => this.close(error.message));
@@ -220,6 +229,7 @@
       dataCentre: String(hello.dataCentre),
       processors: Number(hello.processors ?? 0),
     };
+    this.decoder.limitBytes = MAX_FRAME_BYTES;
     this.handler.onOpen?.(this);
   }
 
@@ -254,8 +264,11 @@
   }
 
   private checkSilence(): void {
-    const silentMs = this.clock.nowMs() - this.lastReceivedMs;
-    if (silentMs > this.silenceLimitMs) {
+    const nowMs = this.clock.nowMs();
+    const silentMs = nowMs - this.lastReceivedMs;
+    if (!this.peer && nowMs - this.openedMs > HANDSHAKE_TIMEOUT_MS) {
+      this.close('the peer did not authenticate itself in time');
+    } else if (silentMs > this.silenceLimitMs) {
       this.close(`no data received for ${Math.round(silentMs)} ms`);
     } else if (this.peer) {
       this.write({type: 'ping'});
--- a/src/links/link_server.ts
+++ b/src/links/link_server.ts
@@ -11,8 +11,17 @@
   /** Handles what the peers send on any of the links. */
   handler: LinkHandler;
   clock: Clock;
-  /** Maximum number of open links; further ones are refused. @default 512 */
+  /**
+   * Maximum number of open links; beyond it, the oldest one whose peer has not
+   * authenticated itself makes room, or the new one is refused.
+   * @default 512
+   */
   maxLinks?: number;
+  /**
+   * Maximum number of links whose peers have not authenticated themselves.
+   * @default 128
+   */
+  maxUnauthenticated?: number;
 }
 
 /** Listens on a TCP port and accepts links from other processes. */
@@ -32,7 +41,7 @@
       },
     };
     this.server = createServer((socket) => {
-      if (this.links.size >= (options.maxLinks ?? 512)) {
+      if (!this.makeRoom(options)) {
         socket.destroy();
         return;
       }
@@ -59,6 +68,18 @@
     });
   }
 
+  /** Closes a link if there are too many; returns whether one may be added. */
+  private makeRoom(options: LinkServerOptions): boolean {
+    const {maxLinks = 512, maxUnauthenticated = 128} = options;
+    const unauthenticated = [...this.links].filter(({peer}) => !peer);
+    const isFull =
+      this.links.size >= maxLinks ||
+      unauthenticated.length >= maxUnauthenticated;
+    if (!isFull) return true;
+    unauthenticated[0]?.close('others need its place');
+    return unauthenticated.length > 0;
+  }
+
   /** Closes all links and the listening socket. */
   stop(): Promise<void> {
     for (const link of [...this.links]) link.close('stopped');
--- a/src/orchestrator/held_tasks.ts
+++ b/src/orchestrator/held_tasks.ts
@@ -3,6 +3,8 @@
 
 /** Options of {@link HeldTasks}. */
 export interface HeldTasksOptions {
+  /** Returns whether a job is of one of the most urgent queues. */
+  isUrgent: (job: JobState) => boolean;
   /** Called once with each task that was created or restored. */
   onAdded: (task: TaskState) => void;
   /** Called with each step whose tasks are released. */
@@ -15,6 +17,9 @@
  */
 const MAX_HELD_TASKS = 60_000;
 
+/** Further tasks that only jobs of the most urgent queues may have. */
+const URGENT_HELD_TASKS = 15_000;
+
 /**
  * Tasks that an owner holds in memory, by name. Creates those of occurrences
  * that are due and releases those that cannot start any more.
@@ -67,7 +72,8 @@
   ): ReturnType<JobState['createDueOccurrences']> {
     return job.createDueOccurrences(wallMs, (tasks) => {
       const held = this.byName.size;
-      return held === 0 || held + tasks <= MAX_HELD_TASKS;
+      const extra = this.options.isUrgent(job) ? URGENT_HELD_TASKS : 0;
+      return held === 0 || held + tasks <= MAX_HELD_TASKS + extra;
     });
   }
 
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -129,6 +129,7 @@
     });
     this.startGuard = new StartGuard(options);
     this.tasks = new HeldTasks({
+      isUrgent: (job) => this.isUrgent(job),
       onAdded: (task) => this.registerTask(task),
       onReleased: (step) => this.forgetStep(step),
     });
--- a/testing/misbehaving_connections_test.ts
+++ b/testing/misbehaving_connections_test.ts
@@ -9,6 +9,10 @@
   Array.from({length: 20_000}, (_, index) => head('GET', jobPath(index))),
 );
 
+/** Start of a frame of 4 MB, the largest that nodes exchange. */
+const LARGE_FRAME_HEAD = Buffer.from([0, 0x40, 0, 0]);
+const LARGE_FRAME_BODY = Buffer.alloc(4 * 1024 * 1024 - 1);
+
 const CROWDS: Readonly<Record<string, Crowd>> = {
   'requests sent ahead whose answers nobody reads': {
     clients: 30,
@@ -44,6 +48,21 @@
     memberOf: () => ({head: Buffer.from('GET /')}),
     portOf: (node) => node.readinessPort,
   },
+  'frames that never end at the address for links': {
+    clients: 40,
+    memberOf: () => ({head: LARGE_FRAME_HEAD, body: LARGE_FRAME_BODY}),
+    portOf: (node) => node.linksPort,
+  },
+  'silent connections at the address for links': {
+    clients: 700,
+    memberOf: () => ({
+      head: Buffer.from([0, 0, 4, 0]),
+      body: Buffer.alloc(900),
+      pieceBytes: 1,
+      pauseMs: 100,
+    }),
+    portOf: (node) => node.linksPort,
+  },
 };
 
 for (const [name, crowd] of Object.entries(CROWDS)) testCrowd(name, crowd);
--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -55,6 +55,8 @@
   process: ManagedProcess;
   /** Port for requests of callers. */
   callersPort: number;
+  /** Port for links from other nodes while this node is the owner. */
+  linksPort: number;
   readinessPort: number;
   metricsPort: number;
   logFile: string;
@@ -394,6 +396,7 @@
     this.nodes.push({
       process,
       callersPort: callersPort!,
+      linksPort: linksPort!,
       readinessPort: readinessPort!,
       metricsPort: metricsPort!,
       logFile,
