Send fewer starts that are not urgent while the owner answers late

Cause: a full owner keeps 300 batch starts open; its own queues delay urgent ones, and none gets faster.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -1,11 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {RequestListener} from 'node:http';
 
 import {Clock} from '../clock/clock.js';
 import {sleep} from '../clock/sleep.js';
-import {DoorServer, DoorServerOptions} from '../door/door_server.js';
-import {JobDoor} from '../door/job_door.js';
-import {RefusalLog} from '../door/refusal_log.js';
 import {EvacuatedDataCentre} from '../evacuation/evacuations_response.js';
 import {OwnerElection} from '../leadership/owner_election.js';
 import {OwnerRecord} from '../leadership/owner_record.js';
@@ -20,9 +16,9 @@
 import {JobTable} from '../work/job_table.js';
 import {groupProgress, StoredProgress} from '../work/stored_progress.js';
 import {JobGateway} from './job_gateway.js';
-import {createMetricsListener} from './metrics_listener.js';
 import {NodeMetrics} from './node_metrics.js';
 import {NodeMirrors} from './node_mirrors.js';
+import {createNodeServers, NodeServers} from './node_servers.js';
 import {NodeSettings, splitAddress} from './node_settings.js';
 import {OwnerLinkServer} from './owner_link_server.js';
 import {OwnerLink} from './owner_link.js';
@@ -45,9 +41,6 @@
 /** Fraction of the grace period after which idle connections are closed. */
 const CLOSE_START_FRACTION = 0.7;
 
-/** Part of the connections of callers that other listeners may have. */
-const INTERNAL_CONNECTIONS_SHARE = 0.1;
-
 /** Delay in ms before the initial load of a new owner is retried. */
 const TAKEOVER_RETRY_MS = 150;
 
@@ -62,10 +55,7 @@
   private readonly mirrors: NodeMirrors;
   private readonly election: OwnerElection;
   private readonly metrics: NodeMetrics;
-  private readonly servers: Record<
-    'callers' | 'readiness' | 'metrics',
-    DoorServer
-  >;
+  private readonly servers: NodeServers;
   private term: OwnerTerm | undefined;
   private runtime: OrchestratorRuntime | undefined;
   private isStopping = false;
@@ -113,9 +103,8 @@
     const {settings, log} = this.options;
     this.mirrors.start();
     this.election.start();
-    await Promise.all(
-      Object.values(this.servers).map((server) => server.listen()),
-    );
+    const {callers, readiness, metrics} = this.servers;
+    await Promise.all([callers.listen(), readiness.listen(), metrics.listen()]);
     log.logDecision('start', {
       dataCentre: settings.dataCentre,
       partition: settings.partition,
@@ -189,86 +178,15 @@
     });
   }
 
-  private createServers(): Record<
-    'callers' | 'readiness' | 'metrics',
-    DoorServer
-  > {
-    const {settings, platform} = this.options;
-    const {door: limits} = settings;
-    const callers = this.createDoorOptions('callers');
-    const door = new JobDoor({...callers, limits});
-    const handler = platform.createJobRequestHandler(this.gateway, door);
-    const mostConnections = Math.ceil(
-      limits.mostConnections * INTERNAL_CONNECTIONS_SHARE,
-    );
-    return {
-      callers: new DoorServer({
-        ...callers,
-        address: splitAddress(settings.callers),
-        listener: (request, response) => {
-          this.recordRequest(request.method ?? '', response);
-          handler(request, response);
-        },
-      }),
-      readiness: new DoorServer({
-        ...this.createDoorOptions('readiness'),
-        mostConnections,
-        address: splitAddress(settings.readiness),
-        listener: this.createReadinessListener(),
-      }),
-      metrics: new DoorServer({
-        ...this.createDoorOptions('metrics'),
-        mostConnections,
-        address: splitAddress(settings.metrics),
-        listener: createMetricsListener({
-          metrics: this.metrics,
-          gateway: this.gateway,
-          node: settings.node,
-          evacuations: () => this.listEvacuations(),
-          ownerName: () => this.ownerLink.ownerName,
-        }),
-      }),
-    };
-  }
-
-  private createDoorOptions(
-    listener: string,
-  ): Pick<DoorServerOptions, 'clock' | 'limits' | 'recordRefusal'> {
-    const {clock, log, settings} = this.options;
-    const refusals = new RefusalLog({
-      clock,
-      log,
-      listener,
-      increment: (series) => this.metrics.increment(series),
-    });
-    return {
-      clock,
-      limits: settings.door,
-      recordRefusal: (reason) => refusals.record(reason),
-    };
-  }
-
-  private createReadinessListener(): RequestListener {
-    const {readinessPath} = this.options.platform;
-    return (request, response) => {
-      const isKnownPath = request.url === readinessPath;
-      response.statusCode = isKnownPath ? (this.isReady ? 200 : 503) : 404;
-      response.end();
-    };
-  }
-
-  private recordRequest(
-    method: string,
-    response: Parameters<RequestListener>[1],
-  ): void {
-    const {clock} = this.options;
-    const startMs = clock.nowMs();
-    response.once('close', () => {
-      const status = response.writableFinished ? response.statusCode : 0;
-      this.metrics.increment(
-        `requests_total{method="${method}",status="${status}"}`,
-      );
-      this.metrics.recordLatency('request', clock.nowMs() - startMs);
+  private createServers(): NodeServers {
+    const {gateway, metrics} = this;
+    return createNodeServers({
+      ...this.options,
+      gateway,
+      metrics,
+      isReady: () => this.isReady,
+      listEvacuations: () => this.listEvacuations(),
+      ownerName: () => this.ownerLink.ownerName,
     });
   }
 
@@ -297,6 +215,7 @@
       ...createJobOrder(settings.scheduling.order),
       hasUrgentPasses: settings.scheduling.urgentPasses,
       looksAhead: settings.scheduling.lookAhead,
+      adaptsStarts: settings.scheduling.adaptiveStarts,
       store: platform.store,
       port: platform.workers,
       advice: platform.advice,
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -58,6 +58,11 @@
        * many jobs wait.
        */
       urgentPasses: z.boolean().default(false),
+      /**
+       * Whether fewer starts that are not urgent are open while answers to
+       * starts are late, because the owner is full.
+       */
+      adaptiveStarts: z.boolean().default(false),
       /**
        * Whether room is held for tasks that are too large for the gaps which
        * others leave; needs the order "learned-deadline".
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -61,6 +61,11 @@
    * declared run times
    */
   estimates?: RunTimeEstimates;
+  /**
+   * Whether fewer starts that are not urgent are open while answers to starts
+   * are late. @default false
+   */
+  adaptsStarts?: boolean;
   /**
    * Whether room is held for tasks that are too large for the gaps; needs
    * {@link estimates}. @default false
@@ -100,7 +105,7 @@
   private readonly changes: PendingChanges;
   private readonly bestEffort = new BestEffortController();
   private readonly advice = new StepAdvice();
-  private readonly startWindow = new StartWindow();
+  private readonly startWindow: StartWindow;
   private readonly scheduler: TaskScheduler;
   private readonly explainer: JobExplainer;
   private readonly waits: WaitMonitor;
@@ -127,6 +132,7 @@
       onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
       onCounted: (task) => this.handleCrashCount(task),
     });
+    this.startWindow = new StartWindow(options.adaptsStarts);
     this.startGuard = new StartGuard(options);
     this.tasks = new HeldTasks({
       isUrgent: (job) => this.isUrgent(job),
@@ -318,6 +324,8 @@
     outcome: CommandOutcome,
   ): void {
     if (task.run !== run || !task.isPlaced) return;
+    const answeredMs = this.options.clock.nowMs();
+    this.startWindow.recordAnswer(answeredMs - task.startedMs, answeredMs);
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
       if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -45,6 +45,11 @@
   order?: JobOrder;
   /** Learns run times. @default not learned */
   estimates?: RunTimeEstimates;
+  /**
+   * Whether fewer starts that are not urgent are open while answers to starts
+   * are late. @default false
+   */
+  adaptsStarts?: boolean;
   /**
    * Whether room is held for tasks that are too large for the gaps; needs
    * {@link estimates}. @default false
