--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -76,6 +76,8 @@
   /** Time in ms of the latest change of its CPU. */
   resizedMs: number;
   isDown: boolean;
+  /** Number of runs that it has started. */
+  startCount: number;
   link?: FaultyLink;
 }
 
@@ -262,6 +264,7 @@
       taskMs: this.options.taskMs ?? 300,
       isLongRunning: (task) => task.startsWith(LONG_RUNNING_JOB_PREFIX),
       onStarted: (task, run) => {
+        worker.startCount += 1;
         this.recordStart(id, task, run);
         if (isCrashing(task)) this.recordCrashingStart(worker, task);
       },
@@ -276,6 +279,7 @@
       cpuMillicores: entry.capacity.cpuMillicores,
       resizedMs: -Infinity,
       isDown: false,
+      startCount: 0,
     };
     await standIn.listen();
     this.workers.push(worker);
--- /dev/null
+++ b/testing/odd_registrations_test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {statSync} from 'node:fs';
+import {after, before, test} from 'node:test';
+
+import {sleep} from '../src/clock/sleep.js';
+import {FleetNode, NodeFleet, versionRoutePrefix} from './node_fleet.js';
+import {oddRegistrations} from './odd_entries.js';
+
+/** Limit in MB on the heap of a node, as in the deploy file. */
+const HEAP_LIMIT_MB = 200;
+
+/** Size in bytes that the log of a node stays below. */
+const MOST_LOG_BYTES = 2_000_000;
+
+const fleet = new NodeFleet({nodes: 2, workers: 2, heapLimitMb: HEAP_LIMIT_MB});
+
+/** Process ids that the nodes have as long as none has ended. */
+let processIds: ReadonlyArray<number | undefined> = [];
+
+before(async () => {
+  // One half is in the store when the first owner reads the list.
+  putOddRegistrations((number) => number % 2 === 0);
+  await fleet.start();
+  processIds = fleet.nodes.map(({process}) => process.pid);
+});
+after(() => fleet.stop());
+
+function putOddRegistrations(isIncluded: (number: number) => boolean): void {
+  [...oddRegistrations().values()].forEach((value, number) => {
+    if (isIncluded(number)) {
+      fleet.store.store.put(`servers/odd-${number}`, value);
+    }
+  });
+}
+
+let nextId = 1;
+
+/** Submits a job with one task; returns its id. */
+async function submitJob(node: FleetNode): Promise<string> {
+  const id = (nextId++).toString(16).padStart(16, '0');
+  const steps = [{count: 1, cpu: 1000, memoryRequestMb: 500, estimatedMs: 300}];
+  const body = {specification: 'text', steps};
+  assert.equal((await fleet.call(node, 'POST', {id, body})).status, 200);
+  return id;
+}
+
+async function runJob(node: FleetNode): Promise<void> {
+  await waitForSuccess(node, await submitJob(node));
+}
+
+async function waitForSuccess(node: FleetNode, id: string): Promise<void> {
+  let state: string | undefined;
+  for (let round = 0; round < 400; round++) {
+    ({state} = await fleet.call(node, 'GET', {id}));
+    if (state === 'succeeded') return;
+    await sleep(50);
+  }
+  assert.fail(`job ${id} is in state ${state}, expected succeeded`);
+}
+
+function checkProcesses(): void {
+  fleet.nodes.forEach(({process, logFile}, number) => {
+    assert.equal(process.pid, processIds[number], `${process.name} has ended`);
+    const {size} = statSync(logFile);
+    assert.ok(size < MOST_LOG_BYTES, `${process.name} logged ${size} bytes`);
+  });
+  assert.deepEqual(fleet.violations, []);
+}
+
+test('jobs run although the list of workers holds odd entries', async () => {
+  // Guards against one odd entry that ends each process which reads the list.
+  await runJob(fleet.nodes[0]!);
+  checkProcesses();
+});
+
+test('the list of workers is followed after odd entries', async () => {
+  // Guards against a mirror that stops at an entry it cannot use.
+  const [worker, other] = fleet.workers;
+  fleet.resizeWorker(worker!, 0);
+  fleet.resizeWorker(other!, 0);
+  putOddRegistrations(() => true);
+  fleet.resizeWorker(other!, 8000);
+  await runJob(fleet.nodes[1]!);
+  assert.ok(other!.startCount > 0);
+  fleet.resizeWorker(worker!, 8000);
+  checkProcesses();
+});
+
+test('a successor takes over beside odd entries', async () => {
+  // Guards against odd entries that end each owner in turn.
+  const {owner} = fleet;
+  const other = fleet.nodes.find((node) => node !== owner)!;
+  await owner.process.kill();
+  await runJob(other);
+  owner.process.start();
+  await fleet.waitUntilReady(owner);
+  processIds = fleet.nodes.map(({process}) => process.pid);
+  await sleep(1000);
+  checkProcesses();
+});
+
+test('the configuration in force stays beside odd ones', async () => {
+  // Guards against a configuration of another writer that ends each node, or
+  // after which no further one is read.
+  const routes = `[${'1,'.repeat(350_000)}1]`;
+  const texts = [
+    `{"version":99,"routes":${routes},"services":[]}`,
+    `{"version":99,"routes":[],"services":${routes}}`,
+    '['.repeat(300_000) + ']'.repeat(300_000),
+  ];
+  for (const text of texts) {
+    fleet.store.store.put('op/config', Buffer.from(text));
+    await sleep(300);
+  }
+  await runJob(fleet.nodes[0]!);
+  const prefix = versionRoutePrefix(fleet.publishConfiguration());
+  const id = 'f'.repeat(16);
+  let status = 404;
+  for (let round = 0; round < 100 && status === 404; round++) {
+    ({status} = await fleet.call(fleet.nodes[1]!, 'GET', {id, prefix}));
+    await sleep(50);
+  }
+  assert.equal(status, 410);
+  checkProcesses();
+});
+
+test('evacuations are followed after requests with odd names', async () => {
+  // Guards against keys of another writer that stop the mirror of requests.
+  const names = ['', 'a/b', '\n', '__proto__', 'é'.repeat(90)];
+  for (const name of names) fleet.requestEvacuation(name);
+  fleet.requestEvacuation('levis');
+  await sleep(1000);
+  const [node] = fleet.nodes;
+  const id = await submitJob(node!);
+  await sleep(1500);
+  assert.equal((await fleet.call(node!, 'GET', {id})).state, 'queued');
+  fleet.takeBackEvacuation('levis');
+  await waitForSuccess(node!, id);
+  checkProcesses();
+});
