--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -27,6 +27,9 @@
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
 
+/** Maximum time in ms for which a submission is repeated. */
+const MAX_SUBMISSION_MS = 60_000;
+
 /** Time in ms before a client's deadline, reserved to send the response. */
 const RESPONSE_MARGIN_MS = 300;
 
@@ -78,7 +81,8 @@
     const refusal = this.checkSize(definition);
     if (refusal) return refusal;
     const submission = {definition, acceptedWallMs: clock.wallMs()};
-    const deadlineMs = clock.nowMs() + remainingMs - RESPONSE_MARGIN_MS;
+    const submissionMs = Math.min(remainingMs, MAX_SUBMISSION_MS);
+    const deadlineMs = clock.nowMs() + submissionMs - RESPONSE_MARGIN_MS;
     let mayBeStored = false;
     for (;;) {
       const result = await this.tryStoreSubmission(submission, deadlineMs);
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -103,6 +103,25 @@
   assert.equal(result.code.name, 'ACCEPTED');
 });
 
+test('a submission is relayed with a time that timers take', async () => {
+  // Guards against a configured timeout so long that a timer takes it for none:
+  // the relay failed at once, and was repeated without a pause.
+  let relayedMs = 0;
+  const owner: OwnerClient = {
+    isOpen: true,
+    send: () => undefined,
+    request: (_name, _body, timeoutMs) => {
+      relayedMs = timeoutMs;
+      return Promise.resolve({code: ResultCodes.ACCEPTED});
+    },
+  };
+  const {gateway, state} = createFixture(new MemoryStore(), owner);
+  state.isStoreReachable = false;
+  const {code} = await gateway.submit(simpleJob(ID), 1e15);
+  assert.equal(code.name, 'ACCEPTED');
+  assert.ok(relayedMs > 0 && relayedMs < 2 ** 31, `${relayedMs} ms`);
+});
+
 test('a node returns the phase of a job that another node accepted', async () => {
   // Guards against NOT_FOUND for a job that the local mirror has not yet
   // received from the store.
--- a/testing/odd_registrations_test.ts
+++ b/testing/odd_registrations_test.ts
@@ -105,6 +105,7 @@
   const routes = `[${'1,'.repeat(350_000)}1]`;
   const texts = [
     `{"version":99,"routes":${routes},"services":[]}`,
+    '{"version":1e308,"routes":[],"services":[]}',
     `{"version":99,"routes":[],"services":${routes}}`,
     '['.repeat(300_000) + ']'.repeat(300_000),
   ];
