Unregister a worker whose entry can no longer be read

What was seen: after another writer had replaced the entry of a worker by one that cannot be read, nodes that knew the earlier entry went on to start tasks there, while a node that read the list for the first time did not know the worker.

Cause: the mirror of registrations logged the error and kept what the entry had said before.

Change: such an entry removes the registration, as a deletion does: no new starts, while runs and lease of the worker go on. Its next own entry brings it back. The log line says whether a worker was registered, and the size.

--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -203,23 +203,37 @@
     }
   }
 
+  /**
+   * Applies a change of a registration. One that cannot be decoded registers no
+   * worker, whatever it said before: nodes that read it now for the first time
+   * do not know that.
+   */
   private applyWorker(change: StoreChange): void {
-    const {platform, log, onWorker, onWorkerRemoved} = this.options;
+    const {platform, log} = this.options;
     const id = change.key.slice(platform.workerPrefix.length);
     if (!change.value) {
-      this.workers.delete(id);
-      onWorkerRemoved(id);
+      this.removeWorker(id);
       return;
     }
+    let entry: WorkerRegistration;
     try {
-      const entry = platform.decodeWorker(id, change.value);
-      this.workers.set(id, entry);
-      onWorker(entry);
+      entry = platform.decodeWorker(id, change.value);
     } catch (error) {
       log.logDecision('worker-entry-unreadable', {
         worker: id,
+        wasRegistered: this.workers.has(id),
+        bytes: change.value.length,
         reason: (error as Error).message,
       });
+      if (this.workers.has(id)) this.removeWorker(id);
+      return;
     }
+    this.workers.set(id, entry);
+    this.options.onWorker(entry);
+  }
+
+  private removeWorker(id: string): void {
+    this.workers.delete(id);
+    this.options.onWorkerRemoved(id);
   }
 }
--- a/testing/odd_registrations_test.ts
+++ b/testing/odd_registrations_test.ts
@@ -86,6 +86,25 @@
   checkProcesses();
 });
 
+test('a worker whose entry becomes unreadable gets no new work', async () => {
+  // Guards against nodes that use what an entry said before: one that reads the
+  // list now does not know the worker, and they would decide differently.
+  const [worker, other] = fleet.workers;
+  const [node] = fleet.nodes;
+  fleet.resizeWorker(other!, 0);
+  await sleep(500);
+  const odd = oddRegistrations().get('unknown state')!;
+  fleet.store.store.put(`servers/${worker!.id}`, odd);
+  await sleep(500);
+  const id = await submitJob(node!);
+  await sleep(1500);
+  assert.equal((await fleet.call(node!, 'GET', {id})).state, 'queued');
+  fleet.resizeWorker(worker!, 8000);
+  await waitForSuccess(node!, id);
+  fleet.resizeWorker(other!, 8000);
+  checkProcesses();
+});
+
 test('a successor takes over beside odd entries', async () => {
   // Guards against odd entries that end each owner in turn.
   const {owner} = fleet;
