Isolate a change that cannot be applied from the mirror of the store

What was seen, in the test only: when a change of the mirror failed (such as an owner record that is not CBOR, nested so deeply that the decoder's stack overflows), a new owner's first listing was rejected and repeated, and a watch counted as lost: the node was not ready for 200 ms although the store answered, and the log blamed the store.

Cause: the error of the consumer travelled through the mirror as if it were one of the store. Registrations and job records are caught by their own handlers; the owner record was not.

Change: the mirror logs `change-not-applied` with the key and goes on. No entry was ever applied twice or left out for good: the revision was noted before.

Test seen failing on the commit before: "a change that fails does not count as a failure of the store". It passes now.

--- a/src/store/prefix_mirror.ts
+++ b/src/store/prefix_mirror.ts
@@ -164,7 +164,18 @@
       if (known >= change.revision) return;
       this.revisions.set(change.key, change.revision);
     }
-    this.options.onChange(change);
+    this.report(change);
+  }
+
+  /** Reports a change; one that fails must not keep others from being read. */
+  private report(change: StoreChange): void {
+    const {log, onChange} = this.options;
+    try {
+      onChange(change);
+    } catch (error) {
+      const {key, revision} = change;
+      log.logError('change-not-applied', error as Error, {key, revision});
+    }
   }
 
   private async waitForBatch(): Promise<void> {
--- a/src/store/prefix_mirror_test.ts
+++ b/src/store/prefix_mirror_test.ts
@@ -179,3 +179,35 @@
   mirror.stop();
   assert.ok(oldestMs < 1700, `${oldestMs} ms without a response`);
 });
+
+test('a change that fails does not count as a failure of the store', async () => {
+  // Guards against one odd value after which a new owner repeats its first
+  // listing, and after which the node is not ready although the store answers.
+  const store = new MemoryStore();
+  const applied: string[] = [];
+  const mirror = new PrefixMirror({
+    store,
+    clock: new SystemClock(),
+    log: silentLog(),
+    prefix: 'a/',
+    waitMs: 20,
+    onChange: ({key}) => {
+      if (key === 'a/odd') throw new RangeError('Maximum call stack exceeded');
+      applied.push(key);
+    },
+  });
+  store.put('a/odd', Buffer.from('1'));
+  store.put('a/sound', Buffer.from('1'));
+  await mirror.reload();
+  assert.deepEqual(applied, ['a/sound']);
+  assert.ok(mirror.isResponding);
+  mirror.start();
+  store.put('a/odd', Buffer.from('2'));
+  store.put('a/other', Buffer.from('1'));
+  for (let round = 0; round < 20; round++) {
+    await sleep(5);
+    assert.ok(mirror.isResponding);
+  }
+  mirror.stop();
+  assert.deepEqual(applied, ['a/sound', 'a/other']);
+});
