Bound the images of which the interference model keeps estimates

Found by reading; not seen from callers.

Change: at most 64 best-effort images for each of at most 256 latency-critical ones; the one that was not used longest is forgotten, and its place begins with the prior. The log line names the 100 latest pairs and how many are known. With fewer images nothing changes.

Tests seen failing without the change: "images that callers name anew each time take a bounded memory" (2000 pairs) and "an image that takes the place of another begins without its estimate". They pass now.

--- a/src/interference/pressure_estimates.ts
+++ b/src/interference/pressure_estimates.ts
@@ -12,6 +12,12 @@
 
 const MS_PER_SECOND = 1000;
 
+/**
+ * Maximum number of images with an estimate. Callers name their images freely,
+ * and the covariances grow with the square of their number.
+ */
+const MAX_IMAGES = 64;
+
 /** Usage of a worker by tasks of one image, as a share of its processors. */
 export interface ImageUsage {
   image: string;
@@ -24,7 +30,10 @@
  * same worker are observed together.
  */
 export class PressureEstimates {
-  /** Position of each image in the means and covariances. */
+  /**
+   * Position of each image in the means and covariances, in the order of their
+   * latest use.
+   */
   private readonly positions = new Map<string, number>();
   private readonly means: number[] = [];
   private readonly covariances: number[][] = [];
@@ -108,14 +117,28 @@
 
   private positionOf(image: string): number {
     const known = this.positions.get(image);
-    if (known !== undefined) return known;
-    const position = this.means.length;
+    const position = known ?? this.freePosition();
+    this.positions.delete(image);
     this.positions.set(image, position);
-    this.means.push(PRIOR_PRESSURE);
-    for (const row of this.covariances) row.push(0);
-    const row = new Array<number>(position + 1).fill(0);
-    row[position] = PRIOR_VARIANCE;
-    this.covariances.push(row);
+    if (known === undefined) this.resetEstimate(position);
     return position;
   }
+
+  /** Returns a new position, or that of the image that was not used longest. */
+  private freePosition(): number {
+    if (this.positions.size < MAX_IMAGES) return this.positions.size;
+    const [oldest] = this.positions;
+    const [image, position] = oldest!;
+    this.positions.delete(image);
+    return position;
+  }
+
+  /** Sets the estimate at a position to the prior. */
+  private resetEstimate(position: number): void {
+    this.means[position] = PRIOR_PRESSURE;
+    for (const row of this.covariances) row[position] = 0;
+    const row = new Array<number>(this.means.length).fill(0);
+    row[position] = PRIOR_VARIANCE;
+    this.covariances[position] = row;
+  }
 }
--- a/src/interference/tail_interference.ts
+++ b/src/interference/tail_interference.ts
@@ -62,6 +62,12 @@
 /** Time in ms within which an equal tail latency is the same reading again. */
 const DUPLICATE_WINDOW_MS = 450;
 
+/**
+ * Maximum number of latency-critical images with estimates; the one that was not
+ * observed longest is forgotten first.
+ */
+const MAX_IMAGES = 256;
+
 /** Upper bound of a load, because the tail latency diverges at 1. */
 const MAX_LOAD = 0.99;
 
@@ -71,7 +77,7 @@
  * to 1 / (1 - load), because loads add up and latencies do not.
  */
 export class TailInterference {
-  /** Pressures on each latency-critical image. */
+  /** Pressures on each latency-critical image, the latest observed last. */
   private readonly pressures = new Map<string, PressureEstimates>();
   /** Load of each group without interference. */
   private readonly ownLoads = new Map<string, LoadTracker>();
@@ -170,13 +176,18 @@
   }
 
   private pressuresOn(image: string): PressureEstimates {
-    let estimates = this.pressures.get(image);
-    if (!estimates) {
-      estimates = new PressureEstimates();
-      this.pressures.set(image, estimates);
-    }
+    const estimates = this.pressures.get(image) ?? new PressureEstimates();
+    this.pressures.delete(image);
+    this.pressures.set(image, estimates);
+    if (this.pressures.size > MAX_IMAGES) this.forgetOldestImage();
     return estimates;
   }
+
+  private forgetOldestImage(): void {
+    const [oldest] = this.pressures.keys();
+    this.pressures.delete(oldest!);
+    this.shortestTails.delete(oldest!);
+  }
 }
 
 /**
--- a/src/interference/tail_interference_test.ts
+++ b/src/interference/tail_interference_test.ts
@@ -150,3 +150,47 @@
   assert.ok(seen.size > 40);
   assert.deepEqual(wrong, []);
 });
+
+test('images that callers name anew each time take a bounded memory', () => {
+  // Guards against an owner that ends at its heap limit, and slows down before,
+  // because each best-effort job names an image of its own: the covariances
+  // grew with the square of their number.
+  const model = new TailInterference();
+  const observe = (image: string, fill: string, nowMs: number): void =>
+    model.observe({
+      task: `${image}.0`,
+      image,
+      tailMs: 100 + (nowMs % 7),
+      fills: [{image: fill, share: 0.5}],
+      nowMs,
+    });
+  for (let round = 1; round <= 2000; round++) {
+    observe('portal', `build-${round}`, round * 500);
+  }
+  assert.ok(model.pairs().length <= 64, `${model.pairs().length} pairs`);
+  for (let round = 1; round <= 2000; round++) {
+    observe(`portal-${round}`, 'render', round * 500);
+    model.removeGroup(`portal-${round}.0`, [`portal-${round}.0`]);
+  }
+  assert.ok(model.pairs().length <= 64 + 256, `${model.pairs().length} pairs`);
+});
+
+test('an image that takes the place of another begins without its estimate', () => {
+  // Guards against best-effort tasks that are throttled, or trusted, for what
+  // tasks of a forgotten image did.
+  const model = new TailInterference();
+  let nowMs = 0;
+  const observe = (fill: string, tailMs: number): void => {
+    nowMs += 500;
+    const fills = fill === '' ? [] : [{image: fill, share: 1}];
+    model.observe({task: 't', image: 'portal', tailMs, fills, nowMs});
+  };
+  const unknown = model.pressureOf('portal', 'never seen');
+  for (let round = 0; round < 200; round++) {
+    observe('', 100 + (round % 2));
+    observe('harmful', 900 + (round % 2));
+  }
+  assert.notEqual(model.pressureOf('portal', 'harmful'), unknown);
+  for (let round = 0; round < 64; round++) observe(`other-${round}`, 300);
+  assert.equal(model.pressureOf('portal', 'harmful'), unknown);
+});
--- a/src/orchestrator/summary_log.ts
+++ b/src/orchestrator/summary_log.ts
@@ -20,6 +20,9 @@
 /** Interval in ms between summaries of the interference model in the log. */
 const INTERFERENCE_LOG_INTERVAL_MS = 10_000;
 
+/** Maximum number of pairs of images in one log line. */
+const LOGGED_PAIRS = 100;
+
 /** Logs the load, jobs that wait and, less often, the interference model. */
 export class SummaryLog {
   private summaryMs = -Infinity;
@@ -38,6 +41,10 @@
     if (nowMs - this.interferenceLogMs < INTERFERENCE_LOG_INTERVAL_MS) return;
     this.interferenceLogMs = nowMs;
     const pairs = bestEffort.interference.pairs();
-    if (pairs.length > 0) log.logSummary('interference', {pairs});
+    if (pairs.length === 0) return;
+    log.logSummary('interference', {
+      known: pairs.length,
+      pairs: pairs.slice(-LOGGED_PAIRS),
+    });
   }
 }
