Count all texts of a job for the memory of known jobs

Cause: the limit on the memory of all known jobs (`mostJobBytes`, 32 MB) counted the specification and the dependencies, but not images and labels, which are free texts of up to the size of a body.

--- a/src/work/job_size.ts
+++ b/src/work/job_size.ts
@@ -1,4 +1,4 @@
-import {JobDefinition} from './job_definition.js';
+import {JobDefinition, StepDefinition} from './job_definition.js';
 
 /** Limits on the size of jobs, and of all jobs together. */
 export interface JobSizeLimits {
@@ -19,11 +19,17 @@
 export function definitionBytes(definition: JobDefinition): number {
   const {specification, steps} = definition;
   return steps.reduce(
-    (sum, {after}) => sum + STEP_BYTES + PREDECESSOR_BYTES * after.length,
+    (sum, step) => sum + stepBytes(step),
     JOB_BYTES + specification.length,
   );
 }
 
+function stepBytes(step: StepDefinition): number {
+  const {after, image = '', requiredLabel = '', affinityRack = ''} = step;
+  const texts = image.length + requiredLabel.length + affinityRack.length;
+  return STEP_BYTES + PREDECESSOR_BYTES * after.length + texts;
+}
+
 /** Returns the number of tasks of a job, or of one of its occurrences. */
 export function countTasks({steps}: JobDefinition): number {
   return steps.reduce((sum, {taskCount}) => sum + taskCount, 0);
