Split stops, ends of jobs and unknown runs from the orchestrator

RunStops stops runs and repeats unanswered stops, JobEndings ends jobs and publishes stored phases, OrphanRuns stops runs that belong to no task.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -2,8 +2,7 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {NodeLog} from '../logging/node_log.js';
 import {Configuration, Queue} from '../work/configuration.js';
-import {JobPhase, StepDefinition} from '../work/job_definition.js';
-import {parseTaskName} from '../work/task_name.js';
+import {JobPhase} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
 import {DeadlineOrder, durationOf, JobOrder, objectiveMs} from './job_order.js';
@@ -12,14 +11,17 @@
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
 import {JobExplanation} from './job_explanation.js';
+import {JobEndings} from './job_endings.js';
 import {JobIndex} from './job_index.js';
 import {HeldTasks, isAnyPlaced} from './held_tasks.js';
 import {JobState, StepState} from './job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
+import {OrphanRuns} from './orphan_runs.js';
 import {PendingChanges} from './pending_changes.js';
 import {crashPauseMs, restartDelayMs} from './restart_delay.js';
 import {ReportProcessor} from './report_processor.js';
+import {RunStops} from './run_stops.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
@@ -36,7 +38,6 @@
   CommandOutcome,
   EndKind,
   RefusalReason,
-  RunningReport,
   WorkerReport,
 } from './worker_port.js';
 import {WorkerRegistry} from './worker_registry.js';
@@ -84,9 +85,6 @@
   countEvent?: (event: OrchestratorEvent) => void;
 }
 
-/** Time in ms after which an unanswered stop command is sent again. */
-const STOP_RESEND_MS = 600;
-
 /** How runs end that their worker lost or no longer reports. */
 const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
   'not-there',
@@ -111,6 +109,9 @@
   private readonly waits: WaitMonitor;
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
+  private readonly stops: RunStops;
+  private readonly endings: JobEndings;
+  private readonly orphans: OrphanRuns;
   private readonly stuckRuns: StuckRuns;
   private readonly startGuard: StartGuard;
   private readonly summaries: SummaryLog;
@@ -139,16 +140,30 @@
       onAdded: (task) => this.registerTask(task),
       onReleased: (step) => this.forgetStep(step),
     });
+    this.stops = new RunStops({
+      ...options,
+      workerOf: (task) => this.workerOf(task),
+    });
+    this.endings = new JobEndings({
+      ...options,
+      jobs: this.jobIndex,
+      tasks: this.tasks,
+      stops: this.stops,
+      objectiveMsOf: (job) => this.objectiveMsOf(job),
+      onEnded: (job) => this.markDirty(job),
+    });
+    this.orphans = new OrphanRuns({jobs: this.jobs, effects: options.effects});
     this.stuckRuns = new StuckRuns({
       workers: this.workers,
-      onStuck: (task) => this.requestStop(task, 'no-progress'),
+      onStuck: (task) => this.stops.request(task, 'no-progress'),
     });
     this.changes = new PendingChanges({
       keys: options.keys,
       queueOf: (job) => this.queueOf(job),
       onStart: (task) => this.sendStart(task),
-      onPhases: (phases) => this.publishPhases(phases),
-      onRecordTooLarge: (job) => this.failTooLargeJob(job),
+      onPhases: (phases) => this.endings.publish(phases),
+      onRecordTooLarge: (job) =>
+        this.endings.end(job, JobPhase.FAILED, {cause: 'record-too-large'}),
     });
     const {estimates, looksAhead = false} = options;
     const duration =
@@ -178,7 +193,7 @@
       isBehind: options.isBehind,
       onAssign: (task, worker, run) => this.assign(task, worker, run),
       onWithdraw: (task) => this.withdraw(task),
-      onMove: (task) => this.requestStop(task, 'slowed-down'),
+      onMove: (task) => this.stops.request(task, 'slowed-down'),
       onJobError: (job, {message}) =>
         options.log.logDecision('job-not-scheduled', {
           job: job.definition.id,
@@ -211,7 +226,7 @@
       onObsolete: (task) => this.withdrawUnsent(task),
       onDone: (task) => this.finishTask(task),
       onFailed: (task) => this.failRun(task),
-      onOrphanRuns: (runs, worker) => this.stopOrphanRuns(runs, worker),
+      onOrphanRuns: (runs, worker) => this.orphans.handle(runs, worker),
     });
   }
 
@@ -250,7 +265,7 @@
   cancel(jobId: string): void {
     const job = this.jobs.get(jobId);
     if (!job || job.isFinal) return;
-    this.endJob(job, JobPhase.CANCELLED);
+    this.endings.end(job, JobPhase.CANCELLED);
   }
 
   /** Replaces the data centres whose workers are given no start. */
@@ -347,7 +362,7 @@
     });
     if (outcome.kind === 'unknown') {
       task.apply('doubted');
-      this.sendStop(task);
+      this.stops.send(task);
       return;
     }
     if (worker) {
@@ -369,25 +384,7 @@
     run: number,
     outcome: CommandOutcome,
   ): void {
-    if (task.run !== run || task.state !== 'stopping') return;
-    const isConclusive =
-      outcome.kind === 'done' ||
-      (outcome.kind === 'refused' &&
-        outcome.reason === RefusalReason.OTHER_INCARNATION);
-    if (!isConclusive) {
-      this.options.log.logDetail('stop-not-confirmed', {
-        task: task.name,
-        run,
-        worker: task.assignment?.workerId,
-        outcome: outcome.kind,
-        reason: outcome.reason,
-      });
-      return;
-    }
-    task.absentAfterMs = Math.min(
-      task.absentAfterMs,
-      this.options.clock.nowMs(),
-    );
+    this.stops.handleOutcome(task, run, outcome);
   }
 
   /** Handles timeouts: expired leases, unanswered stops, due occurrences. */
@@ -396,7 +393,7 @@
     this.summaries.logDue(this.jobIndex.open, this.schedulingTime);
     for (const worker of this.workers.values()) {
       this.expireLease(worker, nowMs);
-      for (const task of worker.tasks) this.resendStop(task, nowMs);
+      for (const task of worker.tasks) this.stops.resendIfDue(task, nowMs);
     }
     this.tasks.update(this.jobIndex.open, this.options.clock.wallMs());
     const forgottenMs = nowMs - this.options.keepFinishedMs;
@@ -515,7 +512,7 @@
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = task.startSpeedPercent;
-    if (task.job.isFinal) this.requestStop(task, 'job-ended');
+    if (task.job.isFinal) this.stops.request(task, 'job-ended');
     else if (task.speedLimitPercent < 100) this.sendSpeedLimit(task);
   }
 
@@ -605,7 +602,7 @@
 
   private completeJob(job: JobState): void {
     if (job.isFinal || !job.isComplete) return;
-    this.endJob(job, JobPhase.SUCCEEDED);
+    this.endings.end(job, JobPhase.SUCCEEDED);
   }
 
   private failRun(task: TaskState): void {
@@ -620,7 +617,7 @@
     const maxAttempts = this.queueOf(task.job)?.maxAttempts ?? Infinity;
     if (task.failures >= maxAttempts) {
       const cause = {cause: 'attempts', task: task.name};
-      this.endJob(task.job, JobPhase.FAILED, cause);
+      this.endings.end(task.job, JobPhase.FAILED, cause);
     }
   }
 
@@ -648,65 +645,7 @@
       run,
       ...task.crashes.toRecord(),
     });
-    this.endJob(job, JobPhase.FAILED, {cause: 'crashes', task: name});
-  }
-
-  /** @param cause - Why the job has failed, for the log. */
-  private endJob(
-    job: JobState,
-    phase: JobPhase,
-    cause: {cause?: string; task?: string} = {},
-  ): void {
-    job.phase = phase;
-    this.jobIndex.finish(job);
-    this.tasks.recordEnded(job);
-    if (phase === JobPhase.FAILED) {
-      this.options.countEvent?.(OrchestratorEvent.JOB_FAILED);
-    }
-    this.options.log.logDecision('job-ended', {
-      job: job.definition.id,
-      phase,
-      ...cause,
-      queue: job.definition.queue,
-      ageMs: Math.round(this.options.clock.wallMs() - job.acceptedWallMs),
-      objectiveMs: this.objectiveMsOf(job),
-      ...job.history.summary(),
-    });
-    for (const task of job.tasks()) {
-      if (task.state === 'running') this.requestStop(task, 'job-ended');
-    }
-    this.markDirty(job);
-  }
-
-  /** Ends a job whose progress does not fit a stored value. */
-  private failTooLargeJob(job: JobState): void {
-    this.endJob(job, JobPhase.FAILED, {cause: 'record-too-large'});
-  }
-
-  /** Publishes phases that were just stored. */
-  private publishPhases(
-    phases: ReadonlyArray<[jobId: string, phase: JobPhase]>,
-  ): void {
-    const nowMs = this.options.clock.nowMs();
-    for (const [jobId] of phases) {
-      const job = this.jobs.get(jobId);
-      // The retention time starts when callers can see the final phase.
-      if (job?.isFinal) job.finalSinceMs = Math.min(job.finalSinceMs, nowMs);
-    }
-    this.options.effects.publishPhases(phases);
-  }
-
-  private requestStop(task: TaskState, reason: string): void {
-    if (!task.apply('stopRequested')) return;
-    task.absentAfterMs = Infinity;
-    task.lastActiveMs = this.options.clock.nowMs();
-    if (!task.job.isFinal) task.job.history.stoppedRuns += 1;
-    this.options.log.logDetail('stop', {
-      task: task.name,
-      run: task.run,
-      reason,
-    });
-    this.sendStop(task);
+    this.endings.end(job, JobPhase.FAILED, {cause: 'crashes', task: name});
   }
 
   private sendSpeedLimit(task: TaskState): void {
@@ -714,35 +653,6 @@
     if (worker) this.options.effects.setSpeedLimit(task, worker);
   }
 
-  private sendStop(task: TaskState): void {
-    const worker = this.workerOf(task);
-    if (!worker) return;
-    task.stopSentMs = this.options.clock.nowMs();
-    this.options.effects.stop(task, worker);
-  }
-
-  /** Stops runs that belong to no task; until they end, their room is used. */
-  private stopOrphanRuns(
-    runs: readonly RunningReport[],
-    worker: WorkerState,
-  ): void {
-    if (runs.length === 0 && !worker.hasOrphans) return;
-    worker.replaceOrphans(runs.map(({task}) => this.stepOfRun(task)));
-    for (const run of runs) this.options.effects.stopOrphanRun(run, worker);
-  }
-
-  /** Returns the step that a run belongs to; undefined if it is not known. */
-  private stepOfRun(taskName: string): StepDefinition | undefined {
-    const name = parseTaskName(taskName);
-    if (!name) return undefined;
-    return this.jobs.get(name.jobId)?.definition.steps[name.step];
-  }
-
-  private resendStop(task: TaskState, nowMs: number): void {
-    if (task.state !== 'stopping' || task.absentAfterMs !== Infinity) return;
-    if (nowMs - task.stopSentMs >= STOP_RESEND_MS) this.sendStop(task);
-  }
-
   /**
    * Ends the run of a gang of which a member does not start. The others would
    * occupy their workers until the gang times out.
@@ -751,8 +661,8 @@
     for (const member of stepOf(task).tasks) {
       if (member.state === 'assigned') this.endRun(member, 'withdrawn');
       else if (member.state === 'running') {
-        this.requestStop(member, 'gang-refused');
-      } else if (member.apply('doubted')) this.sendStop(member);
+        this.stops.request(member, 'gang-refused');
+      } else if (member.apply('doubted')) this.stops.send(member);
     }
   }
 
@@ -813,7 +723,7 @@
     worker.drainingSinceMs = Math.min(worker.drainingSinceMs, nowMs);
     for (const task of worker.tasks) {
       if (task.state === 'running' && task.step.isLongRunning) {
-        this.requestStop(task, 'worker-draining');
+        this.stops.request(task, 'worker-draining');
       }
     }
   }
