Bound the stops that one report of a worker causes

Cause: each run in a report that belongs to no task was told to stop with each report, however many there were: a report of 4 MB has room for 100,000 of them. Found by reading beside the odd registrations; not seen from callers.

Change: at most 500 stops a report; the next one lists the others again.

Test seen failing without the change: "a report with very many unknown runs causes a bounded number of stops" (100,000). Both tests of the module pass now.

--- a/src/orchestrator/orphan_runs.ts
+++ b/src/orchestrator/orphan_runs.ts
@@ -12,6 +12,12 @@
   effects: Pick<OrchestratorEffects, 'stopOrphanRun'>;
 }
 
+/**
+ * Maximum number of stops that one report causes; the next reports list the
+ * others again. A worker runs some hundred tasks.
+ */
+const MOST_STOPS_PER_REPORT = 500;
+
 /** Stops runs that belong to no task; until they end, their room is used. */
 export class OrphanRuns {
   constructor(private readonly options: OrphanRunsOptions) {}
@@ -20,7 +26,9 @@
   handle(runs: readonly RunningReport[], worker: WorkerState): void {
     if (runs.length === 0 && !worker.hasOrphans) return;
     worker.replaceOrphans(runs.map(({task}) => this.stepOf(task)));
-    for (const run of runs) this.options.effects.stopOrphanRun(run, worker);
+    for (const run of runs.slice(0, MOST_STOPS_PER_REPORT)) {
+      this.options.effects.stopOrphanRun(run, worker);
+    }
   }
 
   /** Returns the step that a run belongs to; undefined if it is not known. */
