Leave out job records that are no records, instead of stopping all jobs

Cause: a decoded submission was taken for one without a look at its fields, and was entered in the tables before the first use that failed; at a takeover only jobs with progress were restored within a handler.

Change: a submission is checked against a schema; unknown fields of later builds are kept. An occurrence that a job does not have is not restored. A job that cannot be restored, or whose tasks cannot be created, is logged and left out, and is in no table.

--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -29,12 +29,17 @@
   return {version: job.progressVersion, tasks: changes};
 }
 
-/** Restores the stored state of a newly created job. */
+/**
+ * Restores the stored state of a newly created job.
+ *
+ * @throws Error if the record has an occurrence that the job does not have.
+ */
 export function restoreProgress(job: JobState, record: ProgressRecord): void {
   job.progressVersion = record.version;
   job.phase = record.phase;
   job.doneBefore = record.doneBefore ?? 0;
   for (const stored of record.occurrences) {
+    checkOccurrence(job, stored.number);
     if (!stored.isDone) {
       restoreOccurrence(job, job.occurrence(stored.number), stored);
     } else if (job.definition.repetitions > 0) {
@@ -45,6 +50,15 @@
   }
 }
 
+function checkOccurrence({occurrenceCount}: JobState, number: number): void {
+  if (Number.isInteger(number) && number >= 0 && number < occurrenceCount) {
+    return;
+  }
+  throw new Error(
+    `Cannot restore occurrence ${number}: the job has ${occurrenceCount}`,
+  );
+}
+
 function occurrenceRecord(occurrence: OccurrenceState): OccurrenceRecord {
   const {number, isDone} = occurrence;
   if (isDone) return {number, isDone, steps: []};
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -251,14 +251,18 @@
     );
   }
 
-  /** Adds a job that was just accepted or was restored at a takeover. */
+  /**
+   * Adds a job that was just accepted or was restored at a takeover.
+   *
+   * @throws Error if its tasks cannot be created; the job is not added then.
+   */
   addJob(job: JobState): void {
     const {id} = job.definition;
     if (this.jobs.has(id)) return;
     job.knownSinceMs = this.options.clock.nowMs();
     if (job.isFinal) job.finalSinceMs = job.knownSinceMs;
-    this.jobIndex.add(job);
     this.tasks.addJob(job, this.options.clock.wallMs());
+    this.jobIndex.add(job);
   }
 
   /** Cancels a job: no further task starts and running tasks are stopped. */
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -119,7 +119,7 @@
     if (configuration) this.orchestrator.configure(configuration);
     for (const worker of workers) this.upsertWorker(worker);
     for (const [jobId, entry] of table.entries) {
-      this.restoreJob(entry, progress.get(jobId));
+      this.restoreJob(jobId, entry, progress.get(jobId));
     }
     table.setListener({
       onSubmitted: (_jobId, entry) => this.addJob(entry),
@@ -253,22 +253,21 @@
   }
 
   /**
-   * Adds a job with its stored progress. A job whose progress cannot be decoded
-   * is left out: its tasks may be running, so none may be started.
+   * Adds a job with its stored progress. A job that cannot be restored is left
+   * out: its tasks may be running, so none may be started.
    */
   private restoreJob(
+    jobId: string,
     entry: JobEntry,
     progress: StoredProgress | undefined,
   ): void {
-    if (!entry.submission || !progress) {
-      this.addJob(entry);
-      return;
-    }
     try {
-      this.addJob(entry, decodeStoredProgress(progress));
+      this.addJob(entry, progress && decodeStoredProgress(progress));
     } catch (error) {
-      const job = entry.submission.definition.id;
-      this.options.log.logError('progress-unreadable', error as Error, {job});
+      const failure = error as Error;
+      this.options.log.logError('progress-unreadable', failure, {
+        job: jobId,
+      });
     }
   }
 
--- a/src/work/job_records.ts
+++ b/src/work/job_records.ts
@@ -3,6 +3,7 @@
 import {JobDefinition, JobPhase} from './job_definition.js';
 import {EarlierCrashCounts, StoredCrashCounts} from './stored_crash_counts.js';
 import {StoredLoss} from './stored_loss.js';
+import {submissionSchema} from './submission_schema.js';
 
 /** Record that the gateway stores before it accepts a job. */
 export interface SubmissionRecord {
@@ -104,9 +105,13 @@
   return encode(record);
 }
 
-/** Decodes the result of {@link encodeSubmission}. */
+/**
+ * Decodes the result of {@link encodeSubmission}.
+ *
+ * @throws Error if the value is not the submission of a job.
+ */
 export function decodeSubmission(value: Buffer): SubmissionRecord {
-  return decode(value) as SubmissionRecord;
+  return submissionSchema.parse(decode(value));
 }
 
 /** Encodes progress as CBOR, with arrays for tasks to keep the value small. */
--- a/src/work/job_table.ts
+++ b/src/work/job_table.ts
@@ -54,8 +54,8 @@
   addSubmission(jobId: string, submission: SubmissionRecord): void {
     const entry = this.getOrCreateEntry(jobId);
     if (entry.submission) return;
-    entry.submission = submission;
     this.definitions += definitionBytes(submission.definition);
+    entry.submission = submission;
     this.listener?.onSubmitted(jobId, entry);
   }
 
--- /dev/null
+++ b/src/work/submission_schema.ts
@@ -0,0 +1,47 @@
+import {z} from 'zod';
+
+import {listSchema} from '../validation/list_schema.js';
+import {SubmissionRecord} from './job_records.js';
+
+/** Maximum number of tasks of one step. */
+const MAX_TASK_COUNT = 100_000;
+
+const amount = z.number().nonnegative();
+const optionalText = z.string().optional();
+
+/** Fields that later builds add are kept. */
+const stepSchema = z.looseObject({
+  taskCount: z.int().min(1).max(MAX_TASK_COUNT),
+  cpuMillicores: amount,
+  memoryMb: amount,
+  acceleratorCount: amount,
+  estimatedMs: amount,
+  after: listSchema(z.int().nonnegative()),
+  isCheckpointed: z.boolean(),
+  isGang: z.boolean(),
+  isRackSensitive: z.boolean(),
+  requiredLabel: optionalText,
+  affinityRack: optionalText,
+  mostPerWorker: amount,
+  isSpeculative: z.boolean(),
+  isLongRunning: z.boolean(),
+  image: optionalText,
+  tailTargetMs: amount,
+  usesLeftoverCpu: z.boolean(),
+  mostUnavailable: z.number().optional(),
+});
+
+/** Schema of the stored submission of a job. */
+export const submissionSchema = z.looseObject({
+  definition: z.looseObject({
+    id: z.string(),
+    queue: z.string(),
+    service: z.string(),
+    specification: z.string(),
+    steps: listSchema(stepSchema, {least: 1}),
+    repetitions: amount,
+    firstRunMs: amount,
+    intervalMs: amount,
+  }),
+  acceptedWallMs: z.number(),
+}) as unknown as z.ZodType<SubmissionRecord>;
