Leave out job records with more tasks than an owner holds

A stored submission of 1,000 steps of 100,000 tasks each, which no door accepts, ended the owner's process: the first job is created whatever its size, so that large ones are not kept waiting for ever.

Change: a submission of more than 100,000 tasks, about 100 MB, counts as unreadable, and `door.mostTasks` cannot be set higher than that.

Test seen failing on the commit before, with the new value in it: "an owner goes on beside odd records of jobs, and so do its successors" (status 0 for 200). It passes now.

--- a/src/door/door_limits.ts
+++ b/src/door/door_limits.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
 
+import {MAX_JOB_TASKS} from '../work/job_size.js';
+
 const count = z.int().min(1).max(1_000_000);
 const bytes = z.int().min(1024).max(1_073_741_824);
 
@@ -24,7 +26,7 @@
   /** Steps of one job. */
   mostSteps: count.default(1000),
   /** Tasks of one job, or of one occurrence of a scheduled job. */
-  mostTasks: count.default(10_000),
+  mostTasks: count.max(MAX_JOB_TASKS).default(10_000),
   /** Bytes that the definitions of all known jobs may take on a node. */
   mostJobBytes: bytes.default(33_554_432),
 });
--- a/src/work/job_size.ts
+++ b/src/work/job_size.ts
@@ -1,5 +1,11 @@
 import {JobDefinition, StepDefinition} from './job_definition.js';
 
+/**
+ * Maximum number of tasks of a job, or of one of its occurrences. Tasks take
+ * about 1 KB each, and more do not fit the heap of an owner.
+ */
+export const MAX_JOB_TASKS = 100_000;
+
 /** Limits on the size of jobs, and of all jobs together. */
 export interface JobSizeLimits {
   /** Steps of one job. */
--- a/src/work/submission_schema.ts
+++ b/src/work/submission_schema.ts
@@ -2,16 +2,14 @@
 
 import {listSchema} from '../validation/list_schema.js';
 import {SubmissionRecord} from './job_records.js';
-
-/** Maximum number of tasks of one step. */
-const MAX_TASK_COUNT = 100_000;
+import {MAX_JOB_TASKS} from './job_size.js';
 
 const amount = z.number().nonnegative();
 const optionalText = z.string().optional();
 
 /** Fields that later builds add are kept. */
 const stepSchema = z.looseObject({
-  taskCount: z.int().min(1).max(MAX_TASK_COUNT),
+  taskCount: z.int().min(1).max(MAX_JOB_TASKS),
   cpuMillicores: amount,
   memoryMb: amount,
   acceleratorCount: amount,
@@ -31,6 +29,11 @@
   mostUnavailable: z.number().optional(),
 });
 
+function hasTasksThatFit(steps: ReadonlyArray<{taskCount: number}>): boolean {
+  const tasks = steps.reduce((sum, {taskCount}) => sum + taskCount, 0);
+  return tasks <= MAX_JOB_TASKS;
+}
+
 /** Schema of the stored submission of a job. */
 export const submissionSchema = z.looseObject({
   definition: z.looseObject({
@@ -38,7 +41,10 @@
     queue: z.string(),
     service: z.string(),
     specification: z.string(),
-    steps: listSchema(stepSchema, {least: 1}),
+    steps: listSchema(stepSchema, {least: 1}).refine(
+      hasTasksThatFit,
+      `expected at most ${MAX_JOB_TASKS} tasks`,
+    ),
     repetitions: amount,
     firstRunMs: amount,
     intervalMs: amount,
--- a/testing/odd_job_records_test.ts
+++ b/testing/odd_job_records_test.ts
@@ -43,6 +43,13 @@
       acceptedWallMs: 0,
     }),
     encode({definition: {...job, repetitions: 'x'}, acceptedWallMs: 'x'}),
+    encode({
+      definition: {
+        ...job,
+        steps: new Array(1000).fill({...step, taskCount: 100_000}),
+      },
+      acceptedWallMs: 0,
+    }),
     DEEP_VALUE,
   ];
   return new Map(
