Share the small jobs of fleet tests; use the usual terms in the model's bounds

The two tests of odd entries submitted and awaited jobs with the same lines, which are FleetJobs now. No logic has changed. Tests of odd entries, of the interference model and of the decoder of registrations pass.

--- a/src/interference/pressure_estimates.ts
+++ b/src/interference/pressure_estimates.ts
@@ -124,7 +124,7 @@
     return position;
   }
 
-  /** Returns a new position, or that of the image that was not used longest. */
+  /** Returns a new position, or that of the least recently used image. */
   private freePosition(): number {
     if (this.positions.size < MAX_IMAGES) return this.positions.size;
     const [oldest] = this.positions;
--- a/src/interference/tail_interference.ts
+++ b/src/interference/tail_interference.ts
@@ -63,8 +63,8 @@
 const DUPLICATE_WINDOW_MS = 450;
 
 /**
- * Maximum number of latency-critical images with estimates; the one that was not
- * observed longest is forgotten first.
+ * Maximum number of latency-critical images with estimates; the least recently
+ * observed one is removed first.
  */
 const MAX_IMAGES = 256;
 
@@ -179,11 +179,11 @@
     const estimates = this.pressures.get(image) ?? new PressureEstimates();
     this.pressures.delete(image);
     this.pressures.set(image, estimates);
-    if (this.pressures.size > MAX_IMAGES) this.forgetOldestImage();
+    if (this.pressures.size > MAX_IMAGES) this.removeOldestImage();
     return estimates;
   }
 
-  private forgetOldestImage(): void {
+  private removeOldestImage(): void {
     const [oldest] = this.pressures.keys();
     this.pressures.delete(oldest!);
     this.shortestTails.delete(oldest!);
--- a/testing/odd_job_records_test.ts
+++ b/testing/odd_job_records_test.ts
@@ -6,11 +6,13 @@
 import {sleep} from '../src/clock/sleep.js';
 import {PartitionKeys} from '../src/leadership/partition_keys.js';
 import {encodeSubmission} from '../src/work/job_records.js';
-import {FleetNode, NodeFleet} from './node_fleet.js';
+import {FleetJobs} from './fleet_jobs.js';
+import {NodeFleet} from './node_fleet.js';
 import {simpleJob, simpleStep} from './simple_definitions.js';
 
 const keys = new PartitionKeys('main');
 const fleet = new NodeFleet({nodes: 2, workers: 2, heapLimitMb: 200});
+const jobs = new FleetJobs(fleet);
 before(() => fleet.start());
 after(() => fleet.stop());
 
@@ -70,22 +72,6 @@
   DEEP_VALUE,
 ];
 
-let nextId = 1;
-
-async function runJob(node: FleetNode): Promise<void> {
-  const id = (nextId++).toString(16).padStart(16, '0');
-  const steps = [{count: 1, cpu: 1000, memoryRequestMb: 500, estimatedMs: 300}];
-  const body = {specification: 'text', steps};
-  assert.equal((await fleet.call(node, 'POST', {id, body})).status, 200);
-  let state: string | undefined;
-  for (let round = 0; round < 400; round++) {
-    ({state} = await fleet.call(node, 'GET', {id}));
-    if (state === 'succeeded') return;
-    await sleep(50);
-  }
-  assert.fail(`job ${id} is in state ${state}, expected succeeded`);
-}
-
 test('an owner goes on beside odd records of jobs, and so do its successors', async () => {
   // Guards against one record that ends each owner in turn: a submission that
   // is no submission, or progress that is none.
@@ -103,14 +89,14 @@
   fleet.store.store.put(keys.progress('c'.repeat(16)), Buffer.from('stray'));
   fleet.store.store.put(`${keys.progressPrefix}`, Buffer.from('stray'));
   await sleep(1500);
-  await runJob(fleet.nodes[0]!);
+  await jobs.run(fleet.nodes[0]!);
   const {owner} = fleet;
   const number = fleet.nodes.indexOf(owner);
   await owner.process.kill();
-  await runJob(fleet.nodes[1 - number]!);
+  await jobs.run(fleet.nodes[1 - number]!);
   owner.process.start();
   await fleet.waitUntilReady(owner);
-  await runJob(owner);
+  await jobs.run(owner);
   const other = fleet.nodes[1 - number]!;
   assert.equal(other.process.pid, processIds[1 - number]);
   assert.deepEqual(fleet.violations, []);
--- a/testing/odd_registrations_test.ts
+++ b/testing/odd_registrations_test.ts
@@ -3,7 +3,8 @@
 import {after, before, test} from 'node:test';
 
 import {sleep} from '../src/clock/sleep.js';
-import {FleetNode, NodeFleet, versionRoutePrefix} from './node_fleet.js';
+import {FleetJobs} from './fleet_jobs.js';
+import {NodeFleet, versionRoutePrefix} from './node_fleet.js';
 import {oddRegistrations} from './odd_entries.js';
 
 /** Limit in MB on the heap of a node, as in the deploy file. */
@@ -14,6 +15,8 @@
 
 const fleet = new NodeFleet({nodes: 2, workers: 2, heapLimitMb: HEAP_LIMIT_MB});
 
+const jobs = new FleetJobs(fleet);
+
 /** Process ids that the nodes have as long as none has ended. */
 let processIds: ReadonlyArray<number | undefined> = [];
 
@@ -33,31 +36,6 @@
   });
 }
 
-let nextId = 1;
-
-/** Submits a job with one task; returns its id. */
-async function submitJob(node: FleetNode): Promise<string> {
-  const id = (nextId++).toString(16).padStart(16, '0');
-  const steps = [{count: 1, cpu: 1000, memoryRequestMb: 500, estimatedMs: 300}];
-  const body = {specification: 'text', steps};
-  assert.equal((await fleet.call(node, 'POST', {id, body})).status, 200);
-  return id;
-}
-
-async function runJob(node: FleetNode): Promise<void> {
-  await waitForSuccess(node, await submitJob(node));
-}
-
-async function waitForSuccess(node: FleetNode, id: string): Promise<void> {
-  let state: string | undefined;
-  for (let round = 0; round < 400; round++) {
-    ({state} = await fleet.call(node, 'GET', {id}));
-    if (state === 'succeeded') return;
-    await sleep(50);
-  }
-  assert.fail(`job ${id} is in state ${state}, expected succeeded`);
-}
-
 function checkProcesses(): void {
   fleet.nodes.forEach(({process, logFile}, number) => {
     assert.equal(process.pid, processIds[number], `${process.name} has ended`);
@@ -69,7 +47,7 @@
 
 test('jobs run although the list of workers holds odd entries', async () => {
   // Guards against one odd entry that ends each process which reads the list.
-  await runJob(fleet.nodes[0]!);
+  await jobs.run(fleet.nodes[0]!);
   checkProcesses();
 });
 
@@ -80,7 +58,7 @@
   fleet.resizeWorker(other!, 0);
   putOddRegistrations(() => true);
   fleet.resizeWorker(other!, 8000);
-  await runJob(fleet.nodes[1]!);
+  await jobs.run(fleet.nodes[1]!);
   assert.ok(other!.startCount > 0);
   fleet.resizeWorker(worker!, 8000);
   checkProcesses();
@@ -96,11 +74,11 @@
   const odd = oddRegistrations().get('unknown state')!;
   fleet.store.store.put(`servers/${worker!.id}`, odd);
   await sleep(500);
-  const id = await submitJob(node!);
+  const id = await jobs.submit(node!);
   await sleep(1500);
-  assert.equal((await fleet.call(node!, 'GET', {id})).state, 'queued');
+  assert.equal(await jobs.stateOf(node!, id), 'queued');
   fleet.resizeWorker(worker!, 8000);
-  await waitForSuccess(node!, id);
+  await jobs.waitForSuccess(node!, id);
   fleet.resizeWorker(other!, 8000);
   checkProcesses();
 });
@@ -110,7 +88,7 @@
   const {owner} = fleet;
   const other = fleet.nodes.find((node) => node !== owner)!;
   await owner.process.kill();
-  await runJob(other);
+  await jobs.run(other);
   owner.process.start();
   await fleet.waitUntilReady(owner);
   processIds = fleet.nodes.map(({process}) => process.pid);
@@ -132,7 +110,7 @@
     fleet.store.store.put('op/config', Buffer.from(text));
     await sleep(300);
   }
-  await runJob(fleet.nodes[0]!);
+  await jobs.run(fleet.nodes[0]!);
   const prefix = versionRoutePrefix(fleet.publishConfiguration());
   const id = 'f'.repeat(16);
   let status = 404;
@@ -151,10 +129,10 @@
   fleet.requestEvacuation('levis');
   await sleep(1000);
   const [node] = fleet.nodes;
-  const id = await submitJob(node!);
+  const id = await jobs.submit(node!);
   await sleep(1500);
-  assert.equal((await fleet.call(node!, 'GET', {id})).state, 'queued');
+  assert.equal(await jobs.stateOf(node!, id), 'queued');
   fleet.takeBackEvacuation('levis');
-  await waitForSuccess(node!, id);
+  await jobs.waitForSuccess(node!, id);
   checkProcesses();
 });
