End the term of an owner whose key was overwritten or removed

A commit or a worker with a higher fencing token ended its term, but a node that is cut off from the store may have workers which the new owner does not reach.

Cause: the mirror of the owner key told only the links about a change, not the term of this node.

Change: a change of the owner key later than the one that began the term ends it, also if the new value cannot be read. The lease is left to expire: the key may have another one by now.

Tests seen failing without the change: "an owner whose key was overwritten ends its term" (real nodes) and "a term ends once the owner key was overwritten or removed".

--- a/src/leadership/owner_election.ts
+++ b/src/leadership/owner_election.ts
@@ -126,6 +126,19 @@
     }
   }
 
+  /**
+   * Ends the term of this node if its owner key was overwritten or removed since.
+   * Another node may own the partition then, also while this one still reaches
+   * workers that have not heard of it.
+   *
+   * @param revision - Store revision of a change of the owner key.
+   */
+  handleOwnerKeyChange(revision: number): void {
+    const {term} = this;
+    if (!term || term.isOver || revision <= term.token) return;
+    term.end('the owner key has changed');
+  }
+
   /** Delay in ms before an attempt. */
   private pauseMs(): number {
     const {random, candidacyDelayMs = 0} = this.options;
--- a/src/leadership/owner_election_test.ts
+++ b/src/leadership/owner_election_test.ts
@@ -206,3 +206,26 @@
   assert.equal(await ownerOf(store), 'small');
   await small.election.stop();
 });
+
+test('a term ends once the owner key was overwritten or removed', async () => {
+  // Guards against a former owner that polls and extends leases until a commit
+  // or a worker refuses it: a node that is cut off from the store may have
+  // workers which the new owner does not reach.
+  for (const change of ['overwritten', 'removed']) {
+    const store = new MemoryStore();
+    const {election, terms} = createCandidate(store, 'first');
+    await election.check();
+    const [term] = terms;
+    try {
+      election.handleOwnerKeyChange(term!.token - 1);
+      election.handleOwnerKeyChange(term!.token);
+      assert.ok(!term!.isOver);
+      if (change === 'removed') store.remove(keys.owner);
+      else store.put(keys.owner, Buffer.from('another owner'));
+      election.handleOwnerKeyChange(store.revision);
+      assert.ok(term!.isOver, change);
+    } finally {
+      await election.stop();
+    }
+  }
+});
--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -29,6 +29,8 @@
   onWorker: (entry: WorkerRegistration) => void;
   /** Called when the registration of a worker is deleted. */
   onWorkerRemoved: (id: string) => void;
+  /** Called with the store revision of each change of the owner key. */
+  onOwnerKeyChange: (revision: number) => void;
   /** Called with each new owner, and with undefined when its key is deleted. */
   onOwner: (owner: OwnerRecord | undefined) => void;
 }
@@ -183,12 +185,13 @@
   }
 
   private applyJob(change: StoreChange): void {
-    const {keys, onOwner} = this.options;
+    const {keys, onOwner, onOwnerKeyChange} = this.options;
     if (change.key !== keys.owner) {
       this.applyJobRecord(change);
       return;
     }
     this.hasOwner = change.value !== undefined;
+    onOwnerKeyChange(change.revision);
     onOwner(change.value && decodeOwner(change.value));
   }
 
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -152,6 +152,8 @@
         this.runtime?.setEvacuations(this.mirrors.evacuations.dataCentres),
       onWorker: (entry) => this.runtime?.upsertWorker(entry),
       onWorkerRemoved: (id) => this.runtime?.unregisterWorker(id),
+      onOwnerKeyChange: (revision) =>
+        this.election.handleOwnerKeyChange(revision),
       onOwner: (owner) => {
         this.ownerLink.setOwner(owner);
         if (!owner) void this.election.check();
--- a/src/node/registration_age_test.ts
+++ b/src/node/registration_age_test.ts
@@ -56,6 +56,7 @@
     onEvacuations: () => undefined,
     onWorker: () => undefined,
     onWorkerRemoved: () => undefined,
+    onOwnerKeyChange: () => undefined,
     onOwner: () => undefined,
   });
   let read: () => void = () => undefined;
--- a/testing/odd_job_records_test.ts
+++ b/testing/odd_job_records_test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
 import {after, before, test} from 'node:test';
 
 import {encode} from 'cbor-x';
@@ -101,3 +102,16 @@
   assert.equal(other.process.pid, processIds[1 - number]);
   assert.deepEqual(fleet.violations, []);
 });
+
+test('an owner whose key was overwritten ends its term', async () => {
+  // Guards against two nodes that act as owner: without a change to commit, the
+  // former one went on to poll workers and to extend their leases.
+  const {owner} = fleet;
+  fleet.store.store.put(keys.owner, Buffer.from('text'));
+  await sleep(2000);
+  const log = readFileSync(owner.logFile, 'utf8');
+  assert.match(log, /the owner key has changed/);
+  fleet.store.store.remove(keys.owner);
+  await jobs.run(owner);
+  assert.deepEqual(fleet.violations, []);
+});
