--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -7,6 +7,7 @@
 import {AdviceOutcome} from './advice_port.js';
 import {DeadlineOrder, durationOf, JobOrder, objectiveMs} from './job_order.js';
 import {blockRefusingWorker} from './block_refusing_worker.js';
+import {beginAssignment} from './begin_assignment.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CrashEvidence, CrashTracker} from './crash_tracker.js';
 import {JobExplainer} from './job_explainer.js';
@@ -24,6 +25,7 @@
 import {RunStops} from './run_stops.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {SchedulingTime} from './scheduling_time.js';
+import {SpeedLimits} from './speed_limits.js';
 import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
 import {StuckRuns} from './stuck_runs.js';
 import {SummaryLog} from './summary_log.js';
@@ -109,6 +111,7 @@
   private readonly waits: WaitMonitor;
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
+  private readonly speedLimits: SpeedLimits;
   private readonly stops: RunStops;
   private readonly endings: JobEndings;
   private readonly orphans: OrphanRuns;
@@ -140,6 +143,10 @@
       onAdded: (task) => this.registerTask(task),
       onReleased: (step) => this.forgetStep(step),
     });
+    this.speedLimits = new SpeedLimits({
+      ...options,
+      bestEffort: this.bestEffort,
+    });
     this.stops = new RunStops({
       ...options,
       workerOf: (task) => this.workerOf(task),
@@ -330,7 +337,7 @@
     this.crashes.settleLosses(worker);
     if (report.ended.length > 0) this.changes.addProcessedEnds(worker);
     this.reportProcessor.process(worker, report, {sentMs, nowMs});
-    this.adjustSpeedLimits(worker, nowMs);
+    this.speedLimits.adjust(worker, nowMs);
     this.stuckRuns.check(worker, nowMs);
     this.crashes.recordProgress(worker);
     if (worker.registration.isDraining) this.drain(worker);
@@ -516,8 +523,11 @@
     task.runningSinceMs = nowMs;
     task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
     task.speedLimitPercent = task.startSpeedPercent;
+    const worker = this.workerOf(task);
     if (task.job.isFinal) this.stops.request(task, 'job-ended');
-    else if (task.speedLimitPercent < 100) this.sendSpeedLimit(task);
+    else if (task.speedLimitPercent < 100 && worker) {
+      this.speedLimits.send(task, worker);
+    }
   }
 
   /**
@@ -652,11 +662,6 @@
     this.endings.end(job, JobPhase.FAILED, {cause: 'crashes', task: name});
   }
 
-  private sendSpeedLimit(task: TaskState): void {
-    const worker = this.workerOf(task);
-    if (worker) this.options.effects.setSpeedLimit(task, worker);
-  }
-
   /**
    * Ends the run of a gang of which a member does not start. The others would
    * occupy their workers until the gang times out.
@@ -732,26 +737,6 @@
     }
   }
 
-  private adjustSpeedLimits(worker: WorkerState, nowMs: number): void {
-    this.bestEffort.observe(worker, nowMs);
-    for (const {task, percent} of this.bestEffort.chooseSpeedLimits(
-      worker,
-      nowMs,
-    )) {
-      this.options.log.logDetail('pace', {
-        task: task.name,
-        run: task.run,
-        worker: worker.registration.id,
-        from: task.speedLimitPercent,
-        to: percent,
-      });
-      task.speedLimitPercent = percent;
-      task.isUnlimitedRun = false;
-      task.lastProgressMs = nowMs;
-      this.options.effects.setSpeedLimit(task, worker);
-    }
-  }
-
   private removeFinishedJob(job: JobState): void {
     if (isAnyPlaced(job)) return;
     this.tasks.releaseJob(job);
@@ -788,27 +773,9 @@
   }
 
   private assign(task: TaskState, worker: WorkerState, run: number): void {
-    task.apply('assigned');
-    task.run = run;
-    task.isUnlimitedRun =
-      task.startSpeedPercent === 100 && task.checkpoint === '';
-    task.percent = 0;
-    task.gauge = undefined;
-    task.overLimitSinceMs = Infinity;
-    task.runningSinceMs = Infinity;
-    task.isProven = false;
-    task.isSpeedKnown = true;
     const nowMs = this.options.clock.nowMs();
-    task.assignedMs = nowMs;
-    task.ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
-    task.stopSentMs = -Infinity;
-    task.absentAfterMs = Infinity;
-    task.assignment = {
-      workerId: worker.registration.id,
-      workerBornMs: worker.bornMs ?? 0,
-      workerAddress: worker.registration.address,
-    };
-    worker.addTask(task);
+    const ticket = this.advice.ticketFor(stepOf(task), worker, nowMs);
+    beginAssignment(task, {worker, run, ticket, nowMs});
     this.startWindow.add(task);
     this.changes.addStart(task);
     this.options.log.logDetail('place', {
@@ -817,7 +784,7 @@
       worker: worker.registration.id,
       image: task.step.image,
       freeCpu: Math.round(worker.freeCpu),
-      reportAgeMs: Math.round(this.options.clock.nowMs() - worker.lastReportMs),
+      reportAgeMs: Math.round(nowMs - worker.lastReportMs),
       version: this.configuration?.version,
     });
     this.markTaskDirty(task);
