--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -69,6 +69,9 @@
 /** Time in ms after the last fault within which all jobs must end. */
 const RECOVERY_TIMEOUT_MS = 20_000;
 
+/** Status of an answer that says that a change may be in force. */
+const MAY_HAVE_RUN_STATUS = 504;
+
 /** Time in ms within which tasks of cancelled jobs must stop without faults. */
 const CANCEL_GRACE_MS = 3200;
 
@@ -210,7 +213,7 @@
   private async cancel(job: SoakJob): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const {status} = await this.fleet.call(this.pickNode(), 'DELETE', job);
-      if (isInDoubt(status)) job.isCancellationInDoubt = true;
+      if (status === MAY_HAVE_RUN_STATUS) job.isCancellationInDoubt = true;
       if (status !== 200) continue;
       job.cancelledMs = performance.now();
       return;
@@ -331,11 +334,3 @@
   );
   return simpleJob(id, {steps});
 }
-
-/**
- * Returns whether a request may have been carried out although it was not
- * answered as such. A refusal with 503 promises that it was not.
- */
-function isInDoubt(status: number): boolean {
-  return status === 0 || (status >= 500 && status !== 503);
-}
