--- a/review/6/scenario.mts
+++ b/review/6/scenario.mts
@@ -11,13 +11,13 @@
 const FREEZE_MS = 1700;
 
 /** Time in ms for which a report is under way, longer than other responses. */
-const REPORT_DELAY_MS = 10;
+const REPORT_DELAY_MS = 20;
 
 /** Number of freezes at most. */
-const FREEZES = 18;
+const FREEZES = 24;
 
 /** Time in ms from one freeze to the next. */
-const FREEZE_INTERVAL_MS = 4500;
+const FREEZE_INTERVAL_MS = 3500;
 
 /** Mean work in ms of a task; between half and one and a half of it. */
 const WORK_MS = 1700;
