--- a/review/stand_ins_2/deployment.mts
+++ b/review/stand_ins_2/deployment.mts
@@ -218,7 +218,7 @@
         lookAhead: true,
         adaptiveStarts: true,
       },
-      jobs: {keepFinishedSeconds: Number(process.env.KEEP_S ?? 120)},
+      jobs: {keepFinishedSeconds: 120},
       stop: {gracePeriodSeconds: 6},
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
@@ -293,6 +293,11 @@
   scenario: () => Promise<string | undefined>,
 ): Promise<void> {
   let status = 2;
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.once(signal, () => {
+      void deployment.stop().finally(() => process.exit(2));
+    });
+  }
   try {
     await deployment.start();
     const breach = await scenario();
