A response that a paused owner reads late shows no restart of its worker

Cause: the clock in the response to a start was compared with the time at which the response was read. An owner that was paused for 1.7 s reads it 1.7 s late, so that the clock seemed to be behind: a restart. The restart counted as a crash under each task of the worker, and the worker's next report was taken for the first of a new incarnation.

Ruled out: loss of the term (no term-ended), silence of the workers (no worker-lost).

The worker wrote the reading after the command was sent, so the least possible reading is that of the time of sending. When the response was read plays no part any more. What is known of a worker's clock is a class of its own now.

The regression test fails without the change (two starts in place of one).

--- /dev/null
+++ b/src/orchestrator/late_response_test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+
+import {applyPending} from '../../testing/apply_pending.js';
+import {createOrchestrator} from '../../testing/create_orchestrator.js';
+import {idleEffects} from '../../testing/idle_effects.js';
+import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
+import {ManualClock} from '../clock/manual_clock.js';
+import {JobState} from './job_state.js';
+import {TaskState} from './task_state.js';
+import {RunningReport} from './worker_port.js';
+import {WorkerState} from './worker_state.js';
+
+/** Time in ms for which the process of the owner is paused. */
+const PAUSE_MS = 1700;
+
+/** Clock of the worker in ms at time 0 of the owner. */
+const WORKER_CLOCK_MS = 60_000;
+
+/** Unix start time in ms of the worker. */
+const FIRST_BORN_MS = 1;
+
+/** An owner with one worker, whose responses the test delivers. */
+class LateBench {
+  /** Starts that were sent. */
+  readonly sent: TaskState[] = [];
+  private readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  private readonly orchestrator = createOrchestrator({
+    clock: this.clock,
+    effects: idleEffects({start: (task) => this.sent.push(task)}),
+  });
+  private readonly worker: WorkerState;
+
+  constructor() {
+    this.orchestrator.upsertWorker(simpleWorker('w', {bornMs: FIRST_BORN_MS}));
+    this.worker = this.orchestrator.workers.get('w')!;
+    this.report([], {clockMs: WORKER_CLOCK_MS, sentMs: 0});
+  }
+
+  get nowMs(): number {
+    return this.clock.nowMs();
+  }
+
+  advance(durationMs: number): void {
+    this.clock.advance(durationMs);
+  }
+
+  /** Adds a job with one task, whose start is sent if there is room. */
+  submit(id: string): void {
+    this.orchestrator.addJob(new JobState(simpleJob(id), 0));
+    this.schedule();
+  }
+
+  schedule(): void {
+    this.orchestrator.schedule();
+    applyPending(this.orchestrator.takePending());
+  }
+
+  /** Delivers the confirmation of a start, as written at a clock of the worker. */
+  confirm(task: TaskState, clockMs: number): void {
+    const outcome = {kind: 'done', clockMs} as const;
+    this.orchestrator.handleStartOutcome(task, task.run, outcome);
+  }
+
+  /** Delivers a report, as written at a clock of the worker. */
+  report(
+    tasks: readonly TaskState[],
+    {
+      clockMs,
+      sentMs,
+      bornMs = FIRST_BORN_MS,
+    }: {clockMs: number; sentMs: number; bornMs?: number},
+  ): void {
+    const running = tasks.map(toRunning);
+    const report = {clockMs, bornMs, running, ended: []};
+    this.orchestrator.processReport(this.worker, report, sentMs);
+  }
+}
+
+function toRunning({name, run}: TaskState): RunningReport {
+  return {task: name, run, checkpoint: '', percent: 1, gauge: undefined};
+}
+
+test('a response that a paused owner reads late shows no restart', () => {
+  // Guards against a second run of a task that runs on, and against a crash
+  // counted under the tasks of a worker that has not crashed: the owner was
+  // paused while the confirmation of a start and an older report waited.
+  const bench = new LateBench();
+  bench.submit('job');
+  const [task] = bench.sent;
+  assert.ok(task);
+  bench.advance(PAUSE_MS);
+  bench.confirm(task, WORKER_CLOCK_MS + 5);
+  bench.report([], {clockMs: WORKER_CLOCK_MS + 1, sentMs: 0});
+  bench.schedule();
+  assert.equal(task.isPlaced, true);
+  assert.equal(bench.sent.length, 1);
+  assert.equal(task.crashes.isEmpty, true);
+});
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -354,8 +354,11 @@
     this.startWindow.recordAnswer(answeredMs - task.startedMs, answeredMs);
     const worker = this.workerOf(task);
     if (outcome.kind === 'done') {
-      if (worker) this.registry.detectClockReset(worker, outcome.clockMs);
-      if (worker) this.crashes.recordConfirmation(worker, task.startedMs);
+      if (worker) {
+        const {startedMs} = task;
+        this.registry.detectClockReset(worker, outcome.clockMs, startedMs);
+        this.crashes.recordConfirmation(worker, startedMs);
+      }
       if (!task.hasBegun) this.recordBegun(task);
     }
     if (task.state !== 'starting') return;
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -94,13 +94,23 @@
     worker.lastReportMs = nowMs;
   }
 
-  /** Begins a new incarnation if the clock of the worker has been reset. */
-  detectClockReset(worker: WorkerState, clockMs: number | undefined): void {
-    const nowMs = this.options.clock.nowMs();
-    if (clockMs === undefined || !worker.isClockReset(clockMs, nowMs)) return;
+  /**
+   * Begins a new incarnation if the response to a command shows that the clock
+   * of the worker has been reset.
+   *
+   * @param clockMs - Clock of the worker in the response, if it has one.
+   * @param sentMs - Time in ms at which the command was sent.
+   */
+  detectClockReset(
+    worker: WorkerState,
+    clockMs: number | undefined,
+    sentMs: number,
+  ): void {
+    if (clockMs === undefined || !worker.isClockReset(clockMs, sentMs)) return;
     this.options.log.logDecision('worker-clock-went-back', {
       worker: worker.registration.id,
       clockMs,
+      answeredInMs: Math.round(this.options.clock.nowMs() - sentMs),
     });
     this.options.onRestart(worker);
     worker.beginIncarnation(undefined);
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -3,14 +3,9 @@
 import {HeldRoom} from './held_rooms.js';
 import {RunState} from './run_life_cycle.js';
 import {TaskState} from './task_state.js';
+import {WorkerClock} from './worker_clock.js';
 import {WorkerHealth} from './worker_health.js';
 
-/** Minimum rate of the clock of a worker relative to true time. */
-const MIN_CLOCK_RATE = 0.98;
-
-/** Clock lag in ms that is attributed to a slow response, not a restart. */
-const CLOCK_TOLERANCE_MS = 1500;
-
 /** Maximum number of tasks named in one log line. */
 const LOGGED_TASKS = 32;
 
@@ -36,6 +31,7 @@
   /** Whether a tail latency is near its limit, which calls for faster polls. */
   isNearLimit = false;
   readonly health = new WorkerHealth();
+  private readonly clock = new WorkerClock();
   /** Tasks that are or may be active on this worker. */
   readonly tasks = new Set<TaskState>();
   /** Tasks on this worker that may crash it. */
@@ -73,9 +69,6 @@
   private bestEffortCpu = 0;
   private latencyCriticalCpu = 0;
   private latencyCriticalTasks = 0;
-  private clockMs = 0;
-  private clockReadMs = -Infinity;
-
   private largestCpuMillicores = 0;
 
   constructor(private currentRegistration: WorkerRegistration) {
@@ -186,19 +179,17 @@
 
   /** Records a reading of the clock of the worker. */
   recordClock(clockMs: number, nowMs: number): void {
-    this.clockMs = clockMs;
-    this.clockReadMs = nowMs;
+    this.clock.record(clockMs, nowMs);
   }
 
   /** Returns the end, on the clock of the worker, of a lease granted now. */
   leaseLimit(nowMs: number, holdMs: number): number {
-    return this.clockMs + (nowMs - this.clockReadMs) + holdMs;
+    return this.clock.leaseLimit(nowMs, holdMs);
   }
 
   /** Records that a lease up to `leaseUntilMs` on the worker clock was sent. */
   recordLease(leaseUntilMs: number): void {
-    const endsMs =
-      this.clockReadMs + (leaseUntilMs - this.clockMs) / MIN_CLOCK_RATE;
+    const endsMs = this.clock.latestTimeOf(leaseUntilMs);
     this.leaseEndsMs = Math.max(this.leaseEndsMs, endsMs);
   }
 
@@ -218,11 +209,14 @@
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, sequence);
   }
 
-  /** Returns whether a clock reading shows that the worker has restarted. */
-  isClockReset(clockMs: number, nowMs: number): boolean {
-    const expectedMs =
-      this.clockMs + (nowMs - this.clockReadMs) * MIN_CLOCK_RATE;
-    return this.hasReported && clockMs < expectedMs - CLOCK_TOLERANCE_MS;
+  /**
+   * Returns whether a clock reading in the response to a command shows that the
+   * worker has restarted.
+   *
+   * @param sentMs - Time in ms at which the command was sent.
+   */
+  isClockReset(clockMs: number, sentMs: number): boolean {
+    return this.hasReported && this.clock.isReset(clockMs, sentMs);
   }
 
   /**
