A report that is older than a start does not end its run

Cause: the first report of an incarnation marked every confirmed run of the worker as absent from any moment on, so that the same report ended runs which were confirmed after its poll had been sent.

Without this mark, a run is ended by the first report whose poll was sent after the run was confirmed. No run of an earlier incarnation is kept longer: a crash breaks the connection of a poll, so that the next poll is sent after it. Runs that a successor inherits are absent from any moment on already.

The regression test fails without the change: the task is placed again at once. It also asserts that the next report does end the run.

--- a/src/orchestrator/late_response_test.ts
+++ b/src/orchestrator/late_response_test.ts
@@ -17,8 +17,9 @@
 /** Clock of the worker in ms at time 0 of the owner. */
 const WORKER_CLOCK_MS = 60_000;
 
-/** Unix start time in ms of the worker. */
+/** Unix start times in ms of the first and the second incarnation. */
 const FIRST_BORN_MS = 1;
+const SECOND_BORN_MS = 2;
 
 /** An owner with one worker, whose responses the test delivers. */
 class LateBench {
@@ -97,3 +98,27 @@
   assert.equal(bench.sent.length, 1);
   assert.equal(task.crashes.isEmpty, true);
 });
+
+test('a report that is older than a start does not end its run', () => {
+  // Guards against a second run of a task: its start was answered by the next
+  // incarnation of the worker, and the first report of that incarnation, written
+  // before the start, is read afterwards.
+  const bench = new LateBench();
+  bench.submit('job');
+  const [task] = bench.sent;
+  assert.ok(task);
+  const pollMs = bench.nowMs;
+  bench.advance(100);
+  bench.confirm(task, 20);
+  bench.report([], {clockMs: 10, sentMs: pollMs, bornMs: SECOND_BORN_MS});
+  bench.schedule();
+  assert.equal(task.isPlaced, true);
+  assert.equal(bench.sent.length, 1);
+  bench.advance(100);
+  bench.report([], {
+    clockMs: 200,
+    sentMs: bench.nowMs,
+    bornMs: SECOND_BORN_MS,
+  });
+  assert.equal(task.isPlaced, false);
+});
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -165,15 +165,6 @@
       this.options.onRestart(worker);
     }
     worker.beginIncarnation(bornMs);
-    for (const task of worker.tasks) {
-      // An unanswered command may still reach the new incarnation.
-      const isUnanswered =
-        task.state === 'starting' ||
-        (task.state === 'stopping' && task.absentAfterMs === Infinity);
-      if (!isUnanswered && task.state !== 'assigned') {
-        task.absentAfterMs = -Infinity;
-      }
-    }
     this.moveTasks(worker, bornMs);
     this.options.log.logDecision('worker-life', {
       worker: worker.registration.id,
