Simulate owners that pause and reports that are overtaken

The simulated partition had neither: an answer to a start never overtook a report, and no owner read its responses late.

The messages in transit are a module of their own.

--- a/src/orchestrator/orchestrator_property_test.ts
+++ b/src/orchestrator/orchestrator_property_test.ts
@@ -97,3 +97,20 @@
     }
   }
 });
+
+test('no task runs twice at once while owners pause and reports are late', () => {
+  // Guards against what is taken from the time at which a paused owner reads a
+  // response: a restart that was none, or the absence of a run that was started
+  // after the report had been written.
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const {violations} = simulateSeed(seed, {pauseRate: 0.02});
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
+test('a start of an earlier owner does not run in a restarted worker', () => {
+  // Guards against a second start of a task: an owner is replaced while a start
+  // is under way, the next one has the report that the run is not there, and the
+  // worker restarts before the start arrives, without the fencing token.
+  assert.deepEqual(simulateSeed(4319, {pauseRate: 0.02}).violations, []);
+});
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -30,6 +30,7 @@
 import {dueTasks} from './due_tasks.js';
 import {IdleCapacityCheck, SampledWorker} from './idle_capacity_check.js';
 import {silentLog} from './silent_log.js';
+import {MessageOptions, SimulatedMessages} from './simulated_messages.js';
 import {simpleConfiguration, simpleWorker} from './simple_definitions.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
 
@@ -62,6 +63,14 @@
    * @default 0
    */
   capacityChangeRate?: number;
+  /**
+   * Probability, in each step with faults, that the process of an owner is
+   * paused for a time in which its term does not end. Reports then also take up
+   * to a second, so that other responses overtake them.
+   *
+   * @default 0
+   */
+  pauseRate?: number;
   /** Number of ends that one report of a worker lists. @default 500 */
   mostEndsPerReport?: number;
   /** Returns what distinguishes a worker. @default nothing */
@@ -91,6 +100,12 @@
 /** Maximum time in ms by which the execution of a command is delayed. */
 const MAX_COMMAND_DELAY_MS = 12_000;
 
+/** Maximum time in ms for which the process of an owner is paused. */
+const MAX_PAUSE_MS = 2500;
+
+/** Maximum time in ms for which a report is under way while owners pause. */
+const MAX_REPORT_DELAY_MS = 1000;
+
 /** Time in ms for which the members of a gang wait for each other. */
 const GANG_TIMEOUT_MS = 3000;
 
@@ -132,12 +147,8 @@
   pending: PendingCommit | undefined;
   /** Connection of the latest report, by the incarnation of its worker. */
   reportConnections: Map<WorkerState, number | undefined>;
-}
-
-/** A command or response in transit. */
-interface DelayedMessage {
-  atMs: number;
-  deliver: () => void;
+  /** Workers of which a report is under way. */
+  polled: Set<WorkerState>;
 }
 
 /**
@@ -187,12 +198,13 @@
   readonly crashes: WorkerCrash[] = [];
   /** Ids of workers whose registration has not lapsed, by address. */
   private readonly registered = new Map<string, WorkerRegistration>();
-  private delayedMessages: DelayedMessage[] = [];
+  private readonly messages: SimulatedMessages;
   private terms: Term[] = [];
   private nextToken = 10;
 
   constructor(private readonly options: SimulatedPartitionOptions) {
     this.random = new SeededRandom(options.seed);
+    this.messages = new SimulatedMessages(this.random);
     for (let number = 0; number < (options.workers ?? 3); number++) {
       this.addWorker(`w${number}`);
     }
@@ -225,6 +237,7 @@
       termLeaseUntilMs: Infinity,
       pending: undefined,
       reportConnections: new Map(),
+      polled: new Set(),
     };
     for (const earlier of this.terms) {
       earlier.termLeaseUntilMs = Math.min(
@@ -274,7 +287,7 @@
     for (let passed = 0; passed < durationMs; passed += STEP_MS) {
       this.clock.advance(STEP_MS);
       for (const worker of this.workers.values()) worker.advance(STEP_MS);
-      this.deliverDueMessages();
+      this.messages.deliverDue(this.clock.nowMs());
       this.endIncompleteGangs();
       for (const term of this.terms) this.runTerm(term);
       this.checkIdleCapacity();
@@ -563,30 +576,28 @@
       });
     }
     if (isDelayed || isLost) {
-      this.scheduleMessage(1000, () => onOutcome(unknown));
+      this.scheduleMessage(1000, () => onOutcome(unknown), {owner: token});
       return;
     }
     this.scheduleMessage(delayMs, () => {
       const outcome = executeIfUp(simulatedWorker);
       const isAnswerLost =
         !this.areCommandsReliable && this.random.next() < 0.05;
-      this.scheduleMessage(delayMs, () =>
-        onOutcome(isAnswerLost ? unknown : outcome),
+      this.scheduleMessage(
+        delayMs,
+        () => onOutcome(isAnswerLost ? unknown : outcome),
+        {owner: token},
       );
     });
   }
 
-  private scheduleMessage(delayMs: number, deliver: () => void): void {
-    this.delayedMessages.push({atMs: this.clock.nowMs() + delayMs, deliver});
-  }
-
-  private deliverDueMessages(): void {
-    const nowMs = this.clock.nowMs();
-    const due = this.delayedMessages.filter(({atMs}) => atMs <= nowMs);
-    this.delayedMessages = this.delayedMessages.filter(
-      ({atMs}) => atMs > nowMs,
-    );
-    for (const {deliver} of due) deliver();
+  private scheduleMessage(
+    delayMs: number,
+    deliver: () => void,
+    options: MessageOptions = {},
+  ): void {
+    const atMs = this.clock.nowMs() + delayMs;
+    this.messages.schedule(atMs, deliver, options);
   }
 
   private createConfiguration(): Configuration {
@@ -688,6 +699,7 @@
   }
 
   private runTerm(term: Term): void {
+    if (this.messages.isPaused(term.token, this.clock.nowMs())) return;
     const isOwner = term === this.terms.at(-1);
     term.orchestrator.tick();
     for (const worker of [...term.orchestrator.workers.values()]) {
@@ -701,6 +713,7 @@
   }
 
   private poll(term: Term, worker: WorkerState): void {
+    if (term.polled.has(worker)) return;
     const simulatedWorker = this.findReachableWorker(
       term.token,
       worker.registration.id,
@@ -731,13 +744,30 @@
     });
     if (outcome?.kind !== 'report') return;
     if (!this.areCommandsReliable && this.random.next() < 0.05) return;
-    this.scheduleMessage(STEP_MS, () => {
-      if (this.terms.includes(term)) {
+    term.polled.add(worker);
+    this.scheduleMessage(
+      this.reportDelayMs(),
+      () => {
+        term.polled.delete(worker);
+        if (!this.terms.includes(term)) return;
         term.reportConnections.set(worker, connection);
         worker.recordAcknowledged(sequenceToAcknowledge);
         term.orchestrator.processReport(worker, outcome.report, sentMs);
-      }
-    });
+      },
+      {owner: term.token},
+    );
+  }
+
+  private reportDelayMs(): number {
+    if (!this.options.pauseRate || this.areCommandsReliable) return STEP_MS;
+    return STEP_MS + this.random.next() * MAX_REPORT_DELAY_MS;
+  }
+
+  /** Pauses the process of the latest owner. */
+  private pauseOwner(): void {
+    const untilMs = this.clock.nowMs() + this.random.next() * MAX_PAUSE_MS;
+    this.recordFault(MAX_PAUSE_MS);
+    this.messages.pause(this.token, untilMs);
   }
 
   private isCrashed(id: string): boolean {
@@ -795,6 +825,8 @@
     if (changeRate > 0 && this.random.next() < changeRate / 4) {
       this.cancelRandomJob();
     }
+    const pauseRate = this.options.pauseRate ?? 0;
+    if (pauseRate > 0 && this.random.next() < pauseRate) this.pauseOwner();
     this.finishRandomTasks(0.02);
   }
 
