An accepted job keeps the terms of its queue when the queue is removed

Cause: whatever was asked of the queue of a job was looked up in the configuration in force, and each place had a default of its own for a queue that is not there: no limit of attempts, no advice, the lowest priority, no objective, not urgent. The store held the name and the service of the queue alone, so that a later owner could not know more.

A submission is stored with the terms of its queue; they hold while the queue is not in force. All places ask one table. A job that an earlier build accepted has no terms: none of its failed tasks runs again once its route is gone, which breaks no limit.

Evidence: the tests fail with the terms left out (8 starts in place of 3, 8 starts without advice, an urgent job that is not).

--- a/measure/models/overload_model.ts
+++ b/measure/models/overload_model.ts
@@ -144,7 +144,7 @@
         .filter(({state}) => state.hasReadyTasks)
         .map((job) => [job.state, job] as const),
     );
-    const context: JobOrderContext = {wallMs: nowMs, queueOf: () => queue};
+    const context: JobOrderContext = {wallMs: nowMs, termsOf: () => queue};
     for (const state of order.sort(open.keys(), context)) {
       if (running.length >= slots) break;
       const job = open.get(state)!;
--- a/src/orchestrator/job_endings.ts
+++ b/src/orchestrator/job_endings.ts
@@ -18,8 +18,8 @@
   effects: Pick<OrchestratorEffects, 'publishPhases'>;
   /** Counts an event in the metrics. @default not counted */
   countEvent?: (event: OrchestratorEvent) => void;
-  /** Returns the objective of a job in ms; undefined without a queue. */
-  objectiveMsOf: (job: JobState) => number | undefined;
+  /** Returns the objective of a job in ms. */
+  objectiveMsOf: (job: JobState) => number;
   /** Called with each job that has ended, which is to be stored. */
   onEnded: (job: JobState) => void;
 }
--- a/src/orchestrator/job_order.ts
+++ b/src/orchestrator/job_order.ts
@@ -1,4 +1,4 @@
-import {Queue} from '../work/configuration.js';
+import {QueueTerms} from '../work/configuration.js';
 import {JobState} from './job_state.js';
 import {
   declaredDuration,
@@ -12,8 +12,8 @@
 export interface JobOrderContext {
   /** Unix time in ms. */
   wallMs: number;
-  /** Looks up the queue of a job; undefined if it was removed. */
-  queueOf: (job: JobState) => Queue | undefined;
+  /** Returns the terms under which a job runs. */
+  termsOf: (job: JobState) => QueueTerms;
 }
 
 /** Strategy for the order in which waiting jobs are assigned to workers. */
@@ -22,9 +22,6 @@
   sort(jobs: Iterable<JobState>, context: JobOrderContext): JobState[];
 }
 
-/** Priority of jobs whose queue was removed. */
-const LOWEST_PRIORITY = 1000;
-
 /** Multiple of the objective up to which a late result is still useful. */
 const USEFUL_OBJECTIVE_MULTIPLE = 3;
 
@@ -33,7 +30,7 @@
   sort(jobs: Iterable<JobState>, context: JobOrderContext): JobState[] {
     return [...jobs].sort(
       (left, right) =>
-        priorityOf(left, context) - priorityOf(right, context) ||
+        context.termsOf(left).priority - context.termsOf(right).priority ||
         left.acceptedWallMs - right.acceptedWallMs,
     );
   }
@@ -113,17 +110,17 @@
   }
 
   private rank(job: JobState, context: JobOrderContext): RankedJob {
-    const queue = context.queueOf(job);
-    const priority = priorityOf(job, context);
+    const terms = context.termsOf(job);
+    const {priority} = terms;
     const isFresh = this.finishesBegun && !hasBegun(job);
     const {steps} = job.definition;
-    if (!queue || steps.some(({isLongRunning}) => isLongRunning)) {
+    if (steps.some(({isLongRunning}) => isLongRunning)) {
       const deadlineClass = DeadlineClass.LONG_RUNNING;
       const latestStartMs = job.acceptedWallMs;
       return {job, priority, deadlineClass, isFresh: false, latestStartMs};
     }
-    const duration = durationOf(queue, this.options.estimates);
-    const limitMs = objectiveMs(job, queue, duration);
+    const duration = durationOf(job, this.options.estimates);
+    const limitMs = objectiveMs(job, terms, duration);
     const remainingMs = remainingCriticalPathMs(job, duration);
     const neededMs = remainingMs * (isFresh ? this.freshMargin : 1);
     const dueMs = job.dueWallMs;
@@ -139,30 +136,27 @@
   }
 }
 
-/** Returns the expected durations of the steps of a queue. */
+/** Returns the expected durations of the steps of a job. */
 export function durationOf(
-  queue: Queue,
+  {definition}: JobState,
   estimates: RunTimeEstimates | undefined,
 ): StepDuration {
   if (!estimates) return declaredDuration;
-  return (step, state) => estimates.stepMs(queue.name, step, state?.runTimes);
+  const {queue} = definition;
+  return (step, state) => estimates.stepMs(queue, step, state?.runTimes);
 }
 
 /** Returns the time in ms, from its due time, in which a job should end. */
 export function objectiveMs(
   job: JobState,
-  queue: Queue,
+  {stretch, targetLatencyMs}: QueueTerms,
   duration: StepDuration = declaredDuration,
 ): number {
   const pathMs = totalCriticalPathMs(job, duration);
-  return queue.stretch * pathMs + queue.targetLatencyMs;
+  return stretch * pathMs + targetLatencyMs;
 }
 
 /** Whether a job has begun; each occurrence of a scheduled job begins anew. */
 function hasBegun({definition, hasStarted}: JobState): boolean {
   return hasStarted && definition.repetitions === 0;
 }
-
-function priorityOf(job: JobState, context: JobOrderContext): number {
-  return context.queueOf(job)?.priority ?? LOWEST_PRIORITY;
-}
--- a/src/orchestrator/job_order_test.ts
+++ b/src/orchestrator/job_order_test.ts
@@ -29,7 +29,7 @@
       waiting.push(job);
       next += 1;
     }
-    const [first] = order.sort(waiting, {wallMs, queueOf: () => queue});
+    const [first] = order.sort(waiting, {wallMs, termsOf: () => queue});
     if (first) waiting.splice(waiting.indexOf(first), 1);
     wallMs += first ? SERVICE_MS : 100;
     if (first && wallMs - first.acceptedWallMs <= 3000) onTime += 1;
@@ -71,7 +71,7 @@
   for (const job of jobs) job.createDueOccurrences(9500);
   const sorted = new DeadlineOrder().sort(jobs, {
     wallMs: 10_000,
-    queueOf: () => queue,
+    termsOf: () => queue,
   });
   assert.deepEqual(
     sorted.map(({definition}) => definition.id),
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -1,7 +1,7 @@
 import {Clock} from '../clock/clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {NodeLog} from '../logging/node_log.js';
-import {Configuration, Queue} from '../work/configuration.js';
+import {Configuration} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
 import {AdviceOutcome} from './advice_port.js';
@@ -21,6 +21,7 @@
 import {OrphanRuns} from './orphan_runs.js';
 import {PendingChanges} from './pending_changes.js';
 import {crashPauseMs, restartDelayMs} from './restart_delay.js';
+import {QueueTable} from './queue_table.js';
 import {ReportProcessor} from './report_processor.js';
 import {RunStops} from './run_stops.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
@@ -100,6 +101,7 @@
  */
 export class Orchestrator {
   private readonly jobIndex = new JobIndex();
+  private readonly queues = new QueueTable();
   private readonly registry: WorkerRegistry;
   private readonly tasks: HeldTasks;
   private readonly changes: PendingChanges;
@@ -119,9 +121,6 @@
   private readonly startGuard: StartGuard;
   private readonly summaries: SummaryLog;
   private configuration: Configuration | undefined;
-  private queuesByName = new Map<string, Queue>();
-  /** Priority of the most urgent queues. */
-  private topPriority = 0;
 
   constructor(private readonly options: OrchestratorOptions) {
     this.registry = new WorkerRegistry({
@@ -139,7 +138,7 @@
     this.startWindow = new StartWindow(options.adaptsStarts);
     this.startGuard = new StartGuard(options);
     this.tasks = new HeldTasks({
-      isUrgent: (job) => this.isUrgent(job),
+      isUrgent: (job) => this.queues.isUrgent(job),
       onAdded: (task) => this.registerTask(task),
       onReleased: (step) => this.forgetStep(step),
     });
@@ -166,7 +165,7 @@
     });
     this.changes = new PendingChanges({
       keys: options.keys,
-      queueOf: (job) => this.queueOf(job),
+      queues: this.queues,
       onStart: (task) => this.sendStart(task),
       onPhases: (phases) => this.endings.publish(phases),
       onRecordTooLarge: (job) =>
@@ -188,14 +187,14 @@
       placement:
         options.placement ?? new InterferenceAwarePlacement(this.bestEffort),
       advice: this.advice,
-      queueOf: (job: JobState) => this.queueOf(job),
+      queues: this.queues,
     };
     this.scheduler = new TaskScheduler({
       ...decisions,
       order: options.order ?? new DeadlineOrder(),
       countFreeStarts: (job) => this.countFreeStarts(job),
       isUrgent: options.hasUrgentPasses
-        ? (job) => this.isUrgent(job)
+        ? (job) => this.queues.isUrgent(job)
         : undefined,
       isBehind: options.isBehind,
       onAssign: (task, worker, run) => this.assign(task, worker, run),
@@ -250,12 +249,7 @@
   /** Replaces the configuration. */
   configure(configuration: Configuration): void {
     this.configuration = configuration;
-    this.queuesByName = new Map(
-      configuration.queues.map((queue) => [queue.name, queue]),
-    );
-    this.topPriority = Math.min(
-      ...configuration.queues.map(({priority}) => priority),
-    );
+    this.queues.configure(configuration.queues);
   }
 
   /**
@@ -464,11 +458,6 @@
     return this.waits.summary;
   }
 
-  /** Returns the queue that accepted a job; undefined if it was removed. */
-  queueOf(job: JobState): Queue | undefined {
-    return this.queuesByName.get(job.definition.queue);
-  }
-
   /** Number of starts that are assigned and not answered. */
   get openStarts(): number {
     return this.startWindow.countOpen();
@@ -477,25 +466,19 @@
   /** Whether a worker runs a finite task of one of the most urgent queues. */
   runsUrgentTask(worker: WorkerState): boolean {
     for (const {job, step} of worker.tasks) {
-      if (!step.isLongRunning && this.isUrgent(job)) return true;
+      if (!step.isLongRunning && this.queues.isUrgent(job)) return true;
     }
     return false;
   }
 
-  private isUrgent(job: JobState): boolean {
-    return this.queueOf(job)?.priority === this.topPriority;
-  }
-
   private countFreeStarts(job: JobState): number {
-    return this.startWindow.countFree({isUrgent: this.isUrgent(job)});
+    return this.startWindow.countFree({isUrgent: this.queues.isUrgent(job)});
   }
 
-  /** Returns the objective of a job in ms; undefined without a queue. */
-  private objectiveMsOf(job: JobState): number | undefined {
-    const queue = this.queueOf(job);
-    if (!queue) return undefined;
-    const duration = durationOf(queue, this.options.estimates);
-    return Math.round(objectiveMs(job, queue, duration));
+  /** Returns the objective of a job in ms. */
+  private objectiveMsOf(job: JobState): number {
+    const duration = durationOf(job, this.options.estimates);
+    return Math.round(objectiveMs(job, this.queues.termsOf(job), duration));
   }
 
   private get schedulingTime(): SchedulingTime {
@@ -631,8 +614,7 @@
     this.workerOf(task)?.health.recordFailure(nowMs);
     this.endRun(task, 'failed');
     if (task.step.isLongRunning || task.job.isFinal) return;
-    const maxAttempts = this.queueOf(task.job)?.maxAttempts ?? Infinity;
-    if (task.failures >= maxAttempts) {
+    if (task.failures >= this.queues.termsOf(task.job).maxAttempts) {
       const cause = {cause: 'attempts', task: task.name};
       this.endings.end(task.job, JobPhase.FAILED, cause);
     }
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/pending_changes.ts
@@ -1,19 +1,18 @@
 import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {MAX_VALUE_BYTES, StoreWrite} from '../store/metadata_store.js';
-import {Queue} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
 import {JobState} from './job_state.js';
 import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
 import {ProgressWriter} from './progress_writer.js';
+import {QueueTable} from './queue_table.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link PendingChanges}. */
 export interface PendingChangesOptions {
   keys: PartitionKeys;
-  /** Looks up the queue of a job; undefined if it was removed. */
-  queueOf: (job: JobState) => Queue | undefined;
+  queues: QueueTable;
   /** Called with each start whose assignment is committed. */
   onStart: (task: TaskState) => void;
   /** Called with the phases that are committed and have changed. */
@@ -32,9 +31,6 @@
 const MAX_DELETIONS_PER_COMMIT =
   MAX_CHANGES_PER_COMMIT - (MAX_CHANGES_PER_COMMIT % RECORDS_PER_JOB);
 
-/** Commit order of jobs whose queue was removed, after all priorities. */
-const NO_PRIORITY_RANK = 1_000_000;
-
 /** Commit order of jobs without a start that depends on the commit. */
 const NO_START_RANK = 2_000_000;
 
@@ -120,8 +116,9 @@
     this.jobs.clear();
     const startsByJob = groupByJob(this.starts.splice(0));
     const removals = this.deletions.splice(0);
+    const {queues} = this.options;
     const rank = (job: JobState): number =>
-      startsByJob.has(job) ? this.startRankOf(job) : NO_START_RANK;
+      startsByJob.has(job) ? queues.termsOf(job).priority : NO_START_RANK;
     jobs.sort((left, right) => rank(left) - rank(right));
     const batches: CommitBatch[] = [];
     for (const chunk of chunks(jobs, MAX_CHANGES_PER_COMMIT)) {
@@ -135,10 +132,6 @@
     return {batches, onStored};
   }
 
-  private startRankOf(job: JobState): number {
-    return this.options.queueOf(job)?.priority ?? NO_PRIORITY_RANK;
-  }
-
   private createBatch(
     jobs: readonly JobState[],
     startsByJob: ReadonlyMap<JobState, readonly TaskState[]>,
--- a/src/orchestrator/step_contexts.ts
+++ b/src/orchestrator/step_contexts.ts
@@ -1,6 +1,6 @@
-import {Queue} from '../work/configuration.js';
 import {RunDuration} from './expected_end.js';
 import {JobState, StepState} from './job_state.js';
+import {QueueTable} from './queue_table.js';
 import {StepAdvice} from './step_advice.js';
 import {PlacementContext} from './task_placement.js';
 import {WorkerState} from './worker_state.js';
@@ -9,8 +9,7 @@
 export interface StepContextsOptions {
   workers: ReadonlyMap<string, WorkerState>;
   advice: StepAdvice;
-  /** Looks up the queue of a job; undefined if it was removed. */
-  queueOf: (job: JobState) => Queue | undefined;
+  queues: QueueTable;
   /** Returns how long a run of a task is expected to take. @default not known */
   duration?: RunDuration;
 }
@@ -39,12 +38,12 @@
 
   /** Returns whether the advice service restricts the workers of a job. */
   needsAdvice(job: JobState): boolean {
-    return this.options.queueOf(job)?.needsAdvice ?? false;
+    return this.options.queues.termsOf(job).needsAdvice;
   }
 
   /** Returns the service whose workers run a job. */
   serviceOf(job: JobState): string {
-    return this.options.queueOf(job)?.service ?? job.definition.service;
+    return this.options.queues.serviceOf(job);
   }
 
   /** Returns the rack that a rack-sensitive step already uses, if any. */
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/task_scheduler.ts
@@ -1,4 +1,3 @@
-import {Queue} from '../work/configuration.js';
 import {StepDefinition} from '../work/job_definition.js';
 import {CandidateSet} from './candidate_set.js';
 import {RunDuration} from './expected_end.js';
@@ -6,6 +5,7 @@
 import {HeldRooms} from './held_rooms.js';
 import {JobOrder} from './job_order.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
+import {QueueTable} from './queue_table.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StarvedSteps} from './starved_steps.js';
@@ -26,8 +26,7 @@
   order: JobOrder;
   placement: TaskPlacement;
   advice: StepAdvice;
-  /** Looks up the queue of a job; undefined if it was removed. */
-  queueOf: (job: JobState) => Queue | undefined;
+  queues: QueueTable;
   /** Returns how many tasks of a job may be assigned now. @default any */
   countFreeStarts?: (job: JobState) => number;
   /**
@@ -97,7 +96,7 @@
    * jobs wait, most passes look at urgent jobs only.
    */
   schedule(jobs: Iterable<JobState>, {nowMs, wallMs}: SchedulingTime): void {
-    const {order, queueOf, isUrgent} = this.options;
+    const {order, queues, isUrgent} = this.options;
     const isFull = this.fullPasses.isDue(nowMs);
     const waiting = [...jobs].filter(
       (job) => (isFull || isUrgent?.(job)) && !job.isFinal && job.hasReadyTasks,
@@ -106,7 +105,10 @@
     this.heldRooms?.beginPass(nowMs);
     this.changes.beginPass(this.options.workers.values());
     this.unplaceable.beginPass({pass: this.changes.currentPass, nowMs});
-    const sorted = order.sort(waiting, {wallMs, queueOf});
+    const sorted = order.sort(waiting, {
+      wallMs,
+      termsOf: (job) => queues.termsOf(job),
+    });
     for (const job of sorted) {
       try {
         this.scheduleJob(job, nowMs);
--- a/src/orchestrator/task_scheduler_test.ts
+++ b/src/orchestrator/task_scheduler_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {createQueueTable} from '../../testing/create_queue_table.js';
 import {
-  simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
@@ -48,7 +48,6 @@
 
 /** Creates workers without free capacity and jobs that wait for it. */
 function createOverload(): Fixture {
-  const {queues} = simpleConfiguration();
   const placement = new CountingPlacement();
   const workers = new Map<string, WorkerState>();
   const assigned: TaskState[] = [];
@@ -69,7 +68,7 @@
     order: new DeadlineOrder(),
     placement,
     advice: new StepAdvice(),
-    queueOf: () => queues[0],
+    queues: createQueueTable(),
     onAssign: (task, worker, run) => {
       task.apply('assigned');
       task.run = run;
--- a/src/work/configuration.ts
+++ b/src/work/configuration.ts
@@ -1,10 +1,5 @@
-/** A queue that accepts jobs from callers. */
-export interface Queue {
-  name: string;
-  host: string;
-  /** Path prefix; the queue with the longest matching prefix is selected. */
-  prefix: string;
-  service: string;
+/** What holds for the jobs of a queue; a job is stored with it. */
+export interface QueueTerms {
   /** Scheduling priority; 0 is the highest. */
   priority: number;
   /** Number of failed runs of one task after which its job fails. */
@@ -13,12 +8,27 @@
   stretch: number;
   /** Time in ms that is added to that multiple to get the objective. */
   targetLatencyMs: number;
-  /** Time limit in ms for the response to a call. */
-  timeoutMs: number;
   /** Whether the advice service decides which workers may run a step. */
   needsAdvice: boolean;
 }
 
+/** A queue that accepts jobs from callers. */
+export interface Queue extends QueueTerms {
+  name: string;
+  host: string;
+  /** Path prefix; the queue with the longest matching prefix is selected. */
+  prefix: string;
+  service: string;
+  /** Time limit in ms for the response to a call. */
+  timeoutMs: number;
+}
+
+/** Returns the terms of a queue, without what only concerns calls. */
+export function queueTerms(queue: Queue): QueueTerms {
+  const {priority, maxAttempts, stretch, targetLatencyMs, needsAdvice} = queue;
+  return {priority, maxAttempts, stretch, targetLatencyMs, needsAdvice};
+}
+
 /** A service whose workers run the tasks of one or more queues. */
 export interface WorkerService {
   name: string;
--- a/src/work/job_definition.ts
+++ b/src/work/job_definition.ts
@@ -1,3 +1,5 @@
+import {QueueTerms} from './configuration.js';
+
 /** Resources that a task requests or a worker offers. */
 export interface TaskResources {
   /** Thousandths of a core. */
@@ -46,6 +48,11 @@
   queue: string;
   /** Service that ran the tasks of the queue when the job was accepted. */
   service: string;
+  /**
+   * Terms of the queue when the job was accepted. They hold once the queue is
+   * removed. @default not known, as for a job that an earlier build accepted
+   */
+  terms?: QueueTerms;
   specification: string;
   steps: readonly StepDefinition[];
   /** Number of occurrences; 0 for a job that runs once, immediately. */
--- a/src/work/submission_schema.ts
+++ b/src/work/submission_schema.ts
@@ -29,6 +29,14 @@
   mostUnavailable: z.number().optional(),
 });
 
+const termsSchema = z.looseObject({
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: amount,
+  targetLatencyMs: amount,
+  needsAdvice: z.boolean(),
+});
+
 function hasTasksThatFit(steps: ReadonlyArray<{taskCount: number}>): boolean {
   const tasks = steps.reduce((sum, {taskCount}) => sum + taskCount, 0);
   return tasks <= MAX_JOB_TASKS;
@@ -40,6 +48,7 @@
     id: z.string(),
     queue: z.string(),
     service: z.string(),
+    terms: termsSchema.optional(),
     specification: z.string(),
     steps: listSchema(stepSchema, {least: 1}).refine(
       hasTasksThatFit,
