What a report shows holds for the time at which it was written

What callers may have seen: a run that is stopped as stuck although the report was written soon after its latest progress; a second suspect beside a task that has run for 10 ms only, after which a crash has two possible causes and both tasks are blamed. Also, a worker counted as heard of lately for 3.5 s after a report that was old when it was read.

The clock of the worker tells when a report was written, at the latest: no earlier than its poll was sent, no later than it was read. Progress, proof that a start was harmless, and the age of the latest report rest on that time. The first report of an incarnation has no earlier reading and counts as fresh.

Both tests fail without the change. Looked at and left: leases of workers (end at a bound by their clock), tickets (from the time of sending), the term of the owner (from the time of sending), silence (a poll that times out late is read first).

--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/crash_tracker.ts
@@ -173,12 +173,13 @@
   /**
    * Updates which suspects on a worker have run long enough, by its latest
    * report, not to be blamed for a crash.
+   *
+   * @param writtenMs - Time in ms at which the report was written.
    */
-  recordProgress(worker: WorkerState): void {
-    const nowMs = this.options.clock.nowMs();
+  recordProgress(worker: WorkerState, writtenMs: number): void {
     for (const task of [...worker.suspects]) {
       if (!task.isSuspect || task.state !== 'running') continue;
-      const ranMs = nowMs - task.runningSinceMs;
+      const ranMs = writtenMs - task.runningSinceMs;
       if (ranMs >= CLEAR_CRASHES_AFTER_MS) this.clear(task);
       else if (ranMs >= PROOF_MS && !task.isProven) {
         task.isProven = true;
--- a/src/orchestrator/crash_tracker_test.ts
+++ b/src/orchestrator/crash_tracker_test.ts
@@ -98,10 +98,10 @@
   worker.addTask(task);
   task.runningSinceMs = clock.nowMs();
   clock.advance(1000);
-  tracker.recordProgress(worker);
+  tracker.recordProgress(worker, clock.nowMs());
   assert.ok(task.isProven && task.isSuspect);
   clock.advance(30_000);
-  tracker.recordProgress(worker);
+  tracker.recordProgress(worker, clock.nowMs());
   assert.ok(!task.isSuspect && task.crashes.isEmpty);
 });
 
--- a/src/orchestrator/late_response_test.ts
+++ b/src/orchestrator/late_response_test.ts
@@ -6,6 +6,7 @@
 import {idleEffects} from '../../testing/idle_effects.js';
 import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
+import {CrashRole} from '../work/crash_role.js';
 import {JobState} from './job_state.js';
 import {TaskState} from './task_state.js';
 import {RunningReport} from './worker_port.js';
@@ -25,10 +26,15 @@
 class LateBench {
   /** Starts that were sent. */
   readonly sent: TaskState[] = [];
+  /** Stops that were sent. */
+  readonly stopped: TaskState[] = [];
   private readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
   private readonly orchestrator = createOrchestrator({
     clock: this.clock,
-    effects: idleEffects({start: (task) => this.sent.push(task)}),
+    effects: idleEffects({
+      start: (task) => this.sent.push(task),
+      stop: (task) => this.stopped.push(task),
+    }),
   });
   private readonly worker: WorkerState;
 
@@ -52,6 +58,18 @@
     this.schedule();
   }
 
+  /** Makes a task one that may crash its worker. */
+  suspect(task: TaskState): void {
+    const role = CrashRole.SUSPECT;
+    task.crashes.add({role, isImmediate: false, hasBegun: true});
+    this.worker.addSuspect(task);
+  }
+
+  /** Suspect that has not run long enough to be proven, if there is one. */
+  get unprovenSuspect(): TaskState | undefined {
+    return this.worker.unprovenSuspect();
+  }
+
   schedule(): void {
     this.orchestrator.schedule();
     applyPending(this.orchestrator.takePending());
@@ -122,3 +140,41 @@
   });
   assert.equal(task.isPlaced, false);
 });
+
+test('a report that is read late does not prove a suspect harmless', () => {
+  // Guards against a second suspect beside a task that has run for a moment only,
+  // after which a crash of their worker has two possible causes.
+  const bench = new LateBench();
+  bench.submit('job');
+  const [task] = bench.sent;
+  assert.ok(task);
+  bench.suspect(task);
+  bench.confirm(task, WORKER_CLOCK_MS);
+  bench.advance(PAUSE_MS);
+  bench.report([task], {clockMs: WORKER_CLOCK_MS + 10, sentMs: 0});
+  assert.equal(bench.unprovenSuspect, task);
+  const sentMs = bench.nowMs;
+  bench.advance(500);
+  const clockMs = WORKER_CLOCK_MS + bench.nowMs;
+  bench.report([task], {clockMs, sentMs});
+  assert.equal(bench.unprovenSuspect, undefined);
+});
+
+test('reports that are read late show no lack of progress', () => {
+  // Guards against a run that is stopped as stuck although the report was written
+  // soon after its latest progress.
+  const bench = new LateBench();
+  bench.submit('job');
+  const [task] = bench.sent;
+  assert.ok(task);
+  bench.confirm(task, WORKER_CLOCK_MS);
+  for (const writtenMs of [0, 500]) {
+    bench.advance(writtenMs - bench.nowMs);
+    const clockMs = WORKER_CLOCK_MS + writtenMs;
+    bench.report([task], {clockMs, sentMs: writtenMs});
+  }
+  const sentMs = bench.nowMs;
+  bench.advance(1450);
+  bench.report([task], {clockMs: WORKER_CLOCK_MS + 520, sentMs});
+  assert.deepEqual(bench.stopped, []);
+});
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -326,14 +326,14 @@
     sentMs: number,
   ): void {
     const nowMs = this.options.clock.nowMs();
-    this.registry.recordReport(worker, report, nowMs);
+    const writtenMs = this.registry.recordReport(worker, report, sentMs);
     this.crashes.recordAnswer(worker);
     this.crashes.settleLosses(worker);
     if (report.ended.length > 0) this.changes.addProcessedEnds(worker);
-    this.reportProcessor.process(worker, report, {sentMs, nowMs});
+    this.reportProcessor.process(worker, report, {sentMs, writtenMs});
     this.speedLimits.adjust(worker, nowMs);
-    this.stuckRuns.check(worker, nowMs);
-    this.crashes.recordProgress(worker);
+    this.stuckRuns.check(worker, {writtenMs, nowMs});
+    this.crashes.recordProgress(worker, writtenMs);
     if (worker.registration.isDraining) this.drain(worker);
   }
 
--- a/src/orchestrator/report_processor.ts
+++ b/src/orchestrator/report_processor.ts
@@ -33,12 +33,13 @@
    * Processes a report. Tasks that it does not list have ended if it is complete
    * and the poll was sent late enough to be conclusive.
    *
-   * @param times - Times in ms at which the poll was sent and answered.
+   * @param times - Times in ms at which the poll was sent and, at the latest, the
+   *     report was written.
    */
   process(
     worker: WorkerState,
     report: WorkerReport,
-    times: {sentMs: number; nowMs: number},
+    times: {sentMs: number; writtenMs: number},
   ): void {
     const listed = new Set<TaskState>();
     const orphans: RunningReport[] = [];
@@ -47,7 +48,7 @@
       const task = this.currentRun(worker, running);
       if (task) {
         listed.add(task);
-        this.processRunning(task, running, times.nowMs);
+        this.processRunning(task, running, times.writtenMs);
       } else {
         orphans.push(running);
       }
@@ -93,12 +94,12 @@
   private processRunning(
     task: TaskState,
     running: RunningReport,
-    nowMs: number,
+    writtenMs: number,
   ): void {
     this.handlers.onConfirmed(task);
     if (running.percent !== task.percent) {
       task.percent = running.percent;
-      task.lastProgressMs = nowMs;
+      task.lastProgressMs = writtenMs;
     }
     task.gauge = running.gauge;
     if (task.step.isCheckpointed && running.checkpoint !== '') {
--- a/src/orchestrator/stuck_runs.ts
+++ b/src/orchestrator/stuck_runs.ts
@@ -34,10 +34,17 @@
 export class StuckRuns {
   constructor(private readonly options: StuckRunsOptions) {}
 
-  /** Handles the runs of a worker that its latest report shows as stuck. */
-  check(worker: WorkerState, nowMs: number): void {
+  /**
+   * Handles the runs of a worker that its latest report shows as stuck.
+   *
+   * @param times - Time in ms at which the report was written, and present time.
+   */
+  check(
+    worker: WorkerState,
+    {writtenMs, nowMs}: {writtenMs: number; nowMs: number},
+  ): void {
     for (const task of worker.tasks) {
-      if (isStuck(task, nowMs)) this.handleStuck(task, worker, nowMs);
+      if (isStuck(task, writtenMs)) this.handleStuck(task, worker, nowMs);
     }
   }
 
@@ -75,12 +82,12 @@
   }
 }
 
-/** Returns whether a run has made no progress for too long. */
-function isStuck(task: TaskState, nowMs: number): boolean {
+/** Returns whether a run has made no progress for too long, as of a time in ms. */
+function isStuck(task: TaskState, atMs: number): boolean {
   const {step} = task;
   if (task.state !== 'running' || step.isLongRunning) return false;
   if (task.speedLimitPercent < 100 || step.isGang) return false;
   const limitMs = STUCK_AFTER_MS + step.estimatedMs * STUCK_ESTIMATE_FRACTION;
   const patience = 2 ** Math.min(task.stuckRuns, MAX_STUCK_DOUBLINGS);
-  return nowMs - task.lastProgressMs >= limitMs * patience;
+  return atMs - task.lastProgressMs >= limitMs * patience;
 }
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/worker_registry.ts
@@ -86,12 +86,25 @@
     worker.addTask(task);
   }
 
-  /** Records what a report tells about the worker itself. */
-  recordReport(worker: WorkerState, report: WorkerReport, nowMs: number): void {
-    this.detectNewIncarnation(worker, report, nowMs);
+  /**
+   * Records what a report tells about the worker itself.
+   *
+   * @param sentMs - Time in ms at which the poll was sent.
+   * @returns Time in ms at which the worker wrote the report, at the latest.
+   */
+  recordReport(
+    worker: WorkerState,
+    report: WorkerReport,
+    sentMs: number,
+  ): number {
+    const nowMs = this.options.clock.nowMs();
+    const isNew = this.detectNewIncarnation(worker, report, nowMs);
+    const latestMs = isNew ? nowMs : worker.latestTimeOf(report.clockMs);
+    const writtenMs = Math.min(nowMs, Math.max(sentMs, latestMs));
     worker.recordClock(report.clockMs, nowMs);
     excludeSilence(worker, nowMs);
-    worker.lastReportMs = nowMs;
+    worker.lastReportMs = writtenMs;
+    return writtenMs;
   }
 
   /**
@@ -153,13 +166,14 @@
     return worker;
   }
 
+  /** Returns whether a report is the first of an incarnation in this term. */
   private detectNewIncarnation(
     worker: WorkerState,
     report: WorkerReport,
     nowMs: number,
-  ): void {
+  ): boolean {
     const bornMs = report.bornMs ?? worker.registration.bornMs;
-    if (worker.bornMs === bornMs) return;
+    if (worker.bornMs === bornMs) return false;
     const isFirst = worker.bornMs === undefined;
     if (!isFirst || ranEarlierIncarnation(worker, bornMs)) {
       this.options.onRestart(worker);
@@ -174,6 +188,7 @@
       atMs: Math.round(nowMs),
       tasks: isFirst ? worker.tasks.size : worker.taskNames(),
     });
+    return true;
   }
 
   /**
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -16,7 +16,7 @@
 export class WorkerState {
   /** Start time of the last incarnation that reported, if known. */
   bornMs: number | undefined;
-  /** Time in ms of the latest report; -Infinity before the first. */
+  /** Time in ms at which the latest report was written; else -Infinity. */
   lastReportMs = -Infinity;
   /** Time in ms after which every lease that was granted has expired. */
   leaseEndsMs = -Infinity;
@@ -182,6 +182,11 @@
     this.clock.record(clockMs, nowMs);
   }
 
+  /** Returns the latest time in ms at which its clock may show a time in ms. */
+  latestTimeOf(clockMs: number): number {
+    return this.clock.latestTimeOf(clockMs);
+  }
+
   /** Returns the end, on the clock of the worker, of a lease granted now. */
   leaseLimit(nowMs: number, holdMs: number): number {
     return this.clock.leaseLimit(nowMs, holdMs);
@@ -189,7 +194,7 @@
 
   /** Records that a lease up to `leaseUntilMs` on the worker clock was sent. */
   recordLease(leaseUntilMs: number): void {
-    const endsMs = this.clock.latestTimeOf(leaseUntilMs);
+    const endsMs = this.latestTimeOf(leaseUntilMs);
     this.leaseEndsMs = Math.max(this.leaseEndsMs, endsMs);
   }
 
