Long-running tasks of a lost worker do not start one after the other

Cause: a loss before which nothing had just started makes all tasks of the worker suspect, and two suspects never started on one worker until the first was proven (500 ms and a report), also after the patience of 2 s. The wait grew by a second for as many tasks as there were workers left.

Once the patience is over, long-running tasks that are suspected for one crash start together. A second crash isolates those that were on that worker, so that at most two rounds tell the cause. Finite tasks stay apart: a trial that let them start together failed "no job is given up because it stood beside crashing tasks", since crashes end their jobs.

The test has 60 such tasks and seven workers: 18 had no run after 3 s before, all have one now.

--- a/src/orchestrator/suspect_isolation.ts
+++ b/src/orchestrator/suspect_isolation.ts
@@ -12,8 +12,10 @@
 
 /**
  * Time in ms after which a task that only the isolation of suspects keeps from
- * running is placed beside others, though never two suspects at once: they would
- * be suspected together again and again.
+ * running is placed beside others. Two suspects are placed together only if both
+ * are long-running and suspected for one crash: a worker that is lost with many
+ * tasks makes all of them suspect, and one after the other they would wait too
+ * long. Others stay apart, so that no two are suspected again and again.
  */
 const ISOLATION_PATIENCE_MS = 2000;
 
@@ -73,6 +75,8 @@
   worker: WorkerState,
   {nowMs, isIgnored}: {nowMs: number; isIgnored: boolean},
 ): WorkerExclusion | undefined {
+  const isShared = task.mayShareSuspicion && worker.mayShareSuspicion;
+  if (isIgnored && isShared) return undefined;
   const exclusion = exclusionBesideSuspect(task, worker, {
     nowMs,
     isIgnored: false,
--- a/src/orchestrator/suspect_isolation_test.ts
+++ b/src/orchestrator/suspect_isolation_test.ts
@@ -3,11 +3,16 @@
 
 import {applyPending} from '../../testing/apply_pending.js';
 import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
+import {
+  simpleJob,
+  simpleStep,
+  simpleWorker,
+} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {CrashRole} from '../work/crash_role.js';
 import {JobState} from './job_state.js';
 import {TaskState} from './task_state.js';
+import {WorkerState} from './worker_state.js';
 
 const STEP_MS = 50;
 
@@ -127,3 +132,93 @@
   for (const suspect of suspects) assert.ok(bench.assignedMs.has(suspect));
   assert.ok(bench.longestWaitMs < 3000, `waited ${bench.longestWaitMs} ms`);
 });
+
+/** Tasks of the worker that was lost, and workers that are left. */
+const LOST_TASKS = 60;
+const WORKERS_LEFT = 7;
+
+/** Time in ms for which a task may wait beside free capacity. */
+const MOST_IDLE_MS = 3000;
+
+/** Tasks that last and were on a worker which was lost, and the other workers. */
+class LostWorkerBench {
+  private readonly clock = new ManualClock({startMs: 0, wallStartMs: 0});
+  private readonly orchestrator = createOrchestrator({clock: this.clock});
+  readonly tasks: TaskState[] = [];
+
+  /** @param crashes - Crashes under each task of which it may be the cause. */
+  constructor(crashes: number) {
+    for (let number = 0; number < WORKERS_LEFT; number++) {
+      this.orchestrator.upsertWorker(simpleWorker(`w${number}`));
+    }
+    for (let number = 0; number < LOST_TASKS; number++) {
+      this.addTask(`job${number}`, crashes);
+    }
+  }
+
+  run(durationMs: number): void {
+    for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+      this.clock.advance(STEP_MS);
+      for (const worker of this.orchestrator.workers.values()) {
+        this.report(worker);
+      }
+      this.orchestrator.schedule();
+      applyPending(this.orchestrator.takePending());
+    }
+  }
+
+  /** Whether two tasks have come to one worker without a proof in between. */
+  get areSuspectsTogether(): boolean {
+    const unproven = this.tasks.filter(
+      ({isPlaced, isProven}) => isPlaced && !isProven,
+    );
+    const workers = unproven.map(({assignment}) => assignment!.workerId);
+    return new Set(workers).size < workers.length;
+  }
+
+  private addTask(id: string, crashes: number): void {
+    const steps = [
+      simpleStep({isLongRunning: true, cpuMillicores: 100, memoryMb: 100}),
+    ];
+    const job = new JobState(simpleJob(id, {steps}), 0);
+    const [task] = job.occurrence(0).steps[0]!.tasks;
+    for (let crash = 0; crash < crashes; crash++) {
+      const role = CrashRole.SUSPECT;
+      task!.crashes.add({role, isImmediate: false, hasBegun: true});
+    }
+    this.tasks.push(task!);
+    this.orchestrator.addJob(job);
+  }
+
+  private report(worker: WorkerState): void {
+    const running = [...worker.tasks].map(({name, run}) => ({
+      task: name,
+      run,
+      checkpoint: '',
+      percent: 100,
+      gauge: undefined,
+    }));
+    const nowMs = this.clock.nowMs();
+    const report = {clockMs: nowMs, bornMs: 1, running, ended: []};
+    this.orchestrator.processReport(worker, report, nowMs);
+  }
+}
+
+test('the tasks of a lost worker do not wait for each other', () => {
+  // Guards against tasks that last and wait for many seconds beside workers with
+  // room, since each is started alone after the loss of one worker.
+  const bench = new LostWorkerBench(1);
+  bench.run(MOST_IDLE_MS);
+  const waiting = bench.tasks.filter(({isPlaced}) => !isPlaced);
+  assert.equal(waiting.length, 0);
+});
+
+test('suspects of a second crash start apart', () => {
+  // Guards against tasks that are suspected together again and again, so that the
+  // one which crashes its workers is never told from the others.
+  const bench = new LostWorkerBench(2);
+  for (let round = 0; round < 40; round++) {
+    bench.run(100);
+    assert.equal(bench.areSuspectsTogether, false);
+  }
+});
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/task_state.ts
@@ -164,6 +164,16 @@
     );
   }
 
+  /**
+   * Whether it may start on a worker together with others that may crash it: a
+   * long-running task, which crashes never end, suspected for one crash.
+   */
+  get mayShareSuspicion(): boolean {
+    if (!this.step.isLongRunning || this.crashes.isRepeated) return false;
+    const counted = this.crashes.isEmpty ? 0 : 1;
+    return counted + this.losses.length <= 1;
+  }
+
   /** Whether a run of the task is or may be active on a worker. */
   get isPlaced(): boolean {
     return this.assignment !== undefined;
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/worker_state.ts
@@ -132,6 +132,15 @@
     return undefined;
   }
 
+  /** Whether a further suspect may start here beside those not proven yet. */
+  get mayShareSuspicion(): boolean {
+    for (const task of this.suspects) {
+      const isUnproven = task.isSuspect && !task.isProven;
+      if (isUnproven && !task.mayShareSuspicion) return false;
+    }
+    return true;
+  }
+
   /** Returns the suspect for which no other task is placed here, if any. */
   reservedFor(nowMs: number): TaskState | undefined {
     const {task, untilMs} = this.reservation ?? {untilMs: -Infinity};
