Move what happens to runs out of the orchestrator

orchestrator.ts had 808 lines; the transitions of runs (seen, ended, succeeded, failed, on a worker that crashed) are a module of their own now, which leaves 647.

--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -20,10 +20,11 @@
 import {OrchestratorEvent} from './orchestrator_event.js';
 import {OrphanRuns} from './orphan_runs.js';
 import {PendingChanges} from './pending_changes.js';
-import {crashPauseMs, restartDelayMs} from './restart_delay.js';
+import {restartDelayMs} from './restart_delay.js';
 import {QueueTable} from './queue_table.js';
 import {ReportProcessor} from './report_processor.js';
 import {RunStops} from './run_stops.js';
+import {RunTransitions} from './run_transitions.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {SpeedLimits} from './speed_limits.js';
@@ -37,12 +38,7 @@
 import {stepOf, TaskScheduler} from './task_scheduler.js';
 import {TaskState} from './task_state.js';
 import {WaitMonitor, WaitSummary} from './wait_monitor.js';
-import {
-  CommandOutcome,
-  EndKind,
-  RefusalReason,
-  WorkerReport,
-} from './worker_port.js';
+import {CommandOutcome, RefusalReason, WorkerReport} from './worker_port.js';
 import {WorkerRegistry} from './worker_registry.js';
 import {WorkerState} from './worker_state.js';
 
@@ -88,13 +84,6 @@
   countEvent?: (event: OrchestratorEvent) => void;
 }
 
-/** How runs end that their worker lost or no longer reports. */
-const LOST_RUN_ENDS: ReadonlySet<string> = new Set([
-  'not-there',
-  'worker-ended',
-  EndKind.LEASE_ENDED,
-]);
-
 /**
  * Decides which tasks run on which workers. Performs no I/O: events are passed
  * to its methods and commands go through {@link OrchestratorEffects}.
@@ -114,6 +103,7 @@
   private readonly reportProcessor: ReportProcessor;
   private readonly crashes: CrashTracker;
   private readonly speedLimits: SpeedLimits;
+  private readonly runs: RunTransitions;
   private readonly stops: RunStops;
   private readonly endings: JobEndings;
   private readonly orphans: OrphanRuns;
@@ -133,7 +123,7 @@
       ...options,
       workers: () => this.workers.values(),
       onCrash: () => options.countEvent?.(OrchestratorEvent.WORKER_CRASHED),
-      onCounted: (task) => this.handleCrashCount(task),
+      onCounted: (task) => this.runs.handleCrashCount(task),
     });
     this.startWindow = new StartWindow(options.adaptsStarts);
     this.startGuard = new StartGuard(options);
@@ -158,11 +148,6 @@
       objectiveMsOf: (job) => this.objectiveMsOf(job),
       onEnded: (job) => this.markDirty(job),
     });
-    this.orphans = new OrphanRuns({jobs: this.jobs, effects: options.effects});
-    this.stuckRuns = new StuckRuns({
-      workers: this.workers,
-      onStuck: (task) => this.stops.request(task, 'no-progress'),
-    });
     this.changes = new PendingChanges({
       keys: options.keys,
       queues: this.queues,
@@ -171,6 +156,22 @@
       onRecordTooLarge: (job) =>
         this.endings.end(job, JobPhase.FAILED, {cause: 'record-too-large'}),
     });
+    this.runs = new RunTransitions({
+      ...options,
+      queues: this.queues,
+      changes: this.changes,
+      stops: this.stops,
+      endings: this.endings,
+      speedLimits: this.speedLimits,
+      workerOf: (task) => this.workerOf(task),
+      onJobChanged: (job) => this.markDirty(job),
+      onTaskChanged: (task) => this.markTaskDirty(task),
+    });
+    this.orphans = new OrphanRuns({jobs: this.jobs, effects: options.effects});
+    this.stuckRuns = new StuckRuns({
+      workers: this.workers,
+      onStuck: (task) => this.stops.request(task, 'no-progress'),
+    });
     const {estimates, looksAhead = false} = options;
     const duration =
       estimates && looksAhead
@@ -227,11 +228,11 @@
     });
     this.reportProcessor = new ReportProcessor({
       taskOf: (name) => this.tasks.get(name),
-      onConfirmed: (task) => this.confirm(task),
-      onEnded: (task, end) => this.endRun(task, end),
+      onConfirmed: (task) => this.runs.confirm(task),
+      onEnded: (task, end) => this.runs.end(task, end),
       onObsolete: (task) => this.withdrawUnsent(task),
-      onDone: (task) => this.finishTask(task),
-      onFailed: (task) => this.failRun(task),
+      onDone: (task) => this.runs.finish(task),
+      onFailed: (task) => this.runs.fail(task),
       onOrphanRuns: (runs, worker) => this.orphans.handle(runs, worker),
     });
   }
@@ -300,7 +301,7 @@
     worker.hasEnded = true;
     this.crashes.recordCrash(worker, CrashEvidence.REPLACED);
     for (const task of [...worker.tasks]) {
-      if (task.state !== 'assigned') this.endRun(task, 'worker-ended');
+      if (task.state !== 'assigned') this.runs.end(task, 'worker-ended');
     }
   }
 
@@ -353,12 +354,12 @@
         this.registry.detectClockReset(worker, outcome.clockMs, startedMs);
         this.crashes.recordConfirmation(worker, startedMs);
       }
-      if (!task.hasBegun) this.recordBegun(task);
+      if (!task.hasBegun) this.runs.recordBegun(task);
     }
     if (task.state !== 'starting') return;
     if (outcome.kind === 'done') {
       task.absentAfterMs = this.options.clock.nowMs();
-      this.confirm(task);
+      this.runs.confirm(task);
       return;
     }
     this.options.log.logDetail('start-not-confirmed', {
@@ -382,8 +383,8 @@
     task.refusals += 1;
     const nowMs = this.options.clock.nowMs();
     task.notBeforeMs = nowMs + restartDelayMs(task.refusals);
-    this.endRun(task, 'refused');
-    if (task.step.isGang) this.abandonGangRun(task);
+    this.runs.end(task, 'refused');
+    if (task.step.isGang) this.runs.abandonGang(task);
   }
 
   /** Handles the outcome of a stop command. */
@@ -499,175 +500,14 @@
     this.registry.inheritRun(task, task.assignment);
   }
 
-  private confirm(task: TaskState): void {
-    if (!task.hasBegun) this.recordBegun(task);
-    if (!task.apply('confirmed')) return;
-    const nowMs = this.options.clock.nowMs();
-    task.lastProgressMs = nowMs;
-    task.refusals = 0;
-    task.refusedBy.clear();
-    task.runningSinceMs = nowMs;
-    task.absentAfterMs = Math.min(task.absentAfterMs, nowMs);
-    task.speedLimitPercent = task.startSpeedPercent;
-    const worker = this.workerOf(task);
-    if (task.job.isFinal) this.stops.request(task, 'job-ended');
-    else if (task.speedLimitPercent < 100 && worker) {
-      this.speedLimits.send(task, worker);
-    }
-  }
-
-  /**
-   * Records that the current run of a task was seen. A successor has to know so
-   * of a suspect: it counts a crash under the run.
-   */
-  private recordBegun(task: TaskState): void {
-    task.hasBegun = true;
-    this.recordStarted(task.job);
-    if (task.isSuspect) this.markTaskDirty(task);
-    else this.changes.noteTask(task);
-  }
-
-  /** Records that a run of a job was seen, with which its phase changes. */
-  private recordStarted(job: JobState): void {
-    if (job.recordStarted()) this.markDirty(job);
-  }
-
-  private endRun(task: TaskState, how: string): void {
-    if (!task.isPlaced) return;
-    if (task.hasBegun && LOST_RUN_ENDS.has(how)) {
-      task.job.history.lostRuns += 1;
-    }
-    this.options.log.logDetail('run-ended', {
-      task: task.name,
-      run: task.run,
-      worker: task.assignment?.workerId,
-      how,
-      tookMs: this.ranMsOf(task),
-      failures: task.failures,
-    });
-    this.clearAssignment(task);
-    const nowMs = this.options.clock.nowMs();
-    if (task.state === 'running') task.lastActiveMs = nowMs;
-    task.waitingSinceMs = nowMs;
-    if (!task.apply('ended')) task.apply('withdrawn');
-    this.markTaskDirty(task);
-  }
-
-  /** Returns the time in ms since a start; undefined if it is not known. */
-  private ranMsOf({startedMs}: TaskState): number | undefined {
-    if (startedMs === -Infinity) return undefined;
-    return Math.round(this.options.clock.nowMs() - startedMs);
-  }
-
-  private finishTask(task: TaskState): void {
-    const nowMs = this.options.clock.nowMs();
-    this.options.log.logDetail('run-done', {
-      task: task.name,
-      run: task.run,
-      worker: task.assignment?.workerId,
-      tookMs: this.ranMsOf(task),
-      estimatedMs: task.step.estimatedMs,
-    });
-    this.recordStarted(task.job);
-    this.recordRunTime(task);
-    this.workerOf(task)?.health.recordSuccess(nowMs);
-    if (task.step.isLongRunning) {
-      this.endRun(task, 'done');
-      return;
-    }
-    if (task.step.isGang) this.finishGang(task);
-    else this.markDone(task);
-    this.completeJob(task.job);
-  }
-
-  private recordRunTime(task: TaskState): void {
-    const tookMs = this.ranMsOf(task);
-    if (tookMs === undefined || !task.isUnlimitedRun) return;
-    const {estimatedMs} = task.step;
-    const step = stepOf(task).runTimes;
-    const {queue} = task.job.definition;
-    this.options.estimates?.record(queue, {estimatedMs, tookMs, step});
-  }
-
-  private markDone(task: TaskState): void {
-    if (!task.apply('done')) return;
-    this.clearAssignment(task);
-    task.job.recordTaskDone(task, this.options.clock.nowMs());
-    this.markTaskDirty(task);
-  }
-
-  private finishGang(task: TaskState): void {
-    for (const member of stepOf(task).tasks) this.markDone(member);
-  }
-
-  private completeJob(job: JobState): void {
-    if (job.isFinal || !job.isComplete) return;
-    this.endings.end(job, JobPhase.SUCCEEDED);
-  }
-
-  private failRun(task: TaskState): void {
-    task.failures += 1;
-    task.job.history.recordFailure(task.assignment?.workerId);
-    this.recordStarted(task.job);
-    const nowMs = this.options.clock.nowMs();
-    task.failedWorkerId = task.assignment?.workerId;
-    this.workerOf(task)?.health.recordFailure(nowMs);
-    this.endRun(task, 'failed');
-    if (task.step.isLongRunning || task.job.isFinal) return;
-    if (task.failures >= this.queues.termsOf(task.job).maxAttempts) {
-      const cause = {cause: 'attempts', task: task.name};
-      this.endings.end(task.job, JobPhase.FAILED, cause);
-    }
-  }
-
-  /**
-   * Stores the changed crash counts of a task. A finite task that has crashed too
-   * many workers is not started again, which ends its job; a long-running one is
-   * started again after a pause that grows with its crashes.
-   */
-  private handleCrashCount(task: TaskState): void {
-    if (task.job.isFinal) return;
-    this.markDirty(task.job);
-    if (task.isSuspect) this.workerOf(task)?.addSuspect(task);
-    if (task.step.isLongRunning) {
-      // It runs until its job is cancelled, whatever happens to its workers.
-      const nowMs = this.options.clock.nowMs();
-      task.notBeforeMs = nowMs + crashPauseMs(task.crashes.possibleCrashes);
-      return;
-    }
-    if (!task.crashes.isOverLimit) return;
-    const {job, name, run} = task;
-    this.options.countEvent?.(OrchestratorEvent.TASK_GIVEN_UP);
-    this.options.log.logDecision('task-given-up', {
-      job: job.definition.id,
-      task: name,
-      run,
-      ...task.crashes.toRecord(),
-    });
-    this.endings.end(job, JobPhase.FAILED, {cause: 'crashes', task: name});
-  }
-
-  /**
-   * Ends the run of a gang of which a member does not start. The others would
-   * occupy their workers until the gang times out.
-   */
-  private abandonGangRun(task: TaskState): void {
-    for (const member of stepOf(task).tasks) {
-      if (member.state === 'assigned') this.endRun(member, 'withdrawn');
-      else if (member.state === 'running') {
-        this.stops.request(member, 'gang-refused');
-      } else if (member.apply('doubted')) this.stops.send(member);
-    }
-  }
-
   private sendStart(task: TaskState): void {
     if (task.state !== 'assigned') return;
     const worker = this.workerOf(task);
     const refusal = this.startGuard.refusalOf(task, worker);
     if (!worker || refusal !== undefined) {
       if (refusal === StartRefusal.EVACUATED) this.recordHeldStart(task);
-      this.endRun(task, 'withdrawn');
-      if (task.step.isGang) this.abandonGangRun(task);
+      this.runs.end(task, 'withdrawn');
+      if (task.step.isGang) this.runs.abandonGang(task);
       return;
     }
     task.apply('committed');
@@ -708,7 +548,7 @@
     }
     this.crashes.recordLeaseEnd(worker);
     for (const task of [...worker.tasks]) {
-      if (task.state !== 'assigned') this.endRun(task, 'lease-ended');
+      if (task.state !== 'assigned') this.runs.end(task, 'lease-ended');
     }
   }
 
@@ -752,7 +592,7 @@
   }
 
   private withdraw(task: TaskState): void {
-    this.clearAssignment(task);
+    this.runs.clearAssignment(task);
     task.apply('withdrawn');
     this.changes.removeStart(task);
   }
@@ -780,11 +620,6 @@
     return id === undefined ? undefined : this.workers.get(id);
   }
 
-  private clearAssignment(task: TaskState): void {
-    this.workerOf(task)?.removeTask(task);
-    task.assignment = undefined;
-  }
-
   private markDirty(job: JobState): void {
     this.changes.addJob(job);
     this.options.effects.requestCommit();
