--- a/src/orchestrator/orchestrator_property_test.ts
+++ b/src/orchestrator/orchestrator_property_test.ts
@@ -108,6 +108,16 @@
   }
 });
 
+test('a run that dies with its worker was not started beside another', () => {
+  // Guards against a second start of a task whose run was taken for lost while an
+  // owner was paused and then died, never noted, with its worker (kettridge-mux).
+  const options = {pauseRate: 0.02, crashRate: 0.01, keepsIdAfterCrash: true};
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const {violations} = simulateSeed(seed, options);
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
 test('a start of an earlier owner does not run in a restarted worker', () => {
   // Guards against a second start of a task: an owner is replaced while a start
   // is under way, the next one has the report that the run is not there, and the
