--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -30,6 +30,7 @@
 import {dueTasks} from './due_tasks.js';
 import {IdleCapacityCheck, SampledWorker} from './idle_capacity_check.js';
 import {silentLog} from './silent_log.js';
+import {SimulatedGangs, stepNameOf} from './simulated_gangs.js';
 import {MessageOptions, SimulatedMessages} from './simulated_messages.js';
 import {simpleConfiguration, simpleWorker} from './simple_definitions.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
@@ -106,9 +107,6 @@
 /** Maximum time in ms for which a report is under way while owners pause. */
 const MAX_REPORT_DELAY_MS = 1000;
 
-/** Time in ms for which the members of a gang wait for each other. */
-const GANG_TIMEOUT_MS = 3000;
-
 /** Time in ms after a crash at which the registration of a worker lapses. */
 const REGISTRATION_LAPSE_MS = 3300;
 
@@ -186,8 +184,10 @@
   private readonly fullCapacities = new Map<string, TaskResources>();
   /** Capacities that owners may still believe in. */
   private readonly capacities = new CapacityHistory();
-  /** Time in ms since which a gang lacks members, by the name of its step. */
-  private readonly incompleteGangs = new Map<string, number>();
+  private readonly gangs = new SimulatedGangs({
+    workers: this.workers,
+    stepOf: (task) => this.stepOf(task),
+  });
   private readonly crashLimit = new CrashLimit();
   private readonly idleCapacity = new IdleCapacityCheck();
   /** Whether commands and their responses are neither lost nor delayed. */
@@ -288,7 +288,7 @@
       this.clock.advance(STEP_MS);
       for (const worker of this.workers.values()) worker.advance(STEP_MS);
       this.messages.deliverDue(this.clock.nowMs());
-      this.endIncompleteGangs();
+      this.gangs.endIncomplete(this.clock.nowMs());
       for (const term of this.terms) this.runTerm(term);
       this.checkIdleCapacity();
     }
@@ -341,7 +341,7 @@
     );
     this.crashes.push({worker: id, atMs: this.clock.nowMs(), tasks});
     worker.crash();
-    this.breakGangs(tasks);
+    this.gangs.breakGangs(tasks);
     const {crashDownMs = 3000, keepsIdAfterCrash = false} = this.options;
     this.scheduleMessage(crashDownMs, () => {
       if (keepsIdAfterCrash) worker.restart(worker.bornMs + 1);
@@ -854,77 +854,14 @@
     return job.steps[Number(step)]!;
   }
 
-  /** Ends the members of gangs that have waited too long for the others. */
-  private endIncompleteGangs(): void {
-    for (const [step, sinceMs] of this.incompleteGangs) {
-      if (this.clock.nowMs() - sinceMs < GANG_TIMEOUT_MS) continue;
-      this.incompleteGangs.delete(step);
-      this.endGang(step, EndKind.GANG_INCOMPLETE);
-    }
-    for (const worker of this.workers.values()) {
-      for (const task of worker.running) this.checkGang(task);
-    }
-  }
-
-  private checkGang(task: string): void {
-    const {isGang, taskCount} = this.stepOf(task);
-    if (!isGang) return;
-    const step = stepNameOf(task);
-    const present = [...this.workers.values()].flatMap(({running}) =>
-      running.filter((member) => stepNameOf(member) === step),
-    );
-    if (present.length === taskCount) this.incompleteGangs.delete(step);
-    else if (!this.incompleteGangs.has(step)) {
-      this.incompleteGangs.set(step, this.clock.nowMs());
-    }
-  }
-
-  private endGang(step: string, kind: EndKind): void {
-    for (const worker of this.workers.values()) {
-      for (const member of worker.running) {
-        if (stepNameOf(member) === step) worker.finish(member, kind);
-      }
-    }
-  }
-
-  /** Ends the other members of the gangs of which a worker lost a member. */
-  private breakGangs(lost: readonly string[]): void {
-    for (const task of lost) {
-      if (!this.stepOf(task).isGang) continue;
-      this.endGang(stepNameOf(task), EndKind.GANG_BROKEN);
-    }
-  }
-
   private finishRandomTasks(probability: number): void {
     for (const worker of this.workers.values()) {
       for (const task of worker.running) {
         if (!this.endsByItself(task)) continue;
         if (this.random.next() >= probability) continue;
         const kind = this.random.next() < 0.1 ? EndKind.FAILED : EndKind.DONE;
-        this.finish(worker, task, kind);
+        this.gangs.finish(worker, task, kind);
       }
     }
   }
-
-  /** Ends a run; members of a gang succeed together, or not at all. */
-  private finish(
-    worker: SimulatedTaskWorker,
-    task: string,
-    kind: EndKind,
-  ): void {
-    const isGang = this.stepOf(task).isGang;
-    const step = stepNameOf(task);
-    if (!isGang) worker.finish(task, kind);
-    else if (kind === EndKind.DONE) {
-      if (!this.incompleteGangs.has(step)) this.endGang(step, kind);
-    } else {
-      worker.finish(task, kind);
-      this.endGang(step, EndKind.GANG_BROKEN);
-    }
-  }
-}
-
-/** Returns the name of the step and occurrence that a task belongs to. */
-function stepNameOf(task: string): string {
-  return task.slice(0, task.lastIndexOf('.'));
 }
