Jobs of a deleted contract keep its limits

After an operator deleted a contract, the accepted jobs of that customer could take all workers of a shard, against the shares of others. Found by reading, not seen by callers.

The record of a deletion keeps the contract that it ended; a process that starts later knows it from there. It is used for limits and weight alone: keys of a deleted contract authenticate nobody, as before. A record of an earlier build has none, so that such a customer is without limits as before.

"the contract that a deletion ended stays known" fails with the mend taken out.

--- a/src/contracts/configuration_editor.ts
+++ b/src/contracts/configuration_editor.ts
@@ -50,6 +50,8 @@
   /** Revision that the change is based on; undefined for the current one. */
   baseRevision: number | undefined;
   timeToLiveMs?: number;
+  /** Whether the value that a deletion ends stays in the record. @default false */
+  keepsEndedValue?: boolean;
 }
 
 /** Largest number of earlier changes kept in a record. */
@@ -120,6 +122,7 @@
       key: contractKey(customer),
       schema: contractRecordSchema,
       value: null,
+      keepsEndedValue: true,
       author: change,
       baseRevision: change.baseRevision,
       timeToLiveMs: DELETED_CONTRACT_RETENTION_MS,
@@ -239,8 +242,10 @@
         : baseRecord?.value
           ? ChangeAction.AMEND
           : ChangeAction.CREATE;
+    const ended = change.keepsEndedValue ? baseRecord?.value : undefined;
     return {
       value,
+      ...(ended ? {ended} : {}),
       change: {
         id: randomUUID(),
         operator: author.operator,
--- a/src/contracts/configuration_editor_test.ts
+++ b/src/contracts/configuration_editor_test.ts
@@ -4,11 +4,13 @@
 import VError from 'verror';
 
 import {PlatformStandIn} from '../../testing/platform_stand_in.js';
+import {ManualClock} from '../clock/manual_clock.js';
 import {SystemClock} from '../clock/system_clock.js';
 import {HttpPlatformService} from '../platform/http_platform_service.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
 import {ConfigurationEditor} from './configuration_editor.js';
+import {contractKey} from './configuration_key.js';
 import {ConfigurationStore} from './configuration_store.js';
 
 const clock = new SystemClock();
@@ -151,6 +153,27 @@
   assert.equal(store.plannedStop('vm-1'), undefined);
 });
 
+test('the contract that a deletion ended stays known', async (context) => {
+  // Guards against accepted jobs of a customer that run without any limit once
+  // its contract is deleted, also in a process that starts afterwards.
+  const {operator} = await setUp(context);
+  const {editor, store} = operator();
+  const created = await editor.createContract(createContractInput(7), author);
+  const baseRevision = created.revision;
+  await editor.deleteContract('acme', {...author, baseRevision});
+  const entry = store.entry(contractKey('acme'));
+  assert.ok(entry);
+  const later = new ConfigurationStore({
+    clock: new ManualClock(),
+    maxTombstones: 2,
+  });
+  later.applyChange(entry);
+  for (const view of [store, later]) {
+    assert.equal(view.contract('acme'), undefined);
+    assert.deepEqual(view.latestContract('acme'), created.record.value);
+  }
+});
+
 test('the error for an invalid contract lists key, value and what is allowed', async (context) => {
   // Guards against error messages that do not say what to correct.
   const {operator} = await setUp(context);
--- a/src/contracts/configuration_record.ts
+++ b/src/contracts/configuration_record.ts
@@ -57,6 +57,8 @@
 /** Value of a contract's key; a deleted contract keeps its history. */
 export const contractRecordSchema = z.object({
   value: contractSchema.nullable(),
+  /** Contract that a deletion ended. */
+  ended: contractSchema.optional(),
   ...changeFields,
 });
 
@@ -70,6 +72,8 @@
 export interface ConfigurationRecord<T> {
   /** The contract or planned stop; null after a deletion. */
   value: T | null;
+  /** The contract that a deletion ended. @default none */
+  ended?: T;
   change: ConfigurationChange;
   history: PastChange[];
 }
--- a/src/contracts/configuration_store.ts
+++ b/src/contracts/configuration_store.ts
@@ -30,6 +30,8 @@
   private readonly entries: RevisionedEntries;
   private readonly clock: Clock;
   private readonly contractsByCustomer = new Map<string, Contract>();
+  /** Contracts that were deleted, by customer. */
+  private readonly endedContracts = new Map<string, Contract>();
   private readonly stopsByName = new Map<string, PlannedStop>();
   private readonly callers = new CallerIndex();
   private readonly unreadable = new Set<string>();
@@ -69,6 +71,10 @@
     return this.contractsByCustomer.get(customer);
   }
 
+  latestContract(customer: string): Contract | undefined {
+    return this.contract(customer) ?? this.endedContracts.get(customer);
+  }
+
   contracts(): Iterable<Contract> {
     return this.contractsByCustomer.values();
   }
@@ -141,7 +147,7 @@
     this.unreadable.delete(key);
     if (subject.kind === 'contract') {
       const record = this.parseRecord(key, value, contractRecordSchema);
-      if (record) this.replaceContract(subject.customer, record.value);
+      if (record) this.replaceContract(subject.customer, record);
       return;
     }
     const record = this.parseRecord(key, value, stopRecordSchema);
@@ -149,10 +155,15 @@
     else if (record) this.stopsByName.delete(subject.name);
   }
 
-  private replaceContract(customer: string, contract: Contract | null): void {
+  private replaceContract(
+    customer: string,
+    {value: contract, ended}: {value: Contract | null; ended?: Contract},
+  ): void {
     const previous = this.contractsByCustomer.get(customer);
     if (previous) this.callers.remove(previous);
     this.contractsByCustomer.delete(customer);
+    if (ended) this.endedContracts.set(customer, ended);
+    else this.endedContracts.delete(customer);
     if (!contract) return;
     this.contractsByCustomer.set(customer, contract);
     this.callers.add(contract);
@@ -161,8 +172,8 @@
   private parseRecord<T>(
     key: string,
     value: string | undefined,
-    schema: z.ZodType<{value: T | null}>,
-  ): {value: T | null} | undefined {
+    schema: z.ZodType<{value: T | null; ended?: T}>,
+  ): {value: T | null; ended?: T} | undefined {
     if (value === undefined) return {value: null};
     try {
       return schema.parse(JSON.parse(value));
--- a/src/contracts/configuration_view.ts
+++ b/src/contracts/configuration_view.ts
@@ -15,6 +15,11 @@
   ageMs(): number;
   /** Returns the contract of a customer. */
   contract(customer: string): Contract | undefined;
+  /**
+   * Returns the contract of a customer or, once it is deleted, the contract that
+   * the deletion ended. Jobs that were accepted under it keep its limits.
+   */
+  latestContract(customer: string): Contract | undefined;
   /** Returns all contracts. */
   contracts(): Iterable<Contract>;
   /** Returns the caller that a key belongs to, if there is one. */
--- a/src/scheduler/scheduler_process.ts
+++ b/src/scheduler/scheduler_process.ts
@@ -18,7 +18,7 @@
 } from '../platform/platform_service.js';
 import {RandomSource} from '../random/random_source.js';
 import {WorkerClient} from '../workers/worker_client.js';
-import {CustomerLimits} from './customer_limits.js';
+import {contractLimits} from './contract_limits.js';
 import {JobRequestHandler} from './job_request_handler.js';
 import {PlatformBackoff} from './platform_backoff.js';
 import {SchedulerSettings} from './scheduler_settings.js';
@@ -186,8 +186,9 @@
       budget: this.writeBudget,
       random,
       wallMs: () => clock.wallMs(),
-      shareOf: (customer) => configuration.contract(customer)?.share ?? 1,
-      limitsOf: (customer) => this.limitsOf(customer),
+      shareOf: (customer) => configuration.latestContract(customer)?.share ?? 1,
+      limitsOf: (customer) =>
+        contractLimits(configuration, customer, this.knownShards().length),
       health: new WorkerHealth(clock),
     });
     const driver = new ShardDriver({
@@ -207,24 +208,6 @@
     driver.start();
   }
 
-  /** Contract limits apply to a data centre; each shard gets an equal share. */
-  private limitsOf(customer: string): CustomerLimits | undefined {
-    const contract = this.options.configuration.contract(customer);
-    if (!contract) return undefined;
-    const shards = Math.max(1, this.knownShards().length);
-    const {vmShare, quota, urgencies} = contract;
-    return {
-      vmShare,
-      runningTasks: Math.ceil(quota.runningTasks / shards),
-      accelerators: Math.ceil(quota.accelerators / shards),
-      maxWaiting: {
-        urgent: Math.ceil(urgencies.urgent.maxWaiting / shards),
-        standard: Math.ceil(urgencies.standard.maxWaiting / shards),
-        batch: Math.ceil(urgencies.batch.maxWaiting / shards),
-      },
-    };
-  }
-
   private releaseShard(shard: string): void {
     this.options.logger.info({shard}, 'released shard');
     this.drivers.get(shard)?.stop();
--- a/testing/static_views.ts
+++ b/testing/static_views.ts
@@ -119,6 +119,10 @@
       : undefined;
   }
 
+  latestContract(customer: string): Contract | undefined {
+    return this.contract(customer);
+  }
+
   contracts(): Iterable<Contract> {
     return [this.onlyContract];
   }
