Review stand-ins: ports below the range of outgoing connections

Cause: a port of that range could be taken before the program that needs it has bound it; a run then could not start.

--- a/review/stand_ins_3/harness.ts
+++ b/review/stand_ins_3/harness.ts
@@ -323,25 +323,32 @@
   });
 }
 
-/** Finds free TCP ports; all are open at once, so that they differ. */
+/**
+ * Lowest port that is tried, and number of ports: below the range from which
+ * outgoing connections are served, which could take a port before its program.
+ */
+const LOWEST_PORT = 10_000;
+const PORT_COUNT = 22_000;
+
+let nextPort = (process.pid * 397) % PORT_COUNT;
+
+/** Finds TCP ports of 127.0.0.1 that are free now. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer();
-      await new Promise<void>((resolve) =>
-        server.listen(0, '127.0.0.1', resolve),
-      );
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => {
-    const address = server.address();
-    return typeof address === 'object' && address ? address.port : 0;
-  });
-  await Promise.all(
-    servers.map(
-      (server) => new Promise((resolve) => server.close(() => resolve(null))),
-    ),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = LOWEST_PORT + nextPort;
+    nextPort = (nextPort + 1) % PORT_COUNT;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
+  });
+}
