--- a/review/12/run.ts
+++ b/review/12/run.ts
@@ -6,66 +6,74 @@
   Verdict,
 } from '../stand_ins_3/harness.js';
 
-const JOB = '6d1f8b32ea5c4709';
+const EXECUTORS = 8;
+const JOB = '8f3b0d54ac7e6921';
 
-/** Kind of executor that the job requires. */
-const WANTED_KIND = 'large';
-const OTHER_KIND = 'small';
+/** Bounds of the site file. */
+const CANCEL_MS = 3000;
 
-/** Time in ms for which the crashed executor is down. */
-const DOWN_MS = 500;
+/** Time in ms after which the client leaves (`give_up`). */
+const LEAVES_AFTER_MS = 900;
 
-/**
- * Time in ms from the start of the new incarnation to its entry in the store:
- * an executor writes there once each heartbeat interval.
- */
-const HEARTBEAT_MS = 1100;
+/** Time in ms after which the write is carried out (`platform_lost`, late). */
+const LATE_MS = 3000;
+
+/** Duration in ms of each step of the job. */
+const STEP_MS = 8000;
+
+/** Time in ms for which runs of the job are looked for after its cancelling. */
+const WATCHED_MS = 20_000;
+
+/** Interval in ms at which other jobs come. */
+const OTHER_JOBS_MS = 300;
+
+const LABELS = {labels: ['a', 'rack-1']};
+const OTHER = {count: 1, cpu: 500, memoryRequestMb: 500, estimatedMs: 500};
 
 /**
- * An executor crashes and starts again under its id and address as another
- * kind. A task that requires the first kind must not start there.
+ * A client leaves while its job is being handed in, and cancels the job through
+ * another node. Nothing of the job may start later than `cancel_ms` after the
+ * answer to that.
  */
 async function check(harness: Harness): Promise<Verdict> {
   await harness.start({nodes: 3, maxAttempts: 4});
-  const wanted = await harness.startExecutor('i-1', {
-    labels: [WANTED_KIND, 'rack-1'],
-  });
-  for (let number = 2; number <= 8; number++) {
-    await harness.startExecutor(`i-${number}`, {
-      labels: [OTHER_KIND, 'rack-1'],
-    });
+  for (let number = 1; number <= EXECUTORS; number++) {
+    await harness.startExecutor(`i-${number}`, LABELS);
   }
   await harness.waitUntilReady();
   await sleep(3000);
-  let starts = 0;
-  let wrongStarts = 0;
-  harness.onEvent = ({what, labels}) => {
-    if (what !== 'start') return;
-    starts += 1;
-    if (!labels.split(',').includes(WANTED_KIND)) wrongStarts += 1;
-  };
-  const step = {
-    count: 1,
-    cpu: 1800,
-    memoryRequestMb: 3200,
-    estimatedMs: 8000,
-    requirements: WANTED_KIND,
+  let cancelledMs = Infinity;
+  let lateStarts = 0;
+  harness.onEvent = ({what, task}) => {
+    if (what !== 'start' || !task.startsWith(JOB)) return;
+    if (performance.now() - cancelledMs > CANCEL_MS) lateStarts += 1;
   };
-  const isAccepted = await harness.submit(JOB, [step], {workMs: 8000});
-  if (!isAccepted) return Verdict.NOT_RUN;
-  await sleep(2000);
-  if (isTroubled) {
-    await harness.crash(wanted);
-    await sleep(DOWN_MS);
-    harness.runExecutor(wanted, {
-      labels: [OTHER_KIND, 'rack-1'],
-      registerAfterMs: HEARTBEAT_MS,
-    });
-  }
-  await sleep(8000);
-  harness.record(`starts: ${starts}, without the label: ${wrongStarts}`);
-  if (starts === 0) return Verdict.NOT_RUN;
-  return wrongStarts > 0 ? Verdict.BROKEN : Verdict.HELD;
+  const others = sendOthers(harness);
+  await sleep(1000);
+  if (isTroubled) harness.store.delayNextWrite(JOB, LATE_MS);
+  const step = {...OTHER, estimatedMs: STEP_MS};
+  const steps = [step, {...step, after: [0]}, {...step, after: [1]}];
+  const specification = JSON.stringify({workMs: STEP_MS});
+  const leavesAfterMs = LEAVES_AFTER_MS;
+  await harness.call('POST', JOB, {specification, steps}, {leavesAfterMs});
+  const {status} = await harness.call('DELETE', JOB, undefined, {node: 1});
+  cancelledMs = performance.now();
+  if (status !== 410 && status !== 200) return Verdict.NOT_RUN;
+  await sleep(WATCHED_MS);
+  await harness.stateOf(JOB);
+  others.stop();
+  harness.record(`starts later than ${CANCEL_MS} ms: ${lateStarts}`);
+  return lateStarts > 0 ? Verdict.BROKEN : Verdict.HELD;
+}
+
+/** Submits other jobs at an interval until it is stopped. */
+function sendOthers(harness: Harness): {stop: () => void} {
+  let number = 0;
+  const timer = setInterval(() => {
+    const id = (0x4b00_0000_0000_0000n + BigInt(number++)).toString(16);
+    void harness.submit(id, [OTHER], {workMs: 500});
+  }, OTHER_JOBS_MS);
+  return {stop: () => clearInterval(timer)};
 }
 
 await runCase('review/12/record.txt', check);
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,5 @@
 # the scripts themselves, into build/review/.
 set -e
 cd "$(dirname "$0")/.."
+rm -f build/review/.tsbuildinfo
 npx tsc -p review/tsconfig.json
--- a/review/stand_ins_3/harness.ts
+++ b/review/stand_ins_3/harness.ts
@@ -15,8 +15,11 @@
 import {ExecutorEvent} from './executor.js';
 import {Store} from './store.js';
 
-/** Exit statuses of a script. */
-export const Verdict = {HELD: 0, BROKEN: 1, NOT_RUN: 2} as const;
+/**
+ * Exit statuses of the programs; run.sh turns BROKEN into 1 and all others but 0
+ * into 2, since Node.js exits with 1 after an unexpected error.
+ */
+export const Verdict = {HELD: 0, BROKEN: 41, NOT_RUN: 2} as const;
 
 /** One of the values of {@link Verdict}. */
 export type Verdict = (typeof Verdict)[keyof typeof Verdict];
@@ -31,6 +34,9 @@
 /** Longest time in ms of a whole script. */
 const LONGEST_MS = 110_000;
 
+/** Time in ms after which a client takes a call for unanswered. */
+const LONGEST_CALL_MS = 3500;
+
 const STAND_INS = dirname(fileURLToPath(import.meta.url));
 
 /** Answer to a call of a client; status 0 if there was none. */
@@ -46,6 +52,15 @@
   child: ChildProcess | undefined;
 }
 
+/** Where and how a client calls. */
+interface ClientCall {
+  method: string;
+  port: number;
+  path: string;
+  /** Time in ms after which the client leaves. */
+  leavesAfterMs: number;
+}
+
 interface NodeProgram {
   name: string;
   callersPort: number;
@@ -199,10 +214,22 @@
     return state;
   }
 
-  /** Sends a call of a client to the first node. */
-  async call(method: string, id: string, body?: object): Promise<Answer> {
-    const {callersPort} = this.nodes[0]!;
-    const answer = await callHttp(method, callersPort, PREFIX + id, body);
+  /**
+   * Sends a call of a client.
+   *
+   * @param options.node - Number of the node. @default 0, the first
+   * @param options.leavesAfterMs - Time in ms after which the client leaves.
+   */
+  async call(
+    method: string,
+    id: string,
+    body?: object,
+    options: {node?: number; leavesAfterMs?: number} = {},
+  ): Promise<Answer> {
+    const {node = 0, leavesAfterMs = LONGEST_CALL_MS} = options;
+    const port = this.nodes[node]!.callersPort;
+    const path = PREFIX + id;
+    const answer = await callHttp({method, port, path, leavesAfterMs}, body);
     const text = JSON.stringify(answer.body);
     if (id !== '') this.record(`${method} ${id}: ${answer.status} ${text}`);
     return answer;
@@ -286,9 +313,7 @@
 }
 
 function callHttp(
-  method: string,
-  port: number,
-  path: string,
+  {method, port, path, leavesAfterMs}: ClientCall,
   body?: object,
 ): Promise<Answer> {
   return new Promise((resolve) => {
@@ -317,7 +342,8 @@
         });
       },
     );
-    call.setTimeout(3500, () => call.destroy());
+    const timer = setTimeout(() => call.destroy(), leavesAfterMs);
+    call.on('close', () => clearTimeout(timer));
     call.on('error', () => resolve(none));
     call.end(body === undefined ? undefined : JSON.stringify(body));
   });
--- a/review/stand_ins_3/store.ts
+++ b/review/stand_ins_3/store.ts
@@ -41,6 +41,7 @@
   private readonly timer: NodeJS.Timeout;
   private revision = 1;
   private nextLease = 1;
+  private lateWrite: {key: string; delayMs: number} | undefined;
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -78,6 +79,16 @@
     this.notify();
   }
 
+  /**
+   * Leaves the next transaction that writes a key without an answer, and
+   * carries it out later if its condition still holds then.
+   *
+   * @param key - Part of the key.
+   */
+  delayNextWrite(key: string, delayMs: number): void {
+    this.lateWrite = {key, delayMs};
+  }
+
   private async handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -94,7 +105,7 @@
     } else if (pathname === '/api/kv-watch') {
       await this.watch(searchParams, response);
     } else if (pathname === '/api/kv-txn') {
-      this.transact(body as Transaction, response);
+      this.receive(body as Transaction, response);
     } else if (pathname === '/api/kv-lease') {
       const ttlMs = Math.max(1000, (body as {ttlMs: number}).ttlMs);
       const lease = this.nextLease++;
@@ -163,18 +174,30 @@
     });
   }
 
-  private transact(body: Transaction, response: ServerResponse): void {
+  private receive(body: Transaction, response: ServerResponse): void {
+    const {key, delayMs} = this.lateWrite ?? {key: '', delayMs: 0};
+    const isLate = body.write?.some((item) => item.key.includes(key));
+    if (key === '' || !isLate) {
+      this.transact(body, response);
+      return;
+    }
+    this.lateWrite = undefined;
+    setTimeout(() => this.transact(body), delayMs);
+  }
+
+  /** Carries out a transaction; without a response, nobody is answered. */
+  private transact(body: Transaction, response?: ServerResponse): void {
     const {expect = [], write = [], remove = []} = body;
     const isMet = expect.every(
       ({key, revision}) => (this.items.get(key)?.revision ?? 0) === revision,
     );
     if (!isMet) {
       const items = expect.flatMap(({key}) => this.items.get(key) ?? []);
-      send(response, 412, {items});
+      if (response) send(response, 412, {items});
       return;
     }
     if (write.some(({lease}) => lease && !this.leases.has(lease))) {
-      send(response, 404, {});
+      if (response) send(response, 404, {});
       return;
     }
     this.revision += 1;
@@ -184,7 +207,7 @@
       this.changes.push({key, revision: this.revision});
     }
     this.notify();
-    send(response, 200, {revision: this.revision});
+    if (response) send(response, 200, {revision: this.revision});
   }
 
   private write(key: string, value: string, lease: number): void {
