--- a/review/stand_ins_3/executor.ts
+++ b/review/stand_ins_3/executor.ts
@@ -12,8 +12,6 @@
   cpu: number;
   /** Writes the entry of the executor to the store. */
   register: (key: string, value: unknown) => Promise<void> | void;
-  /** Time in ms from its start to its first entry. @default 0 */
-  registerAfterMs?: number;
   /** Called with each start and end of a run. */
   onEvent: (event: ExecutorEvent) => void;
   /** Joins the members of gangs of all executors. @default no gangs run */
@@ -94,11 +92,8 @@
       this.server.listen(this.options.port, '127.0.0.1', resolve),
     );
     this.timers.push(setInterval(() => this.tick(), TICK_MS));
-    const first = setTimeout(() => {
-      this.register();
-      this.timers.push(setInterval(() => this.register(), HEARTBEAT_MS));
-    }, this.options.registerAfterMs ?? 0);
-    this.timers.push(first);
+    this.register();
+    this.timers.push(setInterval(() => this.register(), HEARTBEAT_MS));
   }
 
   /** Ends the executor. */
--- a/review/stand_ins_3/harness.ts
+++ b/review/stand_ins_3/harness.ts
@@ -146,7 +146,7 @@
   /** Starts the process of an executor, the first or a later one. */
   runExecutor(
     executor: ExecutorProcess,
-    options: {labels: string[]; cpu?: number; registerAfterMs?: number},
+    options: {labels: string[]; cpu?: number},
   ): void {
     const {id, port} = executor;
     const {storePort} = this;
--- a/review/stand_ins_3/store.ts
+++ b/review/stand_ins_3/store.ts
@@ -41,6 +41,8 @@
   private readonly timer: NodeJS.Timeout;
   private revision = 1;
   private nextLease = 1;
+  /** Time in ms by which each answer to a node is late. */
+  answerDelayMs = 0;
   private lateWrite: {key: string; delayMs: number} | undefined;
 
   constructor() {
@@ -96,6 +98,7 @@
     const url = new URL(request.url ?? '/', 'http://store');
     const body = await readBody(request);
     const {pathname, searchParams} = url;
+    if (pathname.startsWith('/api/')) this.delayAnswer(response);
     if (pathname === '/api/kv-key') {
       const item = this.items.get(searchParams.get('key') ?? '');
       if (item) send(response, 200, {...item, at: this.revision});
@@ -127,6 +130,17 @@
     }
   }
 
+  /** Makes the answer to a call late, which itself is carried out at once. */
+  private delayAnswer(response: ServerResponse): void {
+    const delayMs = this.answerDelayMs;
+    if (delayMs === 0) return;
+    const end = response.end.bind(response) as (text: string) => void;
+    response.end = ((text: string) => {
+      setTimeout(() => end(text), delayMs);
+      return response;
+    }) as typeof response.end;
+  }
+
   private range(query: URLSearchParams): object {
     const prefix = query.get('prefix') ?? '';
     const after = query.get('after') ?? '';
