--- a/review/12/run.ts
+++ b/review/12/run.ts
@@ -12,11 +12,11 @@
 /** Bounds of the site file. */
 const CANCEL_MS = 3000;
 
-/** Time in ms after which the client leaves (`give_up`). */
-const LEAVES_AFTER_MS = 900;
+/** Time in ms for which the client waits (`Deadline-Milliseconds`). */
+const DEADLINE_MS = 3000;
 
-/** Time in ms after which the write is carried out (`platform_lost`, late). */
-const LATE_MS = 3000;
+/** Time in ms after which writes are carried out (`platform_lost`, late). */
+const LATE_MS = 6000;
 
 /** Duration in ms of each step of the job. */
 const STEP_MS = 8000;
@@ -31,8 +31,8 @@
 const OTHER = {count: 1, cpu: 500, memoryRequestMb: 500, estimatedMs: 500};
 
 /**
- * A client leaves while its job is being handed in, and cancels the job through
- * another node. Nothing of the job may start later than `cancel_ms` after the
+ * A client gets no answer to its job until its deadline, and cancels the job
+ * through another node. Nothing of the job may start later than `cancel_ms` after the
  * answer to that.
  */
 async function check(harness: Harness): Promise<Verdict> {
@@ -50,14 +50,20 @@
   };
   const others = sendOthers(harness);
   await sleep(1000);
-  if (isTroubled) harness.store.delayNextWrite(JOB, LATE_MS);
+  const {store} = harness;
+  const before = {...store.counts};
+  if (isTroubled) store.delayWrites(JOB, LATE_MS);
   const step = {...OTHER, estimatedMs: STEP_MS};
   const steps = [step, {...step, after: [0]}, {...step, after: [1]}];
   const specification = JSON.stringify({workMs: STEP_MS});
-  const leavesAfterMs = LEAVES_AFTER_MS;
+  const leavesAfterMs = DEADLINE_MS;
   await harness.call('POST', JOB, {specification, steps}, {leavesAfterMs});
   const {status} = await harness.call('DELETE', JOB, undefined, {node: 1});
   cancelledMs = performance.now();
+  store.delayWrites('');
+  const writes = store.counts.writes - before.writes;
+  const late = store.counts.late - before.late;
+  harness.record(`writes so far: ${writes}, without an answer: ${late}`);
   if (status !== 410 && status !== 200) return Verdict.NOT_RUN;
   await sleep(WATCHED_MS);
   await harness.stateOf(JOB);
--- a/review/stand_ins_3/store.ts
+++ b/review/stand_ins_3/store.ts
@@ -43,7 +43,9 @@
   private nextLease = 1;
   /** Time in ms by which each answer to a node is late. */
   answerDelayMs = 0;
-  private lateWrite: {key: string; delayMs: number} | undefined;
+  private lateWrites = {key: '', delayMs: 0};
+  /** Number of transactions so far, and of those left without an answer. */
+  readonly counts = {writes: 0, late: 0};
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -82,13 +84,13 @@
   }
 
   /**
-   * Leaves the next transaction that writes a key without an answer, and
+   * Leaves each transaction that writes a key without an answer from now on, and
    * carries it out later if its condition still holds then.
    *
-   * @param key - Part of the key.
+   * @param key - Part of the key; empty to answer all again.
    */
-  delayNextWrite(key: string, delayMs: number): void {
-    this.lateWrite = {key, delayMs};
+  delayWrites(key: string, delayMs = 0): void {
+    this.lateWrites = {key, delayMs};
   }
 
   private async handle(
@@ -189,13 +191,14 @@
   }
 
   private receive(body: Transaction, response: ServerResponse): void {
-    const {key, delayMs} = this.lateWrite ?? {key: '', delayMs: 0};
+    const {key, delayMs} = this.lateWrites;
+    this.counts.writes += 1;
     const isLate = body.write?.some((item) => item.key.includes(key));
     if (key === '' || !isLate) {
       this.transact(body, response);
       return;
     }
-    this.lateWrite = undefined;
+    this.counts.late += 1;
     setTimeout(() => this.transact(body), delayMs);
   }
 
