A cancelled job is not stored by a write that was under way

The DELETE was answered 410; the job was stored 0.7 s later and ran to its end.

Cause: the cancellation of an ID without a job left nothing behind. A node that repeats the submission, a client that repeats it and a write that the store carries out late all found an absent key and stored the job.

Change: the ID goes into one of 512 lists in the store before the answer, and each submission expects the revision of the list of its ID. A write that was sent before the cancellation therefore fails whenever it is carried out; a later one finds the ID in the list and is refused (503, code 2017, no Retry-After). An ID is kept for 120 s: a submission is repeated for up to 60 s. Owners take a listed ID for cancelled, so that a cancellation that is carried out late still ends the job.

Bounds: 512 lists of 16 IDs, also in the memory of each node; a node adds one ID a second, 20 at once, beyond that 429. A node without the store cancels through the owner, or answers 503 or 504.

Weighed: a key for each ID, removed with a lease.

--- a/src/leadership/partition_keys.ts
+++ b/src/leadership/partition_keys.ts
@@ -1,3 +1,5 @@
+import xxhash from 'xxhash-wasm';
+
 const CHANGES_SUFFIX = '/changes';
 
 /**
@@ -6,10 +8,17 @@
  */
 const CHAIN_COUNT = 8;
 
+/** Number of lists of cancelled IDs; a change of it needs new keys. */
+const CANCELLED_LIST_COUNT = 512;
+
+const hasher = await xxhash();
+
 /** Store keys that hold the state of a partition. */
 export class PartitionKeys {
   /** Prefix of the keys that every node mirrors. */
   readonly prefix: string;
+  /** Prefix of the lists of IDs that were cancelled without a job. */
+  readonly cancelledPrefix: string;
   /** Prefix of the progress of jobs, which only an owner reads in full. */
   readonly progressPrefix: string;
   /** Key of the owner record; attached to the lease of the owner. */
@@ -25,6 +34,7 @@
   /** @param partition - Name of the partition. */
   constructor(partition: string) {
     this.prefix = `banyanmux/${partition}/`;
+    this.cancelledPrefix = `${this.prefix}cancelled/`;
     this.progressPrefix = `banyanmux-progress/${partition}/`;
     this.owner = `${this.prefix}owner`;
     this.head = `${this.prefix}head`;
@@ -43,6 +53,12 @@
     return `${this.prefix}jobs/${jobId}/cancellation`;
   }
 
+  /** Key of the list that names an ID if it was cancelled without a job. */
+  cancelledIds(jobId: string): string {
+    const list = hasher.h32(jobId) % CANCELLED_LIST_COUNT;
+    return `${this.cancelledPrefix}${list}`;
+  }
+
   /** Key of the progress of a job, written by the owner. */
   progress(jobId: string): string {
     return `${this.progressPrefix}${jobId}`;
--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -7,11 +7,13 @@
   SubmissionRecord,
 } from '../work/job_records.js';
 import {countTasks, definitionBytes, JobSizeLimits} from '../work/job_size.js';
+import {MAX_SUBMISSION_MS} from '../work/submission_lifetime.js';
 import {
   GatewayResult,
   storeUnavailable,
   toFailureResult,
 } from './gateway_result.js';
+import {JobCanceller} from './job_canceller.js';
 import {JobLookUp, JobLookUpOptions} from './job_look_up.js';
 import {OwnerMessage} from './owner_messages.js';
 
@@ -27,15 +29,12 @@
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
 
-/** Maximum time in ms for which a submission is repeated. */
-const MAX_SUBMISSION_MS = 60_000;
+/** Attempts to store a submission while the list of its ID changes. */
+const MAX_STORE_ATTEMPTS = 5;
 
 /** Time in ms before a client's deadline, reserved to send the response. */
 const RESPONSE_MARGIN_MS = 300;
 
-/** Timeout in ms of a cancellation that the owner relays. */
-const RELAY_TIMEOUT_MS = 1500;
-
 /**
  * Accepts, queries and cancels jobs for clients. Uses the store directly, or
  * the owner as a relay while this node cannot reach the store.
@@ -43,9 +42,11 @@
 export class JobGateway {
   private current: Configuration | undefined;
   private readonly lookUp: JobLookUp;
+  private readonly canceller: JobCanceller;
 
   constructor(private readonly options: JobGatewayOptions) {
     this.lookUp = new JobLookUp(options);
+    this.canceller = new JobCanceller({...options, lookUp: this.lookUp});
   }
 
   /** Current configuration; undefined until the first is received. */
@@ -67,7 +68,8 @@
   /**
    * Stores a job; returns ACCEPTED only once it is stored. A submission whose
    * outcome is in doubt is repeated until shortly before the client's deadline,
-   * which is safe because a job is stored only once per id.
+   * which is safe because a job is stored only once per id, and not after it
+   * was cancelled.
    *
    * @param remainingMs - Time in ms until the deadline of the client.
    */
@@ -86,7 +88,7 @@
     let mayBeStored = false;
     for (;;) {
       const result = await this.tryStoreSubmission(submission, deadlineMs);
-      if (result.code === ResultCodes.ACCEPTED) return result;
+      if (isSettled(result)) return result;
       mayBeStored ||= result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
       const isFinal = result.code === ResultCodes.PLATFORM_UNAVAILABLE;
       if (isFinal || clock.nowMs() >= deadlineMs) {
@@ -133,33 +135,20 @@
     const result = isStoreReachable()
       ? await this.storeSubmission(submission)
       : storeUnavailable();
-    if (result.code === ResultCodes.ACCEPTED || !owner.isOpen) {
-      return result;
-    }
+    if (isSettled(result) || !owner.isOpen) return result;
     return this.relaySubmission(submission, deadlineMs, result);
   }
 
   private async storeSubmission(
     submission: SubmissionRecord,
   ): Promise<GatewayResult> {
-    const {store, keys} = this.options;
     const {id} = submission.definition;
-    const key = keys.submission(id);
     try {
-      const result = await store.commit({
-        expect: [{key, revision: 0}],
-        write: [{key, value: encodeSubmission(submission)}],
-      });
-      if (result.kind === 'committed') {
-        return this.recordAccepted(submission, 'stored');
+      for (let attempt = 0; attempt < MAX_STORE_ATTEMPTS; attempt += 1) {
+        const result = await this.commitSubmission(submission);
+        if (result) return result;
       }
-      const items = result.kind === 'conflict' ? result.items : [];
-      const earlier = items.find((item) => item.key === key);
-      if (!earlier) return storeUnavailable();
-      return this.recordAccepted(
-        decodeSubmission(earlier.value),
-        'stored-earlier',
-      );
+      return storeUnavailable();
     } catch (error) {
       return toFailureResult(this.options.log, error, {
         decision: 'refuse',
@@ -168,6 +157,33 @@
     }
   }
 
+  /**
+   * Stores a submission unless its ID is cancelled.
+   *
+   * @returns Undefined if the list of cancelled IDs has changed meanwhile.
+   */
+  private async commitSubmission(
+    submission: SubmissionRecord,
+  ): Promise<GatewayResult | undefined> {
+    const {store, keys, cancelledJobs} = this.options;
+    const {id} = submission.definition;
+    if (cancelledJobs.has(id)) return this.refuseCancelled(id);
+    const key = keys.submission(id);
+    const result = await store.commit({
+      expect: [{key, revision: 0}, cancelledJobs.expectationOf(id)],
+      write: [{key, value: encodeSubmission(submission)}],
+    });
+    if (result.kind === 'committed') {
+      return this.recordAccepted(submission, 'stored');
+    }
+    const items = result.kind === 'conflict' ? result.items : [];
+    for (const item of items) cancelledJobs.apply(item);
+    const earlier = items.find((item) => item.key === key);
+    if (!earlier) return undefined;
+    const stored = decodeSubmission(earlier.value);
+    return this.recordAccepted(stored, 'stored-earlier');
+  }
+
   private async relaySubmission(
     submission: SubmissionRecord,
     deadlineMs: number,
@@ -187,9 +203,11 @@
         body,
         remainingMs,
       );
-      if (result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED) return result;
-      if (result.code !== ResultCodes.ACCEPTED) return storeResult;
-      return this.recordAccepted(submission, 'relayed');
+      if (result.code === ResultCodes.ACCEPTED) {
+        return this.recordAccepted(submission, 'relayed');
+      }
+      const isInDoubt = result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
+      return isInDoubt || isSettled(result) ? result : storeResult;
     } catch (error) {
       log.logDecision('relay-failed', {
         job: jobId,
@@ -215,38 +233,16 @@
     return this.lookUp.getPendingCount(queue.name);
   }
 
-  /** Cancels a job; resolves once the cancellation is stored. */
-  async cancel(jobId: string): Promise<GatewayResult> {
-    const {table, log, owner} = this.options;
-    try {
-      const {code, retryAfterMs} = await this.getPhase(jobId);
-      if (code !== ResultCodes.OK) return {code, retryAfterMs};
-      await this.storeCancellation(jobId);
-      table.addCancellation(jobId);
-      owner.send(OwnerMessage.CANCELLED, {jobId});
-      log.logDecision('cancel', {job: jobId, phase: table.phaseOf(jobId)});
-      return {code: ResultCodes.CANCELLED};
-    } catch (error) {
-      return toFailureResult(log, error, {decision: 'cancel-failed', jobId});
-    }
+  /** Cancels a job; see {@link JobCanceller.cancel}. */
+  cancel(jobId: string): Promise<GatewayResult> {
+    return this.canceller.cancel(jobId);
   }
 
-  private async storeCancellation(jobId: string): Promise<void> {
-    const {store, keys, owner, isStoreReachable} = this.options;
-    if (!isStoreReachable() && owner.isOpen) {
-      const body = {jobId};
-      const result = await owner.request(
-        OwnerMessage.CANCEL,
-        body,
-        RELAY_TIMEOUT_MS,
-      );
-      if (result.code === ResultCodes.CANCELLED) return;
-    }
-    const key = keys.cancellation(jobId);
-    await store.commit({
-      expect: [{key, revision: 0}],
-      write: [{key, value: Buffer.from('1')}],
-    });
+  /** Refuses a job that was cancelled before it was stored. */
+  private refuseCancelled(jobId: string): GatewayResult {
+    const code = ResultCodes.JOB_CANCELLED;
+    this.options.log.logDecision('refuse', {job: jobId, code: code.number});
+    return {code};
   }
 
   private recordAccepted(
@@ -272,3 +268,8 @@
     return {code: ResultCodes.ACCEPTED};
   }
 }
+
+/** Whether a submission needs no further attempt: stored, or cancelled. */
+function isSettled({code}: GatewayResult): boolean {
+  return code === ResultCodes.ACCEPTED || code === ResultCodes.JOB_CANCELLED;
+}
--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -1,61 +1,23 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
+import {
+  createGateway,
+  createOwnerClient,
+} from '../../testing/create_gateway.js';
 import {MemoryStore} from '../../testing/memory_store.js';
-import {silentLog} from '../../testing/silent_log.js';
 import {
   simpleConfiguration,
   simpleJob,
 } from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {JobPhase} from '../work/job_definition.js';
 import {encodeProgress} from '../work/job_records.js';
-import {JobTable} from '../work/job_table.js';
-import {JobGateway} from './job_gateway.js';
 import {OwnerClient} from './owner_client.js';
 
 const ID = '5c0e7a21d94b36f8';
 
-interface Fixture {
-  store: MemoryStore;
-  table: JobTable;
-  gateway: JobGateway;
-  clock: ManualClock;
-  state: {isStoreReachable: boolean};
-}
-
-function createOwnerClient(): OwnerClient {
-  return {
-    isOpen: false,
-    send: () => undefined,
-    request: () => Promise.reject(new Error('no owner')),
-  };
-}
-
-function createFixture(
-  store = new MemoryStore(),
-  owner = createOwnerClient(),
-): Fixture {
-  const keys = new PartitionKeys('main');
-  const table = new JobTable(keys);
-  const state = {isStoreReachable: true};
-  const clock = new ManualClock();
-  const gateway = new JobGateway({
-    store,
-    clock,
-    log: silentLog(),
-    keys,
-    table,
-    isStoreReachable: () => state.isStoreReachable,
-    owner,
-    ownedJobs: () => undefined,
-  });
-  gateway.configure(simpleConfiguration());
-  return {store, table, gateway, clock, state};
-}
-
 async function storePhase(store: MemoryStore, phase: JobPhase): Promise<void> {
   const key = new PartitionKeys('main').progress(ID);
   const value = encodeProgress({version: 1, phase, occurrences: []});
@@ -64,8 +26,8 @@
 
 test('a repeated submission through another node keeps the first job', async () => {
   // Guards against a repeated submission that overwrites the first one.
-  const first = createFixture();
-  const second = createFixture(first.store);
+  const first = createGateway();
+  const second = createGateway({store: first.store});
   await first.gateway.submit(simpleJob(ID, {specification: 'first'}));
   const result = await second.gateway.submit(
     simpleJob(ID, {specification: 'second'}),
@@ -78,7 +40,7 @@
 test('a submission is refused only if the job cannot have been stored', async () => {
   // Guards against PLATFORM_UNAVAILABLE for a job that is stored and runs
   // later: a commit without a response may still be carried out.
-  const {gateway, store, state} = createFixture();
+  const {gateway, store, state} = createGateway();
   store.commitFaults.push('late');
   const uncertain = await gateway.submit(simpleJob(ID), 1);
   assert.equal(uncertain.code.name, 'MAY_HAVE_BEEN_ACCEPTED');
@@ -97,7 +59,7 @@
 test('a submission in doubt is retried until the client deadline', async () => {
   // Guards against storing a job twice, or reporting it as not accepted, when
   // the response to a successful commit is lost.
-  const {gateway, store} = createFixture();
+  const {gateway, store} = createGateway();
   store.commitFaults.push('answer-lost');
   const result = await gateway.submit(simpleJob(ID));
   assert.equal(result.code.name, 'ACCEPTED');
@@ -115,7 +77,7 @@
       return Promise.resolve({code: ResultCodes.ACCEPTED});
     },
   };
-  const {gateway, state} = createFixture(new MemoryStore(), owner);
+  const {gateway, state} = createGateway({owner});
   state.isStoreReachable = false;
   const {code} = await gateway.submit(simpleJob(ID), 1e15);
   assert.equal(code.name, 'ACCEPTED');
@@ -125,9 +87,9 @@
 test('a node returns the phase of a job that another node accepted', async () => {
   // Guards against NOT_FOUND for a job that the local mirror has not yet
   // received from the store.
-  const first = createFixture();
+  const first = createGateway();
   await first.gateway.submit(simpleJob(ID));
-  const second = createFixture(first.store);
+  const second = createGateway({store: first.store});
   assert.equal((await second.gateway.getPhase(ID)).phase, JobPhase.QUEUED);
   const unknown = await second.gateway.getPhase('0000000000000000');
   assert.equal(unknown.code.name, 'NOT_FOUND');
@@ -135,7 +97,7 @@
 
 test('a cancelled job reports CANCELLED unless it has already ended', async () => {
   // Guards against a cancellation that masks the success of the job.
-  const {gateway, store} = createFixture();
+  const {gateway, store} = createGateway();
   await gateway.submit(simpleJob(ID));
   await gateway.cancel(ID);
   assert.equal((await gateway.getPhase(ID)).phase, JobPhase.CANCELLED);
@@ -146,7 +108,7 @@
 test('the phase comes from the store while no owner is linked', async () => {
   // Guards against a job that is shown as queued for good by a node that the
   // owner has not told about later phases.
-  const {gateway, store} = createFixture();
+  const {gateway, store} = createGateway();
   await gateway.submit(simpleJob(ID));
   await storePhase(store, JobPhase.RUNNING);
   assert.equal((await gateway.getPhase(ID)).phase, JobPhase.RUNNING);
@@ -161,7 +123,7 @@
 test('the phase comes from the store if the owner does not answer', async () => {
   // Guards against failed state requests while the owner is paused.
   const owner = {...createOwnerClient(), isOpen: true};
-  const {gateway, store} = createFixture(new MemoryStore(), owner);
+  const {gateway, store} = createGateway({owner});
   await gateway.submit(simpleJob(ID));
   await storePhase(store, JobPhase.SUCCEEDED);
   assert.equal((await gateway.getPhase(ID)).phase, JobPhase.SUCCEEDED);
@@ -171,7 +133,7 @@
   // Guards against a wrong count of waiting jobs, and against one that stays
   // the same for as long as no owner answers.
   const owner = createOwnerClient();
-  const {gateway, clock} = createFixture(new MemoryStore(), owner);
+  const {gateway, clock} = createGateway({owner});
   const [queue] = simpleConfiguration().queues;
   const unknown = await gateway.getPendingCount(queue!);
   assert.equal(unknown.code.name, 'NO_OWNER');
@@ -187,7 +149,7 @@
 
 test('an older configuration does not replace a newer one', () => {
   // Guards against restoring a route that a newer configuration removed.
-  const {gateway} = createFixture();
+  const {gateway} = createGateway();
   gateway.configure({...simpleConfiguration(), version: 5, queues: []});
   gateway.configure({...simpleConfiguration(), version: 4});
   assert.equal(gateway.findQueue('host', '/queue/x'), undefined);
--- a/src/node/job_look_up.ts
+++ b/src/node/job_look_up.ts
@@ -3,6 +3,7 @@
 import {NodeLog} from '../logging/node_log.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {MetadataStore} from '../store/metadata_store.js';
+import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {decodeProgress, decodeSubmission} from '../work/job_records.js';
 import {JobTable} from '../work/job_table.js';
 import {GatewayResult, toFailureResult} from './gateway_result.js';
@@ -16,6 +17,7 @@
   log: NodeLog;
   keys: PartitionKeys;
   table: JobTable;
+  cancelledJobs: CancelledJobs;
   /** Whether the store has responded to this node recently. */
   isStoreReachable: () => boolean;
   /** Sends requests to the owner of the partition. */
--- a/src/node/node_mirrors.ts
+++ b/src/node/node_mirrors.ts
@@ -5,6 +5,7 @@
 import {NodeLog} from '../logging/node_log.js';
 import {StoreChange} from '../store/metadata_store.js';
 import {PrefixMirror} from '../store/prefix_mirror.js';
+import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {Configuration} from '../work/configuration.js';
 import {JobTable} from '../work/job_table.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
@@ -17,6 +18,7 @@
   log: NodeLog;
   keys: PartitionKeys;
   table: JobTable;
+  cancelledJobs: CancelledJobs;
   /** Whether this node owns the partition. */
   isOwner: () => boolean;
   /** Whether this node has a link to the owner. */
@@ -197,8 +199,9 @@
 
   /** Applies a change of a job; a record that cannot be decoded is skipped. */
   private applyJobRecord(change: StoreChange): void {
+    const {table, cancelledJobs} = this.options;
     try {
-      this.options.table.apply(change);
+      if (!cancelledJobs.apply(change)) table.apply(change);
     } catch (error) {
       this.options.log.logError('job-record-unreadable', error as Error, {
         key: change.key,
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -13,6 +13,7 @@
 import {OrchestratorRuntime} from '../orchestrator/orchestrator_runtime.js';
 import {RandomSource} from '../random/random_source.js';
 import {Configuration} from '../work/configuration.js';
+import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {JobTable} from '../work/job_table.js';
 import {groupProgress, StoredProgress} from '../work/stored_progress.js';
 import {JobGateway} from './job_gateway.js';
@@ -64,6 +65,7 @@
     const {settings, platform} = options;
     const keys = new PartitionKeys(settings.partition);
     const table = new JobTable(keys);
+    const cancelledJobs = new CancelledJobs({...options, keys, table});
     this.identity = {
       member: settings.node,
       incarnation: randomUUID(),
@@ -82,13 +84,14 @@
         void this.election.replaceOwner(token);
       },
     });
-    this.mirrors = this.createMirrors(keys, table);
+    this.mirrors = this.createMirrors(keys, table, cancelledJobs);
     this.gateway = new JobGateway({
       ...options,
       limits: settings.door,
       store: platform.store,
       keys,
       table,
+      cancelledJobs,
       isStoreReachable: () => this.mirrors.isStoreReachable,
       owner: this.ownerLink,
       ownedJobs: () => this.runtime,
@@ -140,11 +143,16 @@
     );
   }
 
-  private createMirrors(keys: PartitionKeys, table: JobTable): NodeMirrors {
+  private createMirrors(
+    keys: PartitionKeys,
+    table: JobTable,
+    cancelledJobs: CancelledJobs,
+  ): NodeMirrors {
     return new NodeMirrors({
       ...this.options,
       keys,
       table,
+      cancelledJobs,
       isOwner: () => this.term?.isOver === false,
       isLinked: () => this.ownerLink.isOpen,
       onConfiguration: (configuration) => this.configure(configuration),
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -16,6 +16,7 @@
 import {SeededRandom} from '../random/seeded_random.js';
 import {JobState} from '../orchestrator/job_state.js';
 import {JobPhase} from '../work/job_definition.js';
+import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {JobTable} from '../work/job_table.js';
 import {JobGateway} from './job_gateway.js';
 import {OwnedJobs} from './owner_client.js';
@@ -63,6 +64,7 @@
     log,
     keys,
     table,
+    cancelledJobs: new CancelledJobs({clock, log, keys, table}),
     owner: link,
     isStoreReachable: () => state.isStoreReachable,
     ownedJobs: () => state.ownedJobs,
--- a/src/node/registration_age_test.ts
+++ b/src/node/registration_age_test.ts
@@ -6,6 +6,7 @@
 import {sleep} from '../clock/sleep.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
+import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {JobTable} from '../work/job_table.js';
 import {NodeMirrors} from './node_mirrors.js';
 import {PlatformBinding} from './platform_binding.js';
@@ -37,7 +38,9 @@
   // it reads a response, although the store answered long before.
   const store = new LateStore();
   const clock = new ManualClock();
+  const log = silentLog();
   const keys = new PartitionKeys('main');
+  const table = new JobTable(keys);
   const mirrors = new NodeMirrors({
     platform: {
       store,
@@ -47,9 +50,10 @@
       decodeWorker: () => ({}),
     } as unknown as PlatformBinding,
     clock,
-    log: silentLog(),
+    log,
     keys,
-    table: new JobTable(keys),
+    table,
+    cancelledJobs: new CancelledJobs({clock, log, keys, table}),
     isOwner: () => true,
     isLinked: () => false,
     onConfiguration: () => undefined,
--- a/src/result_codes/result_code.ts
+++ b/src/result_codes/result_code.ts
@@ -164,6 +164,18 @@
     exitStatus: 6,
     meaning: 'The owner of the shard cannot be reached at the moment.',
   }),
+  JOB_CANCELLED: defineResultCode(2017, 'JOB_CANCELLED', {
+    outcome: DID_NOT_RUN,
+    httpStatus: 503,
+    exitStatus: 5,
+    meaning: 'The job was cancelled before it was accepted, and never runs.',
+  }),
+  TOO_MANY_REQUESTS: defineResultCode(2018, 'TOO_MANY_REQUESTS', {
+    outcome: DID_NOT_RUN,
+    httpStatus: 429,
+    exitStatus: 5,
+    meaning: 'More of these requests came than are served; retry later.',
+  }),
   ANSWER_LOST: defineResultCode(3000, 'ANSWER_LOST', {
     outcome: MAY_HAVE_RUN,
     httpStatus: 502,
--- a/src/work/job_table.ts
+++ b/src/work/job_table.ts
@@ -6,6 +6,7 @@
 
 /** Local view of a job in the store. */
 export interface JobEntry {
+  /** Undefined if only a cancellation of the job is known. */
   submission: SubmissionRecord | undefined;
   isCancelled: boolean;
   /** Latest stored phase that this node has learned. */
@@ -67,6 +68,12 @@
     this.listener?.onCancelled(jobId);
   }
 
+  /** Forgets a cancellation that is not kept any more, unless a job has it. */
+  forgetCancellation(jobId: string): void {
+    const entry = this.entries.get(jobId);
+    if (entry && !entry.submission) this.entries.delete(jobId);
+  }
+
   /** Records a stored phase; never moves a job backwards. */
   recordPhase(jobId: string, phase: JobPhase): void {
     const entry = this.entries.get(jobId);
@@ -114,6 +121,7 @@
 
   private applyCancellation(jobId: string, change: StoreChange): void {
     if (change.value) this.addCancellation(jobId);
+    else this.forgetCancellation(jobId);
   }
 }
 
--- a/testing/memory_store.ts
+++ b/testing/memory_store.ts
@@ -27,6 +27,11 @@
   revision = 1;
   /** Faults of the next transactions, in order. */
   readonly commitFaults: StoreFault[] = [];
+  /**
+   * Part of a key; transactions that write such a key have the fault 'late'.
+   * @default none
+   */
+  lateKey: string | undefined;
   /** While true, all calls fail with PLATFORM_UNAVAILABLE and change nothing. */
   isDown = false;
   private readonly items = new Map<string, StoreItem>();
@@ -74,7 +79,7 @@
   }
 
   commit(transaction: StoreTransaction): Promise<TransactionResult> {
-    const fault = this.commitFaults.shift();
+    const fault = this.isLate(transaction) ? 'late' : this.commitFaults.shift();
     if (fault === 'late') this.delayedTransactions.push(transaction);
     if (fault === 'late') return Promise.reject(changeInDoubtError());
     if (fault === 'unavailable') return Promise.reject(unavailableError());
@@ -149,6 +154,13 @@
     this.notifyWaiters();
   }
 
+  private isLate({write}: StoreTransaction): boolean {
+    const {lateKey} = this;
+    return (
+      lateKey !== undefined && write.some(({key}) => key.includes(lateKey))
+    );
+  }
+
   private apply(transaction: StoreTransaction): TransactionResult {
     const {expect, write, remove = []} = transaction;
     const areExpectationsMet = expect.every(
