Submissions have a module of their own

JobGateway held configuration, look-up, cancellation and the whole path of a submission. The latter moves to JobSubmitter unchanged; the tests of the gateway pass as they are.

--- a/src/node/job_gateway.ts
+++ b/src/node/job_gateway.ts
@@ -1,21 +1,10 @@
-import {ResultCodes} from '../result_codes/result_code.js';
 import {Configuration, findQueue, Queue} from '../work/configuration.js';
 import {JobDefinition} from '../work/job_definition.js';
-import {
-  decodeSubmission,
-  encodeSubmission,
-  SubmissionRecord,
-} from '../work/job_records.js';
-import {countTasks, definitionBytes, JobSizeLimits} from '../work/job_size.js';
-import {MAX_SUBMISSION_MS} from '../work/submission_lifetime.js';
-import {
-  GatewayResult,
-  storeUnavailable,
-  toFailureResult,
-} from './gateway_result.js';
+import {JobSizeLimits} from '../work/job_size.js';
+import {GatewayResult} from './gateway_result.js';
 import {JobCanceller} from './job_canceller.js';
 import {JobLookUp, JobLookUpOptions} from './job_look_up.js';
-import {OwnerMessage} from './owner_messages.js';
+import {JobSubmitter} from './job_submitter.js';
 
 /** Options of {@link JobGateway}. */
 export interface JobGatewayOptions extends JobLookUpOptions {
@@ -23,18 +12,6 @@
   limits?: JobSizeLimits;
 }
 
-/** Retry-after time in ms while the known jobs take too much memory. */
-const TOO_MANY_JOBS_RETRY_MS = 2000;
-
-/** Deadline in ms of clients that do not send one. */
-const DEFAULT_DEADLINE_MS = 3000;
-
-/** Attempts to store a submission while the list of its ID changes. */
-const MAX_STORE_ATTEMPTS = 5;
-
-/** Time in ms before a client's deadline, reserved to send the response. */
-const RESPONSE_MARGIN_MS = 300;
-
 /**
  * Accepts, queries and cancels jobs for clients. Uses the store directly, or
  * the owner as a relay while this node cannot reach the store.
@@ -42,10 +19,15 @@
 export class JobGateway {
   private current: Configuration | undefined;
   private readonly lookUp: JobLookUp;
+  private readonly submitter: JobSubmitter;
   private readonly canceller: JobCanceller;
 
-  constructor(private readonly options: JobGatewayOptions) {
+  constructor(options: JobGatewayOptions) {
     this.lookUp = new JobLookUp(options);
+    this.submitter = new JobSubmitter({
+      ...options,
+      configurationVersion: () => this.current?.version,
+    });
     this.canceller = new JobCanceller({...options, lookUp: this.lookUp});
   }
 
@@ -65,157 +47,12 @@
     return this.current && findQueue(this.current, host, path);
   }
 
-  /**
-   * Stores a job; returns ACCEPTED only once it is stored. A submission whose
-   * outcome is in doubt is repeated until shortly before the client's deadline,
-   * which is safe because a job is stored only once per id, and not after it
-   * was cancelled.
-   *
-   * @param remainingMs - Time in ms until the deadline of the client.
-   */
-  async submit(
+  /** Stores a job; see {@link JobSubmitter.submit}. */
+  submit(
     definition: JobDefinition,
-    remainingMs = DEFAULT_DEADLINE_MS,
-  ): Promise<GatewayResult> {
-    const {table, clock} = this.options;
-    const {id} = definition;
-    if (table.entries.get(id)?.submission) return this.logAccepted(id, 'known');
-    const refusal = this.checkSize(definition);
-    if (refusal) return refusal;
-    const submission = {definition, acceptedWallMs: clock.wallMs()};
-    const submissionMs = Math.min(remainingMs, MAX_SUBMISSION_MS);
-    const deadlineMs = clock.nowMs() + submissionMs - RESPONSE_MARGIN_MS;
-    let mayBeStored = false;
-    for (;;) {
-      const result = await this.tryStoreSubmission(submission, deadlineMs);
-      if (isSettled(result)) return result;
-      mayBeStored ||= result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
-      const isFinal = result.code === ResultCodes.PLATFORM_UNAVAILABLE;
-      if (isFinal || clock.nowMs() >= deadlineMs) {
-        return mayBeStored
-          ? {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED}
-          : result;
-      }
-    }
-  }
-
-  /** Returns why a job is not stored because of its size; not if it may be. */
-  private checkSize(definition: JobDefinition): GatewayResult | undefined {
-    const {limits, log, table} = this.options;
-    if (!limits) return undefined;
-    const steps = definition.steps.length;
-    const tasks = countTasks(definition);
-    const knownBytes = table.definitionBytes;
-    const isTooLarge = steps > limits.mostSteps || tasks > limits.mostTasks;
-    const areTooMany =
-      knownBytes + definitionBytes(definition) > limits.mostJobBytes;
-    if (!isTooLarge && !areTooMany) return undefined;
-    const result = isTooLarge
-      ? {code: ResultCodes.BAD_REQUEST}
-      : {code: ResultCodes.QUEUE_FULL, retryAfterMs: TOO_MANY_JOBS_RETRY_MS};
-    log.logDecision('refuse', {
-      job: definition.id,
-      code: result.code.number,
-      steps,
-      tasks,
-      knownBytes,
-    });
-    return result;
-  }
-
-  /**
-   * Stores a submission, through the owner if the store is unreachable from
-   * this node or the direct attempt fails.
-   */
-  private async tryStoreSubmission(
-    submission: SubmissionRecord,
-    deadlineMs: number,
-  ): Promise<GatewayResult> {
-    const {owner, isStoreReachable} = this.options;
-    const result = isStoreReachable()
-      ? await this.storeSubmission(submission)
-      : storeUnavailable();
-    if (isSettled(result) || !owner.isOpen) return result;
-    return this.relaySubmission(submission, deadlineMs, result);
-  }
-
-  private async storeSubmission(
-    submission: SubmissionRecord,
-  ): Promise<GatewayResult> {
-    const {id} = submission.definition;
-    try {
-      for (let attempt = 0; attempt < MAX_STORE_ATTEMPTS; attempt += 1) {
-        const result = await this.commitSubmission(submission);
-        if (result) return result;
-      }
-      return storeUnavailable();
-    } catch (error) {
-      return toFailureResult(this.options.log, error, {
-        decision: 'refuse',
-        jobId: id,
-      });
-    }
-  }
-
-  /**
-   * Stores a submission unless its ID is cancelled.
-   *
-   * @returns Undefined if the list of cancelled IDs has changed meanwhile.
-   */
-  private async commitSubmission(
-    submission: SubmissionRecord,
-  ): Promise<GatewayResult | undefined> {
-    const {store, keys, cancelledJobs} = this.options;
-    const {id} = submission.definition;
-    if (cancelledJobs.has(id)) return this.refuseCancelled(id);
-    const key = keys.submission(id);
-    const result = await store.commit({
-      expect: [{key, revision: 0}, cancelledJobs.expectationOf(id)],
-      write: [{key, value: encodeSubmission(submission)}],
-    });
-    if (result.kind === 'committed') {
-      return this.recordAccepted(submission, 'stored');
-    }
-    const items = result.kind === 'conflict' ? result.items : [];
-    for (const item of items) cancelledJobs.apply(item);
-    const earlier = items.find((item) => item.key === key);
-    if (!earlier) return undefined;
-    const stored = decodeSubmission(earlier.value);
-    return this.recordAccepted(stored, 'stored-earlier');
-  }
-
-  private async relaySubmission(
-    submission: SubmissionRecord,
-    deadlineMs: number,
-    storeResult: GatewayResult,
+    remainingMs?: number,
   ): Promise<GatewayResult> {
-    const {owner, clock, log} = this.options;
-    const jobId = submission.definition.id;
-    const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
-    try {
-      const body = {
-        jobId,
-        submission: encodeSubmission(submission),
-        remainingMs,
-      };
-      const result = await owner.request(
-        OwnerMessage.SUBMIT,
-        body,
-        remainingMs,
-      );
-      if (result.code === ResultCodes.ACCEPTED) {
-        return this.recordAccepted(submission, 'relayed');
-      }
-      const isInDoubt = result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
-      return isInDoubt || isSettled(result) ? result : storeResult;
-    } catch (error) {
-      log.logDecision('relay-failed', {
-        job: jobId,
-        reason: (error as Error).message,
-      });
-      // The owner may have stored the job before the link failed.
-      return {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED};
-    }
+    return this.submitter.submit(definition, remainingMs);
   }
 
   /** Returns the phase of a job. */
@@ -237,39 +74,4 @@
   cancel(jobId: string): Promise<GatewayResult> {
     return this.canceller.cancel(jobId);
   }
-
-  /** Refuses a job that was cancelled before it was stored. */
-  private refuseCancelled(jobId: string): GatewayResult {
-    const code = ResultCodes.JOB_CANCELLED;
-    this.options.log.logDecision('refuse', {job: jobId, code: code.number});
-    return {code};
-  }
-
-  private recordAccepted(
-    submission: SubmissionRecord,
-    how: string,
-  ): GatewayResult {
-    const {table, owner} = this.options;
-    const jobId = submission.definition.id;
-    table.addSubmission(jobId, submission);
-    owner.send(OwnerMessage.SUBMITTED, {
-      jobId,
-      submission: encodeSubmission(submission),
-    });
-    return this.logAccepted(jobId, how);
-  }
-
-  private logAccepted(jobId: string, how: string): GatewayResult {
-    this.options.log.logDecision('accept', {
-      job: jobId,
-      how,
-      version: this.current?.version,
-    });
-    return {code: ResultCodes.ACCEPTED};
-  }
-}
-
-/** Whether a submission needs no further attempt: stored, or cancelled. */
-function isSettled({code}: GatewayResult): boolean {
-  return code === ResultCodes.ACCEPTED || code === ResultCodes.JOB_CANCELLED;
 }
