No submission is relayed after the deadline of its client

The relay now begins only before the deadline.

Test: "a submission is not relayed after the deadline of the client", fails without the change (ACCEPTED, one relay).

--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -84,6 +84,30 @@
   assert.ok(relayedMs > 0 && relayedMs < 2 ** 31, `${relayedMs} ms`);
 });
 
+test('a submission is not relayed after the deadline of the client', async () => {
+  // Guards against a job that is stored long after its client has given up: the
+  // direct attempt takes longer than the time that is left.
+  let relays = 0;
+  const owner: OwnerClient = {
+    isOpen: true,
+    send: () => undefined,
+    request: () => {
+      relays += 1;
+      return Promise.resolve({code: ResultCodes.ACCEPTED});
+    },
+  };
+  const {gateway, store, clock} = createGateway({owner});
+  const commit = store.commit.bind(store);
+  store.commit = (transaction) => {
+    clock.advance(1200);
+    return commit(transaction);
+  };
+  store.commitFaults.push('late');
+  const {code} = await gateway.submit(simpleJob(ID), 1000);
+  assert.equal(code.name, 'MAY_HAVE_BEEN_ACCEPTED');
+  assert.equal(relays, 0);
+});
+
 test('a node returns the phase of a job that another node accepted', async () => {
   // Guards against NOT_FOUND for a job that the local mirror has not yet
   // received from the store.
--- a/src/node/job_submitter.ts
+++ b/src/node/job_submitter.ts
@@ -108,11 +108,12 @@
     submission: SubmissionRecord,
     deadlineMs: number,
   ): Promise<GatewayResult> {
-    const {owner, isStoreReachable} = this.options;
+    const {owner, clock, isStoreReachable} = this.options;
     const result = isStoreReachable()
       ? await this.storeSubmission(submission)
       : storeUnavailable();
     if (isSettled(result) || !owner.isOpen) return result;
+    if (clock.nowMs() >= deadlineMs) return result;
     return this.relaySubmission(submission, deadlineMs, result);
   }
 
@@ -168,7 +169,7 @@
   ): Promise<GatewayResult> {
     const {owner, clock, log} = this.options;
     const jobId = submission.definition.id;
-    const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
+    const remainingMs = deadlineMs - clock.nowMs();
     try {
       const body = {
         jobId,
