A repeated submission is not refused while an earlier write is under way

Tests: "a repeated submission is not refused while an earlier write is under way", "a job in doubt is not refused for want of memory" and the stricter "a relayed submission in doubt is not reported as refused" fail without the change. "a submission is refused only if the job cannot have been stored" asked for the refusal of an ID of which two writes were still on their way in the test's own store; it asks for that of another ID now, and the new test for 504.

Not covered: a node that neither wrote the job nor reaches the store cannot know of the write of another node, and answers 503.

--- a/src/node/job_submitter.ts
+++ b/src/node/job_submitter.ts
@@ -1,3 +1,4 @@
+import {sleep} from '../clock/sleep.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {JobDefinition} from '../work/job_definition.js';
 import {
@@ -14,6 +15,7 @@
 } from './gateway_result.js';
 import {JobLookUpOptions} from './job_look_up.js';
 import {OwnerMessage} from './owner_messages.js';
+import {SubmissionsInDoubt} from './submissions_in_doubt.js';
 
 /** Options of {@link JobSubmitter}. */
 export interface JobSubmitterOptions extends JobLookUpOptions {
@@ -29,6 +31,9 @@
 /** Deadline in ms of clients that do not send one. */
 const DEFAULT_DEADLINE_MS = 3000;
 
+/** Delay in ms before a submission whose outcome is in doubt is repeated. */
+const REPEAT_DELAY_MS = 50;
+
 /** Attempts to store a submission while the list of its ID changes. */
 const MAX_STORE_ATTEMPTS = 5;
 
@@ -40,7 +45,11 @@
  * a relay while this node cannot reach the store.
  */
 export class JobSubmitter {
-  constructor(private readonly options: JobSubmitterOptions) {}
+  private readonly inDoubt: SubmissionsInDoubt;
+
+  constructor(private readonly options: JobSubmitterOptions) {
+    this.inDoubt = new SubmissionsInDoubt(options);
+  }
 
   /**
    * Stores a job; returns ACCEPTED only once it is stored. A submission whose
@@ -58,24 +67,51 @@
     const {id} = definition;
     if (table.entries.get(id)?.submission) return this.logAccepted(id, 'known');
     const refusal = this.checkSize(definition);
-    if (refusal) return refusal;
+    if (refusal) return this.refuseUnlessInDoubt(id, refusal);
     const submission = {definition, acceptedWallMs: clock.wallMs()};
     const submissionMs = Math.min(remainingMs, MAX_SUBMISSION_MS);
     const deadlineMs = clock.nowMs() + submissionMs - RESPONSE_MARGIN_MS;
-    let mayBeStored = false;
     for (;;) {
-      const result = await this.tryStoreSubmission(submission, deadlineMs);
+      const result = await this.attempt(submission, deadlineMs);
       if (isSettled(result)) return result;
-      mayBeStored ||= result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
       const isFinal = result.code === ResultCodes.PLATFORM_UNAVAILABLE;
-      if (isFinal || clock.nowMs() >= deadlineMs) {
-        return mayBeStored
-          ? {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED}
-          : result;
+      if (isFinal || clock.nowMs() + REPEAT_DELAY_MS >= deadlineMs) {
+        return this.refuseUnlessInDoubt(id, result);
       }
+      await sleep(REPEAT_DELAY_MS);
     }
   }
 
+  /** Makes one attempt, and keeps in mind whether its outcome is in doubt. */
+  private async attempt(
+    submission: SubmissionRecord,
+    deadlineMs: number,
+  ): Promise<GatewayResult> {
+    const {id} = submission.definition;
+    const wasInDoubt = this.inDoubt.has(id);
+    if (!wasInDoubt) this.inDoubt.add(id);
+    const result = await this.tryStoreSubmission(submission, deadlineMs);
+    const isInDoubt = result.code === ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
+    if (isInDoubt) this.inDoubt.add(id);
+    else if (isSettled(result) || !wasInDoubt) this.inDoubt.remove(id);
+    return result;
+  }
+
+  /** Returns a refusal, which holds only if no write is under way. */
+  private refuseUnlessInDoubt(
+    jobId: string,
+    refusal: GatewayResult,
+  ): GatewayResult {
+    if (!this.inDoubt.has(jobId)) return refusal;
+    const code = ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
+    this.options.log.logDecision('submission-in-doubt', {
+      job: jobId,
+      code: code.number,
+      refusal: refusal.code.number,
+    });
+    return {code};
+  }
+
   /** Returns why a job is not stored because of its size; not if it may be. */
   private checkSize(definition: JobDefinition): GatewayResult | undefined {
     const {limits, log, table} = this.options;
--- a/testing/create_gateway.ts
+++ b/testing/create_gateway.ts
@@ -3,6 +3,7 @@
 import {JobGateway} from '../src/node/job_gateway.js';
 import {OwnerClient} from '../src/node/owner_client.js';
 import {CancelledJobs} from '../src/work/cancelled_jobs.js';
+import {JobSizeLimits} from '../src/work/job_size.js';
 import {JobTable} from '../src/work/job_table.js';
 import {MemoryStore} from './memory_store.js';
 import {silentLog} from './silent_log.js';
@@ -25,6 +26,8 @@
   store?: MemoryStore;
   /** @default no link to an owner */
   owner?: OwnerClient;
+  /** @default none */
+  limits?: JobSizeLimits;
 }
 
 /** Creates a client of an owner to which there is no link. */
@@ -41,6 +44,7 @@
   options: CreateGatewayOptions = {},
 ): GatewayFixture {
   const {store = new MemoryStore(), owner = createOwnerClient()} = options;
+  const {limits} = options;
   const keys = new PartitionKeys('main');
   const table = new JobTable(keys);
   const state = {isStoreReachable: true};
@@ -54,6 +58,7 @@
     keys,
     table,
     cancelledJobs,
+    limits,
     isStoreReachable: () => state.isStoreReachable,
     owner,
     ownedJobs: () => undefined,
