A conflict that names no key leaves a submission in doubt

A conflict can mean that another node has stored the job, so that an answer that names no key tells nothing.

Test: "a conflict that names no key does not refuse a job", fails without the change (PLATFORM_UNAVAILABLE).

--- a/src/node/job_gateway_test.ts
+++ b/src/node/job_gateway_test.ts
@@ -121,6 +121,14 @@
   assert.ok(relayedMs > 0 && relayedMs < 2 ** 31, `${relayedMs} ms`);
 });
 
+test('a conflict that names no key does not refuse a job', async () => {
+  // Guards against PLATFORM_UNAVAILABLE for a job that another node has stored.
+  const {gateway, store} = createGateway();
+  store.commit = () => Promise.resolve({kind: 'conflict', items: []});
+  const {code} = await gateway.submit(simpleJob(ID), 1);
+  assert.equal(code.name, 'MAY_HAVE_BEEN_ACCEPTED');
+});
+
 test('a submission is not relayed after the deadline of the client', async () => {
   // Guards against a job that is stored long after its client has given up: the
   // direct attempt takes longer than the time that is left.
--- a/src/node/job_submitter.ts
+++ b/src/node/job_submitter.ts
@@ -103,13 +103,11 @@
     refusal: GatewayResult,
   ): GatewayResult {
     if (!this.inDoubt.has(jobId)) return refusal;
-    const code = ResultCodes.MAY_HAVE_BEEN_ACCEPTED;
     this.options.log.logDecision('submission-in-doubt', {
       job: jobId,
-      code: code.number,
       refusal: refusal.code.number,
     });
-    return {code};
+    return inDoubt();
   }
 
   /** Returns why a job is not stored because of its size; not if it may be. */
@@ -191,11 +189,14 @@
       return this.recordAccepted(submission, 'stored');
     }
     const items = result.kind === 'conflict' ? result.items : [];
-    for (const item of items) cancelledJobs.apply(item);
     const earlier = items.find((item) => item.key === key);
-    if (!earlier) return undefined;
-    const stored = decodeSubmission(earlier.value);
-    return this.recordAccepted(stored, 'stored-earlier');
+    if (earlier) {
+      const stored = decodeSubmission(earlier.value);
+      return this.recordAccepted(stored, 'stored-earlier');
+    }
+    for (const item of items) cancelledJobs.apply(item);
+    // Without an item that explains the conflict, the job may be stored.
+    return items.length > 0 ? undefined : inDoubt();
   }
 
   private async relaySubmission(
@@ -228,7 +229,7 @@
         reason: (error as Error).message,
       });
       // The owner may have stored the job before the link failed.
-      return {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED};
+      return inDoubt();
     }
   }
 
@@ -267,3 +268,8 @@
 function isSettled({code}: GatewayResult): boolean {
   return code === ResultCodes.ACCEPTED || code === ResultCodes.JOB_CANCELLED;
 }
+
+/** Returns the result of a submission that may be stored, or be stored later. */
+function inDoubt(): GatewayResult {
+  return {code: ResultCodes.MAY_HAVE_BEEN_ACCEPTED};
+}
