A finished job is kept as long as a submission of it may be under way

The setting keepFinishedSeconds may be as short as wished, while a node repeats a submission for 60 s and the store may carry a write out later.

The retention time is now at least 120 s.

--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -16,6 +16,7 @@
 import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {JobTable} from '../work/job_table.js';
 import {groupProgress, StoredProgress} from '../work/stored_progress.js';
+import {getRetentionMs} from './get_retention_ms.js';
 import {JobGateway} from './job_gateway.js';
 import {NodeMetrics} from './node_metrics.js';
 import {NodeMirrors} from './node_mirrors.js';
@@ -238,7 +239,7 @@
       evacuationNoticeMs: settings.operators.evacuationNoticeMs,
       countEvent: (event) => this.metrics.increment(event),
       longestLeaseMs: settings.workers.longestLeaseMs,
-      keepFinishedMs: settings.jobs.keepFinishedSeconds * MS_PER_SECOND,
+      keepFinishedMs: getRetentionMs(settings.jobs.keepFinishedSeconds),
     });
     term.onEnd(() => (this.runtime = undefined));
     this.runtime.start({
--- a/src/node/node_settings.ts
+++ b/src/node/node_settings.ts
@@ -71,7 +71,10 @@
     })
     .prefault({}),
   jobs: z.strictObject({
-    /** Retention time of finished jobs in seconds. */
+    /**
+     * Retention time of finished jobs in seconds; at least as long as a
+     * submission of the job may be under way.
+     */
     keepFinishedSeconds: z.number().positive().max(86_400),
   }),
   stop: z.strictObject({
