The cancellation of an ended job stores nothing

If the records of the job are removed at the same time, nobody removes that key, and every node keeps it in memory. An ended job needs no cancellation: the answer (200) and its state stay as they were.

Test: "the cancellation of an ended job leaves nothing in the store", fails without the change.

--- a/src/node/job_canceller.ts
+++ b/src/node/job_canceller.ts
@@ -1,6 +1,7 @@
 import {WriteRateLimiter} from '../jobs/write_rate_limiter.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
+import {isFinalPhase} from '../work/job_definition.js';
 import {GatewayResult, toFailureResult} from './gateway_result.js';
 import {JobLookUp, JobLookUpOptions} from './job_look_up.js';
 import {OwnerMessage} from './owner_messages.js';
@@ -37,13 +38,15 @@
   constructor(private readonly options: JobCancellerOptions) {}
 
   /**
-   * Cancels a job; resolves once the cancellation is stored. NOT_FOUND if there
+   * Cancels a job; resolves once the cancellation is stored. Nothing is stored
+   * for a job that has ended, since its records may just be removed. NOT_FOUND if there
    * is no such job; none that was submitted before is stored any more then.
    */
   async cancel(jobId: string): Promise<GatewayResult> {
     const {lookUp, log} = this.options;
     try {
-      const {code, retryAfterMs} = await lookUp.getPhase(jobId);
+      const {code, phase, retryAfterMs} = await lookUp.getPhase(jobId);
+      if (phase && isFinalPhase(phase)) return {code: ResultCodes.CANCELLED};
       if (code === ResultCodes.OK) return await this.cancelKnown(jobId);
       if (code === ResultCodes.NOT_FOUND) {
         return await this.cancelUnknown(jobId);
--- a/src/node/job_canceller_test.ts
+++ b/src/node/job_canceller_test.ts
@@ -10,6 +10,7 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {JobPhase} from '../work/job_definition.js';
+import {encodeProgress} from '../work/job_records.js';
 import {MAX_CANCELLED_IDS} from '../work/cancelled_jobs_record.js';
 import {SUBMISSION_LIFETIME_MS} from '../work/submission_lifetime.js';
 import {OwnerClient} from './owner_client.js';
@@ -193,6 +194,21 @@
   assert.ok(cancelledJobs.has(ID));
 });
 
+test('the cancellation of an ended job leaves nothing in the store', async () => {
+  // Guards against a key that nobody removes, since the records of the job are
+  // removed before the cancellation is stored.
+  const {gateway, store} = createGateway();
+  await gateway.submit(simpleJob(ID));
+  const phase = JobPhase.SUCCEEDED;
+  store.put(
+    KEYS.progress(ID),
+    encodeProgress({version: 1, phase, occurrences: []}),
+  );
+  assert.equal((await gateway.cancel(ID)).code.name, 'CANCELLED');
+  assert.equal(await store.read(KEYS.cancellation(ID)), undefined);
+  assert.equal((await gateway.getPhase(ID)).phase, phase);
+});
+
 test('cancellations of unknown jobs are limited, those of jobs are not', async () => {
   // Guards against a client that fills the store, its write rate and the memory
   // of all nodes with cancellations of made-up IDs.
