A released claim does not come back by a late write

A claim now says whether an unanswered write of it may still be carried out.

Test: "a released claim does not come back by a late write", fails without the background part (taken).

--- a/src/claims/claim_record.ts
+++ b/src/claims/claim_record.ts
@@ -26,6 +26,11 @@
   /** Platform revision at which the claim was written. */
   revision: number;
   record: ClaimRecord;
+  /**
+   * Whether an unanswered write of the claim may still be carried out, once the
+   * claim is released.
+   */
+  mayReappear: boolean;
 }
 
 /** Result of an attempt to claim a key. */
--- a/src/claims/claim_store.ts
+++ b/src/claims/claim_store.ts
@@ -80,7 +80,8 @@
     let lastError: Error | undefined;
     while (clock.nowMs() < request.deadlineMs) {
       try {
-        return await this.attempt(key, record);
+        const mayReappear = mayBeWritten;
+        return await this.attempt(key, {record, mayReappear});
       } catch (error) {
         lastError = error as Error;
         mayBeWritten ||= isInDoubt(error);
@@ -103,9 +104,13 @@
    *     in the background.
    */
   async release(claim: HeldClaim, waitMs: number): Promise<void> {
-    const {attempt} = claim.record;
-    const done = this.takeBack(claim.key, {attempt, isInDoubt: false});
-    await Promise.race([done, sleep(waitMs)]);
+    const {key, record, mayReappear} = claim;
+    const {attempt} = record;
+    const released = this.takeBack(key, {attempt, isInDoubt: false});
+    if (mayReappear) {
+      void released.then(() => this.takeBack(key, {attempt, isInDoubt: true}));
+    }
+    await Promise.race([released, sleep(waitMs)]);
   }
 
   /** Stops the releases in the background. */
@@ -115,8 +120,9 @@
 
   private async attempt(
     key: string,
-    record: ClaimRecord,
+    own: Pick<HeldClaim, 'record' | 'mayReappear'>,
   ): Promise<ClaimResult> {
+    const {record} = own;
     try {
       const result = await this.options.platform.write({
         key,
@@ -126,14 +132,14 @@
       });
       if (result.written) {
         const {revision} = result;
-        return {kind: 'granted', claim: {key, revision, record}};
+        return {kind: 'granted', claim: {...own, key, revision}};
       }
-      if (result.current) return claimResultOf(result.current, record);
+      if (result.current) return claimResultOf(result.current, own);
       throw inDoubtError('an earlier claim disappeared during the write');
     } catch (error) {
       if (!isInDoubt(error)) throw error;
       const current = await this.readBack(key);
-      if (current) return claimResultOf(current, record);
+      if (current) return claimResultOf(current, own);
       // The write may still take effect; the next attempt resolves it.
       throw error;
     }
@@ -191,11 +197,15 @@
   return `claims/${request.customer}/${hash}`;
 }
 
-function claimResultOf(current: PlatformEntry, own: ClaimRecord): ClaimResult {
+function claimResultOf(
+  current: PlatformEntry,
+  own: Pick<HeldClaim, 'record' | 'mayReappear'>,
+): ClaimResult {
   const record = claimRecordSchema.parse(JSON.parse(current.value));
-  if (record.attempt !== own.attempt) return {kind: 'taken', record};
+  if (record.attempt !== own.record.attempt) return {kind: 'taken', record};
   const {key, revision} = current;
-  return {kind: 'granted', claim: {key, revision, record}};
+  const {mayReappear} = own;
+  return {kind: 'granted', claim: {key, revision, record, mayReappear}};
 }
 
 function inDoubtError(reason: string): ResultError {
