A deletion that finds nothing keeps a late creation out

A deletion now changes the key also if there is nothing to delete, so that a write that was sent before fails, and then answers NOT_FOUND. A dry run writes nothing. If the key was created meanwhile the answer is REVISION_CONFLICT with the current state.

Tests: "a planned stop that was cancelled does not come into force later" and "a contract that was deleted is not created by a late write" fail without the change (the late write is carried out).

--- a/src/contracts/configuration_editor.ts
+++ b/src/contracts/configuration_editor.ts
@@ -181,24 +181,44 @@
     const {baseRevision, key, value, author} = change;
     const isMissing = value === null && !base?.record.value;
     const amendsMissingKey = !base && (baseRevision ?? 0) > 0;
+    if (isMissing) await this.preventCreation(change, base);
     if (isMissing || amendsMissingKey) throw notFoundError(key);
     if (baseRevision !== undefined && baseRevision !== (base?.revision ?? 0)) {
       throw conflictError(key, base);
     }
+    if (author.isDryRun) {
+      const record = this.createRecord(change, base);
+      return {record, revision: base?.revision ?? 0};
+    }
+    return this.writeRecord(change, base);
+  }
+
+  /**
+   * Writes the deletion of a value that does not exist. A write that would
+   * create it may be under way, and must not take effect after the answer.
+   */
+  private async preventCreation<T>(
+    change: RecordChange<T>,
+    base: StoredRecord<T> | undefined,
+  ): Promise<void> {
+    if (!change.author.isDryRun) await this.writeRecord(change, base);
+  }
+
+  private async writeRecord<T>(
+    change: RecordChange<T>,
+    base: StoredRecord<T> | undefined,
+  ): Promise<StoredRecord<T>> {
+    const {key, schema, timeToLiveMs} = change;
     const record = this.createRecord(change, base);
-    if (author.isDryRun) return {record, revision: base?.revision ?? 0};
     const result = await this.writer.write({
       key,
       record,
       expectedRevision: base?.revision ?? 0,
-      timeToLiveMs: change.timeToLiveMs,
+      timeToLiveMs,
     });
     if (!result.written) {
       if (result.current) this.options.store.applyChange(result.current);
-      throw conflictError(
-        key,
-        parseStoredRecord(result.current, change.schema),
-      );
+      throw conflictError(key, parseStoredRecord(result.current, schema));
     }
     this.options.store.applyChange(result.entry);
     return {record, revision: result.entry.revision};
--- a/src/contracts/configuration_editor_test.ts
+++ b/src/contracts/configuration_editor_test.ts
@@ -3,6 +3,7 @@
 
 import VError from 'verror';
 
+import {MemoryPlatform} from '../../testing/memory_platform.js';
 import {PlatformStandIn} from '../../testing/platform_stand_in.js';
 import {ManualClock} from '../clock/manual_clock.js';
 import {SystemClock} from '../clock/system_clock.js';
@@ -188,3 +189,56 @@
   await assert.rejects(createInvalid({urgencies: floors}), /at most 1/);
   await assert.rejects(createInvalid({extra: 1}), /extra: unknown key/);
 });
+
+/** Creates an editor of a platform in memory. */
+function createMemoryEditor(): {
+  platform: MemoryPlatform;
+  editor: ConfigurationEditor;
+} {
+  const platform = new MemoryPlatform();
+  const store = new ConfigurationStore({clock});
+  const resolveTimeoutMs = 0;
+  const options = {platform, clock, store, resolveTimeoutMs};
+  return {platform, editor: new ConfigurationEditor(options)};
+}
+
+test('a planned stop that was cancelled does not come into force later', async () => {
+  // Guards against a stop whose write is carried out after its cancelling was
+  // answered with "there is no such stop".
+  const {platform, editor} = createMemoryEditor();
+  const stop = {name: 'a-target-1', fromWallMs: clock.wallMs()};
+  platform.lateWrites = 1;
+  const inDoubt = hasCode(ResultCodes.CHANGE_IN_DOUBT);
+  await assert.rejects(editor.planStop(stop, author), inDoubt);
+  const notFound = hasCode(ResultCodes.NOT_FOUND);
+  await assert.rejects(editor.cancelStop(stop.name, author), notFound);
+  const [late] = platform.applyLateWrites();
+  assert.equal(late?.written, false);
+  await editor.planStop(stop, author);
+  await editor.cancelStop(stop.name, author);
+  platform.lateWrites = 1;
+  await assert.rejects(editor.planStop(stop, author), inDoubt);
+  await assert.rejects(editor.cancelStop(stop.name, author), notFound);
+  const [later] = platform.applyLateWrites();
+  assert.equal(later?.written, false);
+});
+
+test('a contract that was deleted is not created by a late write', async () => {
+  // Guards against a contract that comes into force after its deletion was
+  // answered with "there is no such contract".
+  const {platform, editor} = createMemoryEditor();
+  platform.lateWrites = 1;
+  const inDoubt = hasCode(ResultCodes.CHANGE_IN_DOUBT);
+  const input = createContractInput(1);
+  await assert.rejects(editor.createContract(input, author), inDoubt);
+  const notFound = hasCode(ResultCodes.NOT_FOUND);
+  const change = {...author, baseRevision: 0};
+  const tried = {...change, isDryRun: true};
+  await assert.rejects(editor.deleteContract('acme', tried), notFound);
+  assert.equal(await platform.read(contractKey('acme')), undefined);
+  await assert.rejects(editor.deleteContract('acme', change), notFound);
+  const [late] = platform.applyLateWrites();
+  assert.equal(late?.written, false);
+  const created = await editor.createContract(input, author);
+  assert.equal(created.record.value?.customer, 'acme');
+});
