A gang is given up after as many failed runs as its queue allows

PROTOCOL.md: "`failed` (a task, or a gang, has failed `maxAttempts` times)".

Cause: failures were counted and compared for each member. The members of a gang share their runs, so that a failed run of the gang now counts once, under the first member that fails, and the sum over the members is compared. Records keep their form: a successor adds the same sum, and takes the latest run of a member that has failed for counted.

Test "a gang is given up after it has failed as often as its queue allows" fails without the change; "a run of a gang in which all members fail counts once" and "a successor counts a failed run of a gang once" hold with it.

--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/job_progress.ts
@@ -106,8 +106,16 @@
 ): void {
   stored.steps.forEach((rows, step) => {
     for (const row of rows) {
-      const task = occurrence.steps[step]?.tasks[row.index];
-      if (task) restoreTask(job, task, row);
+      const state = occurrence.steps[step];
+      const task = state?.tasks[row.index];
+      if (!state || !task) continue;
+      restoreTask(job, task, row);
+      // Its latest run has ended, and may be the one that failed: another member
+      // of its gang may still report the same failed run.
+      const hasEnded = row.workerId === undefined;
+      if (row.failures > 0 && hasEnded) {
+        state.failedRun = Math.max(state.failedRun, row.run);
+      }
     }
   });
 }
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/job_state.ts
@@ -29,6 +29,8 @@
   lastDoneMs: number;
   /** Durations of runs that this owner has seen. */
   runTimes: StepRunTimes;
+  /** Latest run of a gang of which a member has failed; 0 if none has. */
+  failedRun: number;
 }
 
 /** State of one occurrence of a job, in which each step runs once. */
@@ -277,6 +279,7 @@
         doneCount: 0,
         lastDoneMs: -Infinity,
         runTimes: new StepRunTimes(),
+        failedRun: 0,
         tasks: Array.from({length: step.taskCount}, (_, index) =>
           createTask(index),
         ),
--- a/src/orchestrator/run_transitions.ts
+++ b/src/orchestrator/run_transitions.ts
@@ -1,6 +1,7 @@
 import {Clock} from '../clock/clock.js';
 import {NodeLog} from '../logging/node_log.js';
 import {JobPhase} from '../work/job_definition.js';
+import {countFailedRuns, countFailure} from './failed_attempts.js';
 import {JobEndings} from './job_endings.js';
 import {JobState} from './job_state.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
@@ -161,7 +162,7 @@
 
   /** Handles a failed run, which ends its job at the limit of attempts. */
   fail(task: TaskState): void {
-    task.failures += 1;
+    countFailure(task);
     task.job.history.recordFailure(task.assignment?.workerId);
     this.recordStarted(task.job);
     const nowMs = this.options.clock.nowMs();
@@ -169,7 +170,8 @@
     this.options.workerOf(task)?.health.recordFailure(nowMs);
     this.end(task, 'failed');
     if (task.step.isLongRunning || task.job.isFinal) return;
-    if (task.failures >= this.options.queues.termsOf(task.job).maxAttempts) {
+    const {maxAttempts} = this.options.queues.termsOf(task.job);
+    if (countFailedRuns(task) >= maxAttempts) {
       const cause = {cause: 'attempts', task: task.name};
       this.options.endings.end(task.job, JobPhase.FAILED, cause);
     }
