The placement of tasks is apart from its interface

candidate_set, suspect_isolation and task_placement imported each other. task_placement now holds the interface and its inputs alone, and interference_aware_placement the class. No change of behaviour.

--- a/src/orchestrator/candidate_set_test.ts
+++ b/src/orchestrator/candidate_set_test.ts
@@ -11,10 +11,8 @@
 import {BestEffortController} from './best_effort_controller.js';
 import {CandidateSet} from './candidate_set.js';
 import {JobState} from './job_state.js';
-import {
-  InterferenceAwarePlacement,
-  PlacementContext,
-} from './task_placement.js';
+import {InterferenceAwarePlacement} from './interference_aware_placement.js';
+import {PlacementContext} from './task_placement.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/task_placement_test.ts
+++ b/src/orchestrator/interference_aware_placement_test.ts
@@ -12,10 +12,8 @@
 import {StepDefinition} from '../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {JobState} from './job_state.js';
-import {
-  InterferenceAwarePlacement,
-  PlacementContext,
-} from './task_placement.js';
+import {InterferenceAwarePlacement} from './interference_aware_placement.js';
+import {PlacementContext} from './task_placement.js';
 import {TaskState} from './task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
 import {WorkerState} from './worker_state.js';
--- a/src/orchestrator/job_explainer.ts
+++ b/src/orchestrator/job_explainer.ts
@@ -8,7 +8,8 @@
 import {SchedulingTime} from './scheduling_time.js';
 import {StepContexts} from './step_contexts.js';
 import {holdOf, isDue, StepHold} from './step_hold.js';
-import {hasRoomFor, TaskPlacement} from './task_placement.js';
+import {hasRoomFor} from './interference_aware_placement.js';
+import {TaskPlacement} from './task_placement.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/suspect_placement_test.ts
+++ b/src/orchestrator/suspect_placement_test.ts
@@ -5,10 +5,8 @@
 import {CrashRole} from '../work/crash_role.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {JobState} from './job_state.js';
-import {
-  InterferenceAwarePlacement,
-  PlacementContext,
-} from './task_placement.js';
+import {InterferenceAwarePlacement} from './interference_aware_placement.js';
+import {PlacementContext} from './task_placement.js';
 import {TaskState} from './task_state.js';
 import {WorkerState} from './worker_state.js';
 
