--- a/measure/models/overload_model.ts
+++ b/measure/models/overload_model.ts
@@ -1,10 +1,13 @@
 import {RandomSource} from '../../src/random/random_source.js';
 import {SeededRandom} from '../../src/random/seeded_random.js';
-import {JobOrder, JobOrderContext} from '../../src/orchestrator/job_order.js';
-import {JobState, StepState} from '../../src/orchestrator/job_state.js';
-import {TaskState} from '../../src/orchestrator/task_state.js';
+import {
+  JobOrder,
+  JobOrderContext,
+} from '../../src/orchestrator/jobs/job_order.js';
+import {JobState, StepState} from '../../src/orchestrator/jobs/job_state.js';
+import {TaskState} from '../../src/orchestrator/runs/task_state.js';
 import {simpleStep} from '../../testing/simple_definitions.js';
-import {RunTimeEstimates} from '../../src/orchestrator/run_time_estimates.js';
+import {RunTimeEstimates} from '../../src/orchestrator/runs/run_time_estimates.js';
 import {Queue} from '../../src/work/configuration.js';
 import {JobDefinition, StepDefinition} from '../../src/work/job_definition.js';
 
--- a/measure/models/overload_model_test.ts
+++ b/measure/models/overload_model_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {createJobOrder} from '../../src/orchestrator/create_job_order.js';
+import {createJobOrder} from '../../src/orchestrator/jobs/create_job_order.js';
 import {simpleConfiguration} from '../../testing/simple_definitions.js';
 import {
   OverloadOptions,
--- a/measure/scenarios/owner_load.ts
+++ b/measure/scenarios/owner_load.ts
@@ -2,11 +2,14 @@
 
 import {ManualClock} from '../../src/clock/manual_clock.js';
 import {PartitionKeys} from '../../src/leadership/partition_keys.js';
-import {JobState} from '../../src/orchestrator/job_state.js';
+import {JobState} from '../../src/orchestrator/jobs/job_state.js';
 import {Orchestrator} from '../../src/orchestrator/orchestrator.js';
-import {TaskState} from '../../src/orchestrator/task_state.js';
-import {EndKind, EndReport} from '../../src/orchestrator/worker_port.js';
-import {WorkerState} from '../../src/orchestrator/worker_state.js';
+import {TaskState} from '../../src/orchestrator/runs/task_state.js';
+import {
+  EndKind,
+  EndReport,
+} from '../../src/orchestrator/workers/worker_port.js';
+import {WorkerState} from '../../src/orchestrator/workers/worker_state.js';
 import {RandomSource} from '../../src/random/random_source.js';
 import {SeededRandom} from '../../src/random/seeded_random.js';
 import {applyPending} from '../../testing/apply_pending.js';
--- a/src/node/gateway_result.ts
+++ b/src/node/gateway_result.ts
@@ -1,5 +1,5 @@
 import {NodeLog} from '../logging/node_log.js';
-import {JobExplanation} from '../orchestrator/job_explanation.js';
+import {JobExplanation} from '../orchestrator/jobs/job_explanation.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
 import {JobPhase} from '../work/job_definition.js';
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -9,7 +9,7 @@
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {LinkIdentity} from '../links/link_message.js';
 import {NodeLog} from '../logging/node_log.js';
-import {createJobOrder} from '../orchestrator/create_job_order.js';
+import {createJobOrder} from '../orchestrator/jobs/create_job_order.js';
 import {OrchestratorRuntime} from '../orchestrator/orchestrator_runtime.js';
 import {RandomSource} from '../random/random_source.js';
 import {Configuration} from '../work/configuration.js';
--- a/src/node/owner_client.ts
+++ b/src/node/owner_client.ts
@@ -1,4 +1,4 @@
-import {JobExplanation} from '../orchestrator/job_explanation.js';
+import {JobExplanation} from '../orchestrator/jobs/job_explanation.js';
 import {GatewayResult} from './gateway_result.js';
 import {
   JobMessage,
--- a/src/node/owner_link_test.ts
+++ b/src/node/owner_link_test.ts
@@ -14,7 +14,7 @@
 import {OwnerRecord} from '../leadership/owner_record.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {SeededRandom} from '../random/seeded_random.js';
-import {JobState} from '../orchestrator/job_state.js';
+import {JobState} from '../orchestrator/jobs/job_state.js';
 import {JobPhase} from '../work/job_definition.js';
 import {CancelledJobs} from '../work/cancelled_jobs.js';
 import {JobTable} from '../work/job_table.js';
--- a/src/node/owner_messages.ts
+++ b/src/node/owner_messages.ts
@@ -1,5 +1,5 @@
 import {Link} from '../links/link.js';
-import {JobExplanation} from '../orchestrator/job_explanation.js';
+import {JobExplanation} from '../orchestrator/jobs/job_explanation.js';
 import {ResultCode, ResultCodes} from '../result_codes/result_code.js';
 import {JobPhase} from '../work/job_definition.js';
 import {GatewayResult} from './gateway_result.js';
--- a/src/node/platform_binding.ts
+++ b/src/node/platform_binding.ts
@@ -1,8 +1,8 @@
 import {RequestListener} from 'node:http';
 
 import {JobDoor} from '../door/job_door.js';
-import {AdvicePort} from '../orchestrator/advice_port.js';
-import {WorkerPort} from '../orchestrator/worker_port.js';
+import {AdvicePort} from '../orchestrator/workers/advice_port.js';
+import {WorkerPort} from '../orchestrator/workers/worker_port.js';
 import {MetadataStore} from '../store/metadata_store.js';
 import {Configuration} from '../work/configuration.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
--- a/src/node/why_response.ts
+++ b/src/node/why_response.ts
@@ -1,4 +1,4 @@
-import {JobExplanation} from '../orchestrator/job_explanation.js';
+import {JobExplanation} from '../orchestrator/jobs/job_explanation.js';
 import {JobPhase} from '../work/job_definition.js';
 
 /** Body of the response to `GET /why/ID` on the metrics address of a node. */
--- a/src/orchestrator/commit_loop.ts
+++ b/src/orchestrator/jobs/commit_loop.ts
@@ -1,5 +1,5 @@
-import {CommitLog} from '../leadership/commit_log.js';
-import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
+import {CommitLog} from '../../leadership/commit_log.js';
+import {CommitBatch, PendingCommit} from '../orchestrator_effects.js';
 
 /** Options of {@link CommitLoop}. */
 export interface CommitLoopOptions {
--- a/src/orchestrator/commit_loop_test.ts
+++ b/src/orchestrator/jobs/commit_loop_test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {MemoryStore} from '../../testing/memory_store.js';
-import {silentLog} from '../../testing/silent_log.js';
-import {sleep} from '../clock/sleep.js';
-import {CommitLog, encodeHead} from '../leadership/commit_log.js';
-import {MetadataStore, StoreTransaction} from '../store/metadata_store.js';
+import {MemoryStore} from '../../../testing/memory_store.js';
+import {silentLog} from '../../../testing/silent_log.js';
+import {sleep} from '../../clock/sleep.js';
+import {CommitLog, encodeHead} from '../../leadership/commit_log.js';
+import {MetadataStore, StoreTransaction} from '../../store/metadata_store.js';
 import {CommitLoop} from './commit_loop.js';
-import {CommitBatch} from './orchestrator_effects.js';
+import {CommitBatch} from '../orchestrator_effects.js';
 
 const CHAINS = 4;
 
--- a/src/orchestrator/create_job_order.ts
+++ b/src/orchestrator/jobs/create_job_order.ts
@@ -1,5 +1,5 @@
 import {DeadlineOrder, JobOrder} from './job_order.js';
-import {RunTimeEstimates} from './run_time_estimates.js';
+import {RunTimeEstimates} from '../runs/run_time_estimates.js';
 
 /** Names of the orders of waiting jobs in the settings. */
 export const JobOrderName = {
--- a/src/orchestrator/critical_path.ts
+++ b/src/orchestrator/jobs/critical_path.ts
@@ -1,4 +1,4 @@
-import {StepDefinition} from '../work/job_definition.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {JobState, OccurrenceState, StepState} from './job_state.js';
 
 /**
--- a/src/orchestrator/critical_path_test.ts
+++ b/src/orchestrator/jobs/critical_path_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
 import {remainingCriticalPathMs, totalCriticalPathMs} from './critical_path.js';
 import {JobState} from './job_state.js';
 
--- a/src/orchestrator/job_endings.ts
+++ b/src/orchestrator/jobs/job_endings.ts
@@ -1,12 +1,12 @@
-import {Clock} from '../clock/clock.js';
-import {NodeLog} from '../logging/node_log.js';
-import {JobPhase} from '../work/job_definition.js';
-import {HeldTasks} from './held_tasks.js';
+import {Clock} from '../../clock/clock.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {HeldTasks} from '../runs/held_tasks.js';
 import {JobIndex} from './job_index.js';
 import {JobState} from './job_state.js';
-import {OrchestratorEffects} from './orchestrator_effects.js';
-import {OrchestratorEvent} from './orchestrator_event.js';
-import {RunStops} from './run_stops.js';
+import {OrchestratorEffects} from '../orchestrator_effects.js';
+import {OrchestratorEvent} from '../orchestrator_event.js';
+import {RunStops} from '../runs/run_stops.js';
 
 /** Options of {@link JobEndings}. */
 export interface JobEndingsOptions {
--- a/src/orchestrator/job_explainer.ts
+++ b/src/orchestrator/jobs/job_explainer.ts
@@ -5,13 +5,13 @@
   SearchExplanation,
   StepExplanation,
 } from './job_explanation.js';
-import {SchedulingTime} from './scheduling_time.js';
-import {StepContexts} from './step_contexts.js';
-import {holdOf, isDue, StepHold} from './step_hold.js';
-import {hasRoomFor} from './interference_aware_placement.js';
-import {TaskPlacement} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {SchedulingTime} from '../placement/scheduling_time.js';
+import {StepContexts} from '../placement/step_contexts.js';
+import {holdOf, isDue, StepHold} from '../placement/step_hold.js';
+import {hasRoomFor} from '../placement/interference_aware_placement.js';
+import {TaskPlacement} from '../placement/task_placement.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link JobExplainer}. */
 export interface JobExplainerOptions {
--- a/src/orchestrator/job_explanation.ts
+++ b/src/orchestrator/jobs/job_explanation.ts
@@ -1,8 +1,8 @@
-import {JobPhase} from '../work/job_definition.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {JobHistorySummary} from './job_history.js';
-import {RunState} from './run_life_cycle.js';
-import {StepHold} from './step_hold.js';
-import {WorkerExclusion} from './worker_exclusion.js';
+import {RunState} from '../runs/run_life_cycle.js';
+import {StepHold} from '../placement/step_hold.js';
+import {WorkerExclusion} from '../placement/worker_exclusion.js';
 
 /** Why a job is where it is, as the owner of its partition knows it. */
 export interface JobExplanation {
--- a/src/orchestrator/job_index_test.ts
+++ b/src/orchestrator/jobs/job_index_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob} from '../../testing/simple_definitions.js';
-import {JobPhase} from '../work/job_definition.js';
+import {simpleJob} from '../../../testing/simple_definitions.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {JobIndex} from './job_index.js';
 import {JobState} from './job_state.js';
 
--- a/src/orchestrator/job_order.ts
+++ b/src/orchestrator/jobs/job_order.ts
@@ -1,4 +1,4 @@
-import {QueueTerms} from '../work/configuration.js';
+import {QueueTerms} from '../../work/configuration.js';
 import {JobState} from './job_state.js';
 import {
   declaredDuration,
@@ -6,7 +6,7 @@
   StepDuration,
   totalCriticalPathMs,
 } from './critical_path.js';
-import {RunTimeEstimates} from './run_time_estimates.js';
+import {RunTimeEstimates} from '../runs/run_time_estimates.js';
 
 /** Inputs of a {@link JobOrder} besides the jobs. */
 export interface JobOrderContext {
--- a/src/orchestrator/job_order_test.ts
+++ b/src/orchestrator/jobs/job_order_test.ts
@@ -5,7 +5,7 @@
   simpleConfiguration,
   simpleJob,
   simpleStep,
-} from '../../testing/simple_definitions.js';
+} from '../../../testing/simple_definitions.js';
 import {ArrivalOrder, JobOrder, DeadlineOrder} from './job_order.js';
 import {JobState} from './job_state.js';
 
--- a/src/orchestrator/job_progress.ts
+++ b/src/orchestrator/jobs/job_progress.ts
@@ -4,10 +4,10 @@
   ProgressRecord,
   TaskCrashRecord,
   TaskRecord,
-} from '../work/job_records.js';
-import {toCrashCounts} from '../work/stored_crash_counts.js';
+} from '../../work/job_records.js';
+import {toCrashCounts} from '../../work/stored_crash_counts.js';
 import {JobState, OccurrenceState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 /** Returns the record to store for a job, under its present version. */
 export function progressOf(job: JobState): ProgressRecord {
--- a/src/orchestrator/job_state.ts
+++ b/src/orchestrator/jobs/job_state.ts
@@ -1,9 +1,13 @@
-import {isFinalPhase, JobDefinition, JobPhase} from '../work/job_definition.js';
-import {countTasks} from '../work/job_size.js';
-import {CheckpointSlot} from './checkpoint_slot.js';
+import {
+  isFinalPhase,
+  JobDefinition,
+  JobPhase,
+} from '../../work/job_definition.js';
+import {countTasks} from '../../work/job_size.js';
+import {CheckpointSlot} from '../runs/checkpoint_slot.js';
 import {JobHistory} from './job_history.js';
-import {StepRunTimes} from './step_run_times.js';
-import {TaskState} from './task_state.js';
+import {StepRunTimes} from '../runs/step_run_times.js';
+import {TaskState} from '../runs/task_state.js';
 
 /**
  * Maximum number of tasks that a scheduled job has in occurrences that are not
--- a/src/orchestrator/pending_changes.ts
+++ b/src/orchestrator/jobs/pending_changes.ts
@@ -1,13 +1,16 @@
-import {KeyChange, MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {MAX_VALUE_BYTES, StoreWrite} from '../store/metadata_store.js';
-import {JobPhase} from '../work/job_definition.js';
+import {
+  KeyChange,
+  MAX_CHANGES_PER_COMMIT,
+} from '../../leadership/commit_log.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {MAX_VALUE_BYTES, StoreWrite} from '../../store/metadata_store.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {JobState} from './job_state.js';
-import {CommitBatch, PendingCommit} from './orchestrator_effects.js';
+import {CommitBatch, PendingCommit} from '../orchestrator_effects.js';
 import {ProgressWriter} from './progress_writer.js';
 import {QueueTable} from './queue_table.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link PendingChanges}. */
 export interface PendingChangesOptions {
--- a/src/orchestrator/progress_writer.ts
+++ b/src/orchestrator/jobs/progress_writer.ts
@@ -1,9 +1,9 @@
-import {StoreWrite} from '../store/metadata_store.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {encodeChanges, encodeProgress} from '../work/job_records.js';
+import {StoreWrite} from '../../store/metadata_store.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {encodeChanges, encodeProgress} from '../../work/job_records.js';
 import {changesOf, progressOf} from './job_progress.js';
 import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 /**
  * Number of changed tasks above which the whole record of a job is written.
--- a/src/orchestrator/progress_writer_test.ts
+++ b/src/orchestrator/jobs/progress_writer_test.ts
@@ -1,15 +1,18 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {SeededRandom} from '../random/seeded_random.js';
-import {JobDefinition, JobPhase} from '../work/job_definition.js';
-import {decodeStoredProgress, groupProgress} from '../work/stored_progress.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {SeededRandom} from '../../random/seeded_random.js';
+import {JobDefinition, JobPhase} from '../../work/job_definition.js';
+import {
+  decodeStoredProgress,
+  groupProgress,
+} from '../../work/stored_progress.js';
 import {progressOf, restoreProgress} from './job_progress.js';
 import {JobState} from './job_state.js';
 import {ProgressWriter} from './progress_writer.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 const KEYS = new PartitionKeys('main');
 
--- a/src/orchestrator/queue_table.ts
+++ b/src/orchestrator/jobs/queue_table.ts
@@ -1,4 +1,4 @@
-import {Queue, QueueTerms} from '../work/configuration.js';
+import {Queue, QueueTerms} from '../../work/configuration.js';
 import {JobState} from './job_state.js';
 
 /**
--- a/src/orchestrator/removed_queue_test.ts
+++ b/src/orchestrator/jobs/removed_queue_test.ts
@@ -1,27 +1,27 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {queueTerms, QueueTerms} from '../work/configuration.js';
-import {JobPhase} from '../work/job_definition.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {queueTerms, QueueTerms} from '../../work/configuration.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {
   decodeSubmission,
   encodeSubmission,
   SubmissionRecord,
-} from '../work/job_records.js';
-import {AdviceRequest} from './advice_port.js';
+} from '../../work/job_records.js';
+import {AdviceRequest} from '../workers/advice_port.js';
 import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
-import {EndKind} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {EndKind} from '../workers/worker_port.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const [QUEUE] = simpleConfiguration().queues;
 
--- a/src/orchestrator/scheduled_job_test.ts
+++ b/src/orchestrator/jobs/scheduled_job_test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {CrashRole} from '../work/crash_role.js';
-import {JobDefinition, JobPhase} from '../work/job_definition.js';
-import {decodeProgress, encodeProgress} from '../work/job_records.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {JobDefinition, JobPhase} from '../../work/job_definition.js';
+import {decodeProgress, encodeProgress} from '../../work/job_records.js';
 import {progressOf, restoreProgress} from './job_progress.js';
 import {JobState, MAX_OPEN_SCHEDULED_TASKS} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 const MINUTE_MS = 60_000;
 const MINUTES_OF_YEAR = 525_600;
--- a/src/orchestrator/summary_log.ts
+++ b/src/orchestrator/jobs/summary_log.ts
@@ -1,10 +1,10 @@
-import {NodeLog} from '../logging/node_log.js';
-import {BestEffortController} from './best_effort_controller.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {BestEffortController} from '../placement/best_effort_controller.js';
 import {JobState} from './job_state.js';
-import {summarizeLoad} from './load_summary.js';
-import {SchedulingTime} from './scheduling_time.js';
+import {summarizeLoad} from '../workers/load_summary.js';
+import {SchedulingTime} from '../placement/scheduling_time.js';
 import {WaitMonitor} from './wait_monitor.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link SummaryLog}. */
 export interface SummaryLogOptions {
--- a/src/orchestrator/wait_monitor.ts
+++ b/src/orchestrator/jobs/wait_monitor.ts
@@ -1,10 +1,10 @@
-import {NodeLog} from '../logging/node_log.js';
-import {StepDefinition, TaskResources} from '../work/job_definition.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {StepDefinition, TaskResources} from '../../work/job_definition.js';
 import {countWithRoom, JobExplainer, StepPosition} from './job_explainer.js';
 import {JobState} from './job_state.js';
-import {SchedulingTime} from './scheduling_time.js';
-import {StepContexts} from './step_contexts.js';
-import {WorkerState} from './worker_state.js';
+import {SchedulingTime} from '../placement/scheduling_time.js';
+import {StepContexts} from '../placement/step_contexts.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link WaitMonitor}. */
 export interface WaitMonitorOptions {
--- a/src/orchestrator/wait_monitor_test.ts
+++ b/src/orchestrator/jobs/wait_monitor_test.ts
@@ -1,22 +1,29 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {CapturedLine, createCapturedLog} from '../../testing/captured_log.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {
+  CapturedLine,
+  createCapturedLog,
+} from '../../../testing/captured_log.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {StepDefinition} from '../work/job_definition.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
-import {TaskState} from './task_state.js';
-import {CommandOutcome, EndKind, RefusalReason} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+import {Orchestrator} from '../orchestrator.js';
+import {TaskState} from '../runs/task_state.js';
+import {
+  CommandOutcome,
+  EndKind,
+  RefusalReason,
+} from '../workers/worker_port.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const STEP_MS = 50;
 
--- a/src/orchestrator/orchestrator.ts
+++ b/src/orchestrator/orchestrator.ts
@@ -4,44 +4,57 @@
 import {Configuration} from '../work/configuration.js';
 import {JobPhase} from '../work/job_definition.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
-import {AdviceOutcome} from './advice_port.js';
-import {DeadlineOrder, durationOf, JobOrder, objectiveMs} from './job_order.js';
-import {blockRefusingWorker} from './block_refusing_worker.js';
-import {beginAssignment} from './begin_assignment.js';
-import {BestEffortController} from './best_effort_controller.js';
-import {CrashEvidence, CrashTracker} from './crash_tracker.js';
-import {JobExplainer} from './job_explainer.js';
-import {JobExplanation} from './job_explanation.js';
-import {JobEndings} from './job_endings.js';
-import {JobIndex} from './job_index.js';
-import {HeldTasks, isAnyPlaced} from './held_tasks.js';
-import {JobState, StepState} from './job_state.js';
+import {AdviceOutcome} from './workers/advice_port.js';
+import {
+  DeadlineOrder,
+  durationOf,
+  JobOrder,
+  objectiveMs,
+} from './jobs/job_order.js';
+import {blockRefusingWorker} from './workers/block_refusing_worker.js';
+import {beginAssignment} from './runs/begin_assignment.js';
+import {BestEffortController} from './placement/best_effort_controller.js';
+import {CrashEvidence, CrashTracker} from './suspicion/crash_tracker.js';
+import {JobExplainer} from './jobs/job_explainer.js';
+import {JobExplanation} from './jobs/job_explanation.js';
+import {JobEndings} from './jobs/job_endings.js';
+import {JobIndex} from './jobs/job_index.js';
+import {HeldTasks, isAnyPlaced} from './runs/held_tasks.js';
+import {JobState, StepState} from './jobs/job_state.js';
 import {OrchestratorEffects, PendingCommit} from './orchestrator_effects.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
-import {OrphanRuns} from './orphan_runs.js';
-import {PendingChanges} from './pending_changes.js';
-import {restartDelayMs} from './restart_delay.js';
-import {QueueTable} from './queue_table.js';
-import {ReportProcessor} from './report_processor.js';
-import {RunStops} from './run_stops.js';
-import {RunTransitions} from './run_transitions.js';
-import {RunTimeEstimates} from './run_time_estimates.js';
-import {SchedulingTime} from './scheduling_time.js';
-import {SpeedLimits} from './speed_limits.js';
-import {StartGuard, StartGuardOptions, StartRefusal} from './start_guard.js';
-import {StuckRuns} from './stuck_runs.js';
-import {SummaryLog} from './summary_log.js';
-import {StartWindow} from './start_window.js';
-import {StepAdvice} from './step_advice.js';
-import {StepContexts} from './step_contexts.js';
-import {InterferenceAwarePlacement} from './interference_aware_placement.js';
-import {TaskPlacement} from './task_placement.js';
-import {stepOf, TaskScheduler} from './task_scheduler.js';
-import {TaskState} from './task_state.js';
-import {WaitMonitor, WaitSummary} from './wait_monitor.js';
-import {CommandOutcome, RefusalReason, WorkerReport} from './worker_port.js';
-import {WorkerRegistry} from './worker_registry.js';
-import {WorkerState} from './worker_state.js';
+import {OrphanRuns} from './workers/orphan_runs.js';
+import {PendingChanges} from './jobs/pending_changes.js';
+import {restartDelayMs} from './runs/restart_delay.js';
+import {QueueTable} from './jobs/queue_table.js';
+import {ReportProcessor} from './workers/report_processor.js';
+import {RunStops} from './runs/run_stops.js';
+import {RunTransitions} from './runs/run_transitions.js';
+import {RunTimeEstimates} from './runs/run_time_estimates.js';
+import {SchedulingTime} from './placement/scheduling_time.js';
+import {SpeedLimits} from './workers/speed_limits.js';
+import {
+  StartGuard,
+  StartGuardOptions,
+  StartRefusal,
+} from './runs/start_guard.js';
+import {StuckRuns} from './runs/stuck_runs.js';
+import {SummaryLog} from './jobs/summary_log.js';
+import {StartWindow} from './placement/start_window.js';
+import {StepAdvice} from './placement/step_advice.js';
+import {StepContexts} from './placement/step_contexts.js';
+import {InterferenceAwarePlacement} from './placement/interference_aware_placement.js';
+import {TaskPlacement} from './placement/task_placement.js';
+import {stepOf, TaskScheduler} from './placement/task_scheduler.js';
+import {TaskState} from './runs/task_state.js';
+import {WaitMonitor, WaitSummary} from './jobs/wait_monitor.js';
+import {
+  CommandOutcome,
+  RefusalReason,
+  WorkerReport,
+} from './workers/worker_port.js';
+import {WorkerRegistry} from './workers/worker_registry.js';
+import {WorkerState} from './workers/worker_state.js';
 
 /** Options of {@link Orchestrator}. */
 export interface OrchestratorOptions extends StartGuardOptions {
--- a/src/orchestrator/orchestrator_commit_test.ts
+++ b/src/orchestrator/orchestrator_commit_test.ts
@@ -15,10 +15,10 @@
 import {MAX_CHANGES_PER_COMMIT} from '../leadership/commit_log.js';
 import {PartitionKeys} from '../leadership/partition_keys.js';
 import {decodeStoredProgress, groupProgress} from '../work/stored_progress.js';
-import {JobState} from './job_state.js';
+import {JobState} from './jobs/job_state.js';
 import {Orchestrator} from './orchestrator.js';
-import {EndKind, RefusalReason} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+import {EndKind, RefusalReason} from './workers/worker_port.js';
+import {WorkerState} from './workers/worker_state.js';
 
 const BATCH_JOBS = 100;
 const KEYS = new PartitionKeys('main');
--- a/src/orchestrator/orchestrator_effects.ts
+++ b/src/orchestrator/orchestrator_effects.ts
@@ -1,8 +1,8 @@
 import {KeyChange} from '../leadership/commit_log.js';
 import {JobPhase} from '../work/job_definition.js';
-import {AdviceRequest} from './advice_port.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {AdviceRequest} from './workers/advice_port.js';
+import {TaskState} from './runs/task_state.js';
+import {WorkerState} from './workers/worker_state.js';
 
 /** Side effects of the orchestrator; outcomes are passed to its handlers. */
 export interface OrchestratorEffects {
--- a/src/orchestrator/orchestrator_log_test.ts
+++ b/src/orchestrator/orchestrator_log_test.ts
@@ -6,10 +6,10 @@
 import {createOrchestrator} from '../../testing/create_orchestrator.js';
 import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
 import {ManualClock} from '../clock/manual_clock.js';
-import {JobState} from './job_state.js';
+import {JobState} from './jobs/job_state.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
-import {EndKind} from './worker_port.js';
+import {EndKind} from './workers/worker_port.js';
 
 /** An owner of one worker, and the lines that it has logged. */
 class Fixture {
--- a/src/orchestrator/orchestrator_runtime.ts
+++ b/src/orchestrator/orchestrator_runtime.ts
@@ -10,22 +10,22 @@
 import {JobEntry, JobTable} from '../work/job_table.js';
 import {decodeStoredProgress, StoredProgress} from '../work/stored_progress.js';
 import {WorkerRegistration} from '../work/worker_registration.js';
-import {AdvicePort, AdviceRequest} from './advice_port.js';
-import {CommitLoop} from './commit_loop.js';
-import {JobExplanation} from './job_explanation.js';
-import {restoreProgress} from './job_progress.js';
-import {JobOrder} from './job_order.js';
-import {JobState} from './job_state.js';
-import {CommandSender} from './command_sender.js';
+import {AdvicePort, AdviceRequest} from './workers/advice_port.js';
+import {CommitLoop} from './jobs/commit_loop.js';
+import {JobExplanation} from './jobs/job_explanation.js';
+import {restoreProgress} from './jobs/job_progress.js';
+import {JobOrder} from './jobs/job_order.js';
+import {JobState} from './jobs/job_state.js';
+import {CommandSender} from './workers/command_sender.js';
 import {EventLoopDelay} from './event_loop_delay.js';
 import {Orchestrator} from './orchestrator.js';
 import {OrchestratorEvent} from './orchestrator_event.js';
-import {RunTimeEstimates} from './run_time_estimates.js';
-import {StartGuardOptions} from './start_guard.js';
-import {WaitSummary} from './wait_monitor.js';
-import {WorkerPort} from './worker_port.js';
-import {WorkerSession} from './worker_session.js';
-import {WorkerState} from './worker_state.js';
+import {RunTimeEstimates} from './runs/run_time_estimates.js';
+import {StartGuardOptions} from './runs/start_guard.js';
+import {WaitSummary} from './jobs/wait_monitor.js';
+import {WorkerPort} from './workers/worker_port.js';
+import {WorkerSession} from './workers/worker_session.js';
+import {WorkerState} from './workers/worker_state.js';
 
 /** Options of {@link OrchestratorRuntime}. */
 export interface OrchestratorRuntimeOptions extends StartGuardOptions {
--- a/src/orchestrator/behind_test.ts
+++ b/src/orchestrator/placement/behind_test.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {StepDefinition} from '../work/job_definition.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
-import {TaskState} from './task_state.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
+import {TaskState} from '../runs/task_state.js';
 
 interface Fixture {
   orchestrator: Orchestrator;
--- a/src/orchestrator/best_effort_controller.ts
+++ b/src/orchestrator/placement/best_effort_controller.ts
@@ -1,10 +1,10 @@
 import {
   BestEffortUsage,
   TailInterference,
-} from '../interference/tail_interference.js';
-import {StepDefinition} from '../work/job_definition.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+} from '../../interference/tail_interference.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Placeholder for the image of tasks that specify none. */
 const NO_IMAGE = '';
--- a/src/orchestrator/best_effort_controller_test.ts
+++ b/src/orchestrator/placement/best_effort_controller_test.ts
@@ -5,13 +5,13 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {SeededRandom} from '../random/seeded_random.js';
-import {StepDefinition} from '../work/job_definition.js';
+} from '../../../testing/simple_definitions.js';
+import {SeededRandom} from '../../random/seeded_random.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const CPU = 32_000;
 const UNLOADED_TAIL_MS = 10;
--- a/src/orchestrator/candidate_set.ts
+++ b/src/orchestrator/placement/candidate_set.ts
@@ -1,6 +1,6 @@
 import {PlacementContext, TaskPlacement} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link CandidateSet}. */
 export interface CandidateSetOptions {
--- a/src/orchestrator/candidate_set_test.ts
+++ b/src/orchestrator/placement/candidate_set_test.ts
@@ -7,14 +7,14 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
+} from '../../../testing/simple_definitions.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {CandidateSet} from './candidate_set.js';
-import {JobState} from './job_state.js';
+import {JobState} from '../jobs/job_state.js';
 import {InterferenceAwarePlacement} from './interference_aware_placement.js';
 import {PlacementContext} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const NOW_MS = 1000;
 const CONTEXT: PlacementContext = {
--- a/src/orchestrator/evacuation_test.ts
+++ b/src/orchestrator/placement/evacuation_test.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {SeededRandom} from '../random/seeded_random.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
-import {OrchestratorEvent} from './orchestrator_event.js';
-import {StartGuard} from './start_guard.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {SeededRandom} from '../../random/seeded_random.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
+import {OrchestratorEvent} from '../orchestrator_event.js';
+import {StartGuard} from '../runs/start_guard.js';
 
 const LEVIS = new Set(['levis']);
 const NOWHERE = new Set<string>();
--- a/src/orchestrator/held_rooms.ts
+++ b/src/orchestrator/placement/held_rooms.ts
@@ -1,7 +1,7 @@
-import {StepDefinition} from '../work/job_definition.js';
-import {expectedEndMs, RunDuration} from './expected_end.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {expectedEndMs, RunDuration} from '../runs/expected_end.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Room on a worker that is kept for a task that waits. */
 export interface HeldRoom {
--- a/src/orchestrator/held_rooms_test.ts
+++ b/src/orchestrator/placement/held_rooms_test.ts
@@ -5,12 +5,12 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {StepDefinition} from '../work/job_definition.js';
+} from '../../../testing/simple_definitions.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {HeldRooms, leavesHeldRoom} from './held_rooms.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const ANY = (): boolean => true;
 
--- a/src/orchestrator/idle_capacity_test.ts
+++ b/src/orchestrator/placement/idle_capacity_test.ts
@@ -4,7 +4,7 @@
 import {
   randomColocatedSteps,
   simulateCalmPhases,
-} from '../../testing/simulate_calm_phases.js';
+} from '../../../testing/simulate_calm_phases.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 40);
 const FIRST_SEED = Number(process.env['BANYANMUX_TEST_FIRST_SEED'] ?? 1);
--- a/src/orchestrator/inherited_speed_test.ts
+++ b/src/orchestrator/placement/inherited_speed_test.ts
@@ -1,18 +1,18 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {JobPhase} from '../work/job_definition.js';
-import {restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
-import {RunningReport} from './worker_port.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
+import {RunningReport} from '../workers/worker_port.js';
 
 const REPORT_INTERVAL_MS = 500;
 
--- a/src/orchestrator/interference_aware_placement.ts
+++ b/src/orchestrator/placement/interference_aware_placement.ts
@@ -1,11 +1,11 @@
-import {StepDefinition} from '../work/job_definition.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
 import {leavesHeldRoom} from './held_rooms.js';
-import {isolationExclusion} from './suspect_isolation.js';
+import {isolationExclusion} from '../suspicion/suspect_isolation.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Maximum age in ms of the latest report of a worker that gets new tasks. */
 const REPORT_AGE_LIMIT_MS = 3500;
--- a/src/orchestrator/interference_aware_placement_test.ts
+++ b/src/orchestrator/placement/interference_aware_placement_test.ts
@@ -7,16 +7,16 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {CrashRole} from '../work/crash_role.js';
-import {StepDefinition} from '../work/job_definition.js';
+} from '../../../testing/simple_definitions.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {BestEffortController} from './best_effort_controller.js';
-import {JobState} from './job_state.js';
+import {JobState} from '../jobs/job_state.js';
 import {InterferenceAwarePlacement} from './interference_aware_placement.js';
 import {PlacementContext} from './task_placement.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const NOW_MS = 100_000;
 
--- a/src/orchestrator/owner_overload_test.ts
+++ b/src/orchestrator/placement/owner_overload_test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {test, TestContext} from 'node:test';
 
-import {BusyOwner} from '../../testing/busy_owner.js';
-import {Configuration} from '../work/configuration.js';
+import {BusyOwner} from '../../../testing/busy_owner.js';
+import {Configuration} from '../../work/configuration.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleStep,
-} from '../../testing/simple_definitions.js';
+} from '../../../testing/simple_definitions.js';
 
 const WORKERS = 300;
 const TASKS_PER_JOB = 4;
--- a/src/orchestrator/start_window.ts
+++ b/src/orchestrator/placement/start_window.ts
@@ -1,5 +1,5 @@
 import {AdaptiveStartLimit} from './adaptive_start_limit.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 /**
  * Most starts that may be open: assigned to a worker and not answered by it. An
--- a/src/orchestrator/start_window_test.ts
+++ b/src/orchestrator/placement/start_window_test.ts
@@ -1,19 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
+} from '../../../testing/simple_definitions.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
 import {StepHold} from './step_hold.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 const WORKERS = 200;
 
--- a/src/orchestrator/starved_steps.ts
+++ b/src/orchestrator/placement/starved_steps.ts
@@ -1,7 +1,7 @@
-import {JobState, OccurrenceState, StepState} from './job_state.js';
+import {JobState, OccurrenceState, StepState} from '../jobs/job_state.js';
 import {StepContexts} from './step_contexts.js';
 import {holdOf, isDue} from './step_hold.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link StarvedSteps}. */
 export interface StarvedStepsOptions {
--- a/src/orchestrator/step_advice.ts
+++ b/src/orchestrator/placement/step_advice.ts
@@ -1,6 +1,6 @@
-import {AdviceOutcome, AdviceRequest} from './advice_port.js';
-import {StepState} from './job_state.js';
-import {WorkerState} from './worker_state.js';
+import {AdviceOutcome, AdviceRequest} from '../workers/advice_port.js';
+import {StepState} from '../jobs/job_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Advice about one worker for one step. */
 interface WorkerAdvice {
--- a/src/orchestrator/step_advice_test.ts
+++ b/src/orchestrator/placement/step_advice_test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {JobState, StepState} from './job_state.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {JobState, StepState} from '../jobs/job_state.js';
 import {StepAdvice} from './step_advice.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 function createStep(id: string): StepState {
   return new JobState(simpleJob(id), 0).occurrence(0).steps[0]!;
--- a/src/orchestrator/step_assigner.ts
+++ b/src/orchestrator/placement/step_assigner.ts
@@ -1,8 +1,8 @@
 import {CandidateSet} from './candidate_set.js';
 import {StepContext} from './step_contexts.js';
 import {TaskPlacement} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link StepAssigner}. */
 export interface StepAssignerOptions {
--- a/src/orchestrator/step_contexts.ts
+++ b/src/orchestrator/placement/step_contexts.ts
@@ -1,9 +1,9 @@
-import {RunDuration} from './expected_end.js';
-import {JobState, StepState} from './job_state.js';
-import {QueueTable} from './queue_table.js';
+import {RunDuration} from '../runs/expected_end.js';
+import {JobState, StepState} from '../jobs/job_state.js';
+import {QueueTable} from '../jobs/queue_table.js';
 import {StepAdvice} from './step_advice.js';
 import {PlacementContext} from './task_placement.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link StepContexts}. */
 export interface StepContextsOptions {
--- a/src/orchestrator/step_hold.ts
+++ b/src/orchestrator/placement/step_hold.ts
@@ -1,5 +1,5 @@
-import {JobState, OccurrenceState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {JobState, OccurrenceState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 /** Reasons for which no worker is searched for a step. */
 export const StepHold = {
--- a/src/orchestrator/task_placement.ts
+++ b/src/orchestrator/placement/task_placement.ts
@@ -1,6 +1,6 @@
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Inputs of a placement decision besides the task. */
 export interface PlacementContext {
--- a/src/orchestrator/task_scheduler.ts
+++ b/src/orchestrator/placement/task_scheduler.ts
@@ -1,11 +1,11 @@
-import {StepDefinition} from '../work/job_definition.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {CandidateSet} from './candidate_set.js';
-import {RunDuration} from './expected_end.js';
+import {RunDuration} from '../runs/expected_end.js';
 import {FullPasses} from './full_passes.js';
 import {HeldRooms} from './held_rooms.js';
-import {JobOrder} from './job_order.js';
-import {JobState, OccurrenceState, StepState} from './job_state.js';
-import {QueueTable} from './queue_table.js';
+import {JobOrder} from '../jobs/job_order.js';
+import {JobState, OccurrenceState, StepState} from '../jobs/job_state.js';
+import {QueueTable} from '../jobs/queue_table.js';
 import {StepOrigin, UnplaceableSteps} from './unplaceable_steps.js';
 import {SchedulingTime} from './scheduling_time.js';
 import {StarvedSteps} from './starved_steps.js';
@@ -14,11 +14,11 @@
 import {StepContext, StepContexts} from './step_contexts.js';
 import {holdOf, isDue} from './step_hold.js';
 import {PlacementContext, TaskPlacement} from './task_placement.js';
-import {endIsolation} from './suspect_isolation.js';
-import {TaskState} from './task_state.js';
-import {WorkerChanges} from './worker_changes.js';
+import {endIsolation} from '../suspicion/suspect_isolation.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerChanges} from '../workers/worker_changes.js';
 import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link TaskScheduler}. */
 export interface TaskSchedulerOptions {
--- a/src/orchestrator/task_scheduler_test.ts
+++ b/src/orchestrator/placement/task_scheduler_test.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {createQueueTable} from '../../testing/create_queue_table.js';
+import {createQueueTable} from '../../../testing/create_queue_table.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {DeadlineOrder} from './job_order.js';
-import {JobState} from './job_state.js';
+} from '../../../testing/simple_definitions.js';
+import {DeadlineOrder} from '../jobs/job_order.js';
+import {JobState} from '../jobs/job_state.js';
 import {StepAdvice} from './step_advice.js';
 import {TaskPlacement} from './task_placement.js';
 import {TaskScheduler} from './task_scheduler.js';
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const WORKERS = 600;
 const WAITING_JOBS = 50;
--- a/src/orchestrator/unplaceable_steps.ts
+++ b/src/orchestrator/placement/unplaceable_steps.ts
@@ -1,4 +1,4 @@
-import {StepDefinition} from '../work/job_definition.js';
+import {StepDefinition} from '../../work/job_definition.js';
 
 /** Service and name of a step. */
 export interface StepOrigin {
--- a/src/orchestrator/unplaceable_steps_test.ts
+++ b/src/orchestrator/placement/unplaceable_steps_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleStep} from '../../testing/simple_definitions.js';
-import {StepDefinition} from '../work/job_definition.js';
+import {simpleStep} from '../../../testing/simple_definitions.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {UnplaceableSteps} from './unplaceable_steps.js';
 
 const ORIGIN = {service: 'service', stepName: 'job.0.0'};
--- a/src/orchestrator/waiting_task_test.ts
+++ b/src/orchestrator/placement/waiting_task_test.ts
@@ -6,11 +6,11 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {SteadyWorkers} from '../../testing/steady_workers.js';
-import {CrashRole} from '../work/crash_role.js';
-import {StepDefinition} from '../work/job_definition.js';
-import {TaskState} from './task_state.js';
+} from '../../../testing/simple_definitions.js';
+import {SteadyWorkers} from '../../../testing/steady_workers.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {TaskState} from '../runs/task_state.js';
 
 /**
  * Time in ms for which a task may wait while there is capacity for it twice over
--- a/src/orchestrator/begin_assignment.ts
+++ b/src/orchestrator/runs/begin_assignment.ts
@@ -1,5 +1,5 @@
 import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** The next run of a task, on a worker that was chosen for it. */
 export interface NextRun {
--- a/src/orchestrator/failed_attempts.ts
+++ b/src/orchestrator/runs/failed_attempts.ts
@@ -1,4 +1,4 @@
-import {stepOf} from './task_scheduler.js';
+import {stepOf} from '../placement/task_scheduler.js';
 import {TaskState} from './task_state.js';
 
 /**
--- a/src/orchestrator/gang_attempts_test.ts
+++ b/src/orchestrator/runs/gang_attempts_test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {JobPhase} from '../work/job_definition.js';
-import {progressOf, restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
-import {EndKind, EndReport} from './worker_port.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {progressOf, restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
+import {EndKind, EndReport} from '../workers/worker_port.js';
 
 const MEMBERS = 4;
 const MAX_ATTEMPTS = 3;
--- a/src/orchestrator/gang_checkpoint_test.ts
+++ b/src/orchestrator/runs/gang_checkpoint_test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
-import {JobPhase} from '../work/job_definition.js';
-import {TaskRecord} from '../work/job_records.js';
-import {restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {TaskRecord} from '../../work/job_records.js';
+import {restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
 
 const STEP = simpleStep({taskCount: 3, isGang: true, isCheckpointed: true});
 
--- a/src/orchestrator/gang_start_test.ts
+++ b/src/orchestrator/runs/gang_start_test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {JobState} from './job_state.js';
+} from '../../../testing/simple_definitions.js';
+import {JobState} from '../jobs/job_state.js';
 
 test('no member of a gang keeps its place when another cannot be sent', () => {
   // A worker begins to drain between the assignment of a gang and its commit.
--- a/src/orchestrator/held_tasks.ts
+++ b/src/orchestrator/runs/held_tasks.ts
@@ -1,4 +1,4 @@
-import {JobState, StepState} from './job_state.js';
+import {JobState, StepState} from '../jobs/job_state.js';
 import {TaskState} from './task_state.js';
 
 /** Options of {@link HeldTasks}. */
--- a/src/orchestrator/held_tasks_test.ts
+++ b/src/orchestrator/runs/held_tasks_test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
 import {HeldTasks} from './held_tasks.js';
-import {JobState} from './job_state.js';
+import {JobState} from '../jobs/job_state.js';
 
 const TASKS_PER_JOB = 10_000;
 
--- a/src/orchestrator/job_started_test.ts
+++ b/src/orchestrator/runs/job_started_test.ts
@@ -1,18 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {JobPhase} from '../work/job_definition.js';
-import {decodeStoredProgress, groupProgress} from '../work/stored_progress.js';
-import {restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {
+  decodeStoredProgress,
+  groupProgress,
+} from '../../work/stored_progress.js';
+import {restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
 import {TaskState} from './task_state.js';
-import {CommandOutcome, RefusalReason} from './worker_port.js';
+import {CommandOutcome, RefusalReason} from '../workers/worker_port.js';
 
 const DEFINITION = simpleJob('job');
 const KEYS = new PartitionKeys('main');
--- a/src/orchestrator/run_life_cycle.ts
+++ b/src/orchestrator/runs/run_life_cycle.ts
@@ -1,4 +1,4 @@
-import {loadStateChart} from '../state_charts/load_state_chart.js';
+import {loadStateChart} from '../../state_charts/load_state_chart.js';
 
 /** States of a task; run_life_cycle.json defines the transitions. */
 export type RunState =
--- a/src/orchestrator/run_stops.ts
+++ b/src/orchestrator/runs/run_stops.ts
@@ -1,9 +1,9 @@
-import {Clock} from '../clock/clock.js';
-import {NodeLog} from '../logging/node_log.js';
-import {OrchestratorEffects} from './orchestrator_effects.js';
+import {Clock} from '../../clock/clock.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {OrchestratorEffects} from '../orchestrator_effects.js';
 import {TaskState} from './task_state.js';
-import {CommandOutcome, RefusalReason} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+import {CommandOutcome, RefusalReason} from '../workers/worker_port.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link RunStops}. */
 export interface RunStopsOptions {
--- a/src/orchestrator/run_time_estimates.ts
+++ b/src/orchestrator/runs/run_time_estimates.ts
@@ -1,4 +1,4 @@
-import {StepDefinition} from '../work/job_definition.js';
+import {StepDefinition} from '../../work/job_definition.js';
 import {StepRunTimes} from './step_run_times.js';
 
 /**
--- a/src/orchestrator/run_time_estimates_test.ts
+++ b/src/orchestrator/runs/run_time_estimates_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleStep} from '../../testing/simple_definitions.js';
-import {SeededRandom} from '../random/seeded_random.js';
+import {simpleStep} from '../../../testing/simple_definitions.js';
+import {SeededRandom} from '../../random/seeded_random.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {StepRunTimes} from './step_run_times.js';
 
--- a/src/orchestrator/run_transitions.ts
+++ b/src/orchestrator/runs/run_transitions.ts
@@ -1,20 +1,20 @@
-import {Clock} from '../clock/clock.js';
-import {NodeLog} from '../logging/node_log.js';
-import {JobPhase} from '../work/job_definition.js';
+import {Clock} from '../../clock/clock.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {countFailedRuns, countFailure} from './failed_attempts.js';
-import {JobEndings} from './job_endings.js';
-import {JobState} from './job_state.js';
-import {OrchestratorEvent} from './orchestrator_event.js';
-import {PendingChanges} from './pending_changes.js';
-import {QueueTable} from './queue_table.js';
+import {JobEndings} from '../jobs/job_endings.js';
+import {JobState} from '../jobs/job_state.js';
+import {OrchestratorEvent} from '../orchestrator_event.js';
+import {PendingChanges} from '../jobs/pending_changes.js';
+import {QueueTable} from '../jobs/queue_table.js';
 import {crashPauseMs} from './restart_delay.js';
 import {RunStops} from './run_stops.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
-import {SpeedLimits} from './speed_limits.js';
-import {stepOf} from './task_scheduler.js';
+import {SpeedLimits} from '../workers/speed_limits.js';
+import {stepOf} from '../placement/task_scheduler.js';
 import {TaskState} from './task_state.js';
-import {EndKind} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+import {EndKind} from '../workers/worker_port.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link RunTransitions}. */
 export interface RunTransitionsOptions {
--- a/src/orchestrator/start_guard.ts
+++ b/src/orchestrator/runs/start_guard.ts
@@ -1,5 +1,5 @@
 import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Options of {@link StartGuard}. */
 export interface StartGuardOptions {
--- a/src/orchestrator/start_in_doubt_test.ts
+++ b/src/orchestrator/runs/start_in_doubt_test.ts
@@ -1,22 +1,22 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
 import {
   SimulatedPartition,
   SimulatedPartitionOptions,
-} from '../../testing/simulated_partition.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {CrashRole} from '../work/crash_role.js';
-import {JobPhase} from '../work/job_definition.js';
-import {decodeProgress} from '../work/job_records.js';
-import {restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
+} from '../../../testing/simulated_partition.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {decodeProgress} from '../../work/job_records.js';
+import {restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
 import {TaskState} from './task_state.js';
-import {CommandOutcome} from './worker_port.js';
+import {CommandOutcome} from '../workers/worker_port.js';
 
 const SEEDS = 100;
 
--- a/src/orchestrator/stuck_task_test.ts
+++ b/src/orchestrator/runs/stuck_task_test.ts
@@ -5,8 +5,8 @@
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {SteadyWorkers} from '../../testing/steady_workers.js';
+} from '../../../testing/simple_definitions.js';
+import {SteadyWorkers} from '../../../testing/steady_workers.js';
 
 /**
  * Time in ms for which a task may wait while there is capacity for it twice over
--- a/src/orchestrator/superseded_end_test.ts
+++ b/src/orchestrator/runs/superseded_end_test.ts
@@ -1,19 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {JobPhase} from '../work/job_definition.js';
-import {JobState} from './job_state.js';
-import {EndReport, RunningReport} from './worker_port.js';
-import {WorkerState} from './worker_state.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {JobState} from '../jobs/job_state.js';
+import {EndReport, RunningReport} from '../workers/worker_port.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** Time in ms after which all leases of a silent worker have ended. */
 const AFTER_LEASE_MS = 20_000;
--- a/src/orchestrator/task_state.ts
+++ b/src/orchestrator/runs/task_state.ts
@@ -1,10 +1,10 @@
-import {StepDefinition} from '../work/job_definition.js';
-import {formatTaskName} from '../work/task_name.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {formatTaskName} from '../../work/task_name.js';
 import {CheckpointSlot} from './checkpoint_slot.js';
-import {CrashCounts} from './crash_counts.js';
-import {CrashRole} from '../work/crash_role.js';
-import {StoredLoss} from '../work/stored_loss.js';
-import {JobState} from './job_state.js';
+import {CrashCounts} from '../suspicion/crash_counts.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {StoredLoss} from '../../work/stored_loss.js';
+import {JobState} from '../jobs/job_state.js';
 import {RunEvent, runLifeCycle, RunState} from './run_life_cycle.js';
 
 /** Worker on which a run is or may be active. */
--- a/src/orchestrator/attribute_crash.ts
+++ b/src/orchestrator/suspicion/attribute_crash.ts
@@ -1,6 +1,6 @@
-import {CrashPart} from '../work/crash_part.js';
-import {CrashRole} from '../work/crash_role.js';
-import {TaskState} from './task_state.js';
+import {CrashPart} from '../../work/crash_part.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {TaskState} from '../runs/task_state.js';
 
 /** A worker crash whose cause is sought. */
 export interface CrashScene {
--- a/src/orchestrator/attribute_crash_test.ts
+++ b/src/orchestrator/suspicion/attribute_crash_test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
-import {CrashRole} from '../work/crash_role.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
+import {CrashRole} from '../../work/crash_role.js';
 import {attributeCrash, CrashScene} from './attribute_crash.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
 
 const LOST_MS = 60_000;
 
--- a/src/orchestrator/crash_counts.ts
+++ b/src/orchestrator/suspicion/crash_counts.ts
@@ -1,6 +1,6 @@
-import {CrashPart} from '../work/crash_part.js';
-import {CrashRole} from '../work/crash_role.js';
-import {StoredCrashCounts} from '../work/stored_crash_counts.js';
+import {CrashPart} from '../../work/crash_part.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {StoredCrashCounts} from '../../work/stored_crash_counts.js';
 
 /**
  * Crashes immediately after its start, with a task as their only possible cause,
--- a/src/orchestrator/crash_counts_test.ts
+++ b/src/orchestrator/suspicion/crash_counts_test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {CrashPart} from '../work/crash_part.js';
-import {CrashRole} from '../work/crash_role.js';
-import {toCrashCounts} from '../work/stored_crash_counts.js';
+import {CrashPart} from '../../work/crash_part.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {toCrashCounts} from '../../work/stored_crash_counts.js';
 import {CrashCounts} from './crash_counts.js';
 
 const {CAUSE, SUSPECT, BYSTANDER} = CrashRole;
--- a/src/orchestrator/crash_tracker.ts
+++ b/src/orchestrator/suspicion/crash_tracker.ts
@@ -1,12 +1,12 @@
-import {Clock} from '../clock/clock.js';
-import {NodeLog} from '../logging/node_log.js';
-import {CrashPart} from '../work/crash_part.js';
-import {CrashRole} from '../work/crash_role.js';
-import {StoredLoss} from '../work/stored_loss.js';
+import {Clock} from '../../clock/clock.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {CrashPart} from '../../work/crash_part.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {StoredLoss} from '../../work/stored_loss.js';
 import {attributeCrash} from './attribute_crash.js';
-import {LossHistory} from './loss_history.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {LossHistory} from '../workers/loss_history.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /** What shows that an incarnation of a worker has ended. */
 export const CrashEvidence = {
--- a/src/orchestrator/crash_tracker_test.ts
+++ b/src/orchestrator/suspicion/crash_tracker_test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {silentLog} from '../../testing/silent_log.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {CrashRole} from '../work/crash_role.js';
-import {JobPhase} from '../work/job_definition.js';
+import {silentLog} from '../../../testing/silent_log.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {JobPhase} from '../../work/job_definition.js';
 import {CrashTracker} from './crash_tracker.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 interface Fixture {
   tracker: CrashTracker;
--- a/src/orchestrator/crashing_task_test.ts
+++ b/src/orchestrator/suspicion/crashing_task_test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleStep} from '../../testing/simple_definitions.js';
+import {simpleJob, simpleStep} from '../../../testing/simple_definitions.js';
 import {
   SimulatedPartition,
   SimulatedPartitionOptions,
-} from '../../testing/simulated_partition.js';
-import {JobPhase, StepDefinition} from '../work/job_definition.js';
+} from '../../../testing/simulated_partition.js';
+import {JobPhase, StepDefinition} from '../../work/job_definition.js';
 
 const SEEDS = 20;
 const CRASHING_TASK = 'bad.0.0.1';
--- a/src/orchestrator/reserved_worker_test.ts
+++ b/src/orchestrator/suspicion/reserved_worker_test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {CrashRole} from '../work/crash_role.js';
-import {JobState} from './job_state.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {JobState} from '../jobs/job_state.js';
 
 test('a suspect starts on the worker that is reserved for it', () => {
   // Guards against a suspect that waits although a worker is kept free for it,
--- a/src/orchestrator/suspect_isolation.ts
+++ b/src/orchestrator/suspicion/suspect_isolation.ts
@@ -1,8 +1,8 @@
-import {CandidateSet} from './candidate_set.js';
-import {PlacementContext, TaskPlacement} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerExclusion} from './worker_exclusion.js';
-import {WorkerState} from './worker_state.js';
+import {CandidateSet} from '../placement/candidate_set.js';
+import {PlacementContext, TaskPlacement} from '../placement/task_placement.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerExclusion} from '../placement/worker_exclusion.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 /**
  * Time in ms after an assignment to a worker in which no task is placed there
--- a/src/orchestrator/suspect_isolation_test.ts
+++ b/src/orchestrator/suspicion/suspect_isolation_test.ts
@@ -1,18 +1,18 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {CrashRole} from '../work/crash_role.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const STEP_MS = 50;
 
--- a/src/orchestrator/suspect_placement_test.ts
+++ b/src/orchestrator/suspicion/suspect_placement_test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {CrashRole} from '../work/crash_role.js';
-import {BestEffortController} from './best_effort_controller.js';
-import {JobState} from './job_state.js';
-import {InterferenceAwarePlacement} from './interference_aware_placement.js';
-import {PlacementContext} from './task_placement.js';
-import {TaskState} from './task_state.js';
-import {WorkerState} from './worker_state.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {CrashRole} from '../../work/crash_role.js';
+import {BestEffortController} from '../placement/best_effort_controller.js';
+import {JobState} from '../jobs/job_state.js';
+import {InterferenceAwarePlacement} from '../placement/interference_aware_placement.js';
+import {PlacementContext} from '../placement/task_placement.js';
+import {TaskState} from '../runs/task_state.js';
+import {WorkerState} from '../workers/worker_state.js';
 
 const NOW_MS = 100_000;
 const placement = new InterferenceAwarePlacement(new BestEffortController());
--- a/src/orchestrator/command_sender.ts
+++ b/src/orchestrator/workers/command_sender.ts
@@ -1,7 +1,7 @@
-import {Clock} from '../clock/clock.js';
-import {OwnerTerm} from '../leadership/owner_term.js';
-import {NodeLog} from '../logging/node_log.js';
-import {TaskState} from './task_state.js';
+import {Clock} from '../../clock/clock.js';
+import {OwnerTerm} from '../../leadership/owner_term.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {TaskState} from '../runs/task_state.js';
 import {
   CommandOutcome,
   RefusalReason,
--- a/src/orchestrator/command_sender_test.ts
+++ b/src/orchestrator/workers/command_sender_test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {silentLog} from '../../testing/silent_log.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {OwnerTerm} from '../leadership/owner_term.js';
+import {silentLog} from '../../../testing/silent_log.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {OwnerTerm} from '../../leadership/owner_term.js';
 import {CommandSender} from './command_sender.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {CommandOutcome, StartCommand, WorkerPort} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/load_summary.ts
+++ b/src/orchestrator/workers/load_summary.ts
@@ -1,4 +1,4 @@
-import {JobState} from './job_state.js';
+import {JobState} from '../jobs/job_state.js';
 import {WorkerState} from './worker_state.js';
 
 /** Counts of jobs, tasks and workers of a partition, for logs and metrics. */
--- a/src/orchestrator/loss_history.ts
+++ b/src/orchestrator/workers/loss_history.ts
@@ -1,4 +1,4 @@
-import {TaskState} from './task_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerState} from './worker_state.js';
 
 /** A worker that stopped to answer. */
--- a/src/orchestrator/loss_history_test.ts
+++ b/src/orchestrator/workers/loss_history_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleWorker} from '../../testing/simple_definitions.js';
+import {simpleWorker} from '../../../testing/simple_definitions.js';
 import {LossHistory} from './loss_history.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/omitted_ends_test.ts
+++ b/src/orchestrator/workers/omitted_ends_test.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {JobPhase} from '../work/job_definition.js';
-import {TaskRecord} from '../work/job_records.js';
-import {restoreProgress} from './job_progress.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
+} from '../../../testing/simple_definitions.js';
+import {JobPhase} from '../../work/job_definition.js';
+import {TaskRecord} from '../../work/job_records.js';
+import {restoreProgress} from '../jobs/job_progress.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
 import {EndReport} from './worker_port.js';
 
 function running(index: number): TaskRecord {
--- a/src/orchestrator/orchestrator_silence_test.ts
+++ b/src/orchestrator/workers/orchestrator_silence_test.ts
@@ -1,19 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {silentLog} from '../../testing/silent_log.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {silentLog} from '../../../testing/silent_log.js';
 import {
   simpleConfiguration,
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {JobState} from './job_state.js';
-import {Orchestrator} from './orchestrator.js';
+} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator} from '../orchestrator.js';
 import {WorkerState} from './worker_state.js';
 
 const POLL_INTERVAL_MS = 500;
--- a/src/orchestrator/orphan_runs.ts
+++ b/src/orchestrator/workers/orphan_runs.ts
@@ -1,7 +1,7 @@
-import {StepDefinition} from '../work/job_definition.js';
-import {parseTaskName} from '../work/task_name.js';
-import {JobState} from './job_state.js';
-import {OrchestratorEffects} from './orchestrator_effects.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {parseTaskName} from '../../work/task_name.js';
+import {JobState} from '../jobs/job_state.js';
+import {OrchestratorEffects} from '../orchestrator_effects.js';
 import {RunningReport} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/orphan_runs_test.ts
+++ b/src/orchestrator/workers/orphan_runs_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {JobState} from './job_state.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {JobState} from '../jobs/job_state.js';
 import {OrphanRuns} from './orphan_runs.js';
 import {RunningReport} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
--- a/src/orchestrator/speed_limits.ts
+++ b/src/orchestrator/workers/speed_limits.ts
@@ -1,7 +1,7 @@
-import {NodeLog} from '../logging/node_log.js';
-import {BestEffortController} from './best_effort_controller.js';
-import {OrchestratorEffects} from './orchestrator_effects.js';
-import {TaskState} from './task_state.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {BestEffortController} from '../placement/best_effort_controller.js';
+import {OrchestratorEffects} from '../orchestrator_effects.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerState} from './worker_state.js';
 
 /** Options of {@link SpeedLimits}. */
--- a/src/orchestrator/stale_registration_test.ts
+++ b/src/orchestrator/workers/stale_registration_test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {JobState} from './job_state.js';
-import {Orchestrator, OrchestratorOptions} from './orchestrator.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {JobState} from '../jobs/job_state.js';
+import {Orchestrator, OrchestratorOptions} from '../orchestrator.js';
 
 interface Fixture {
   orchestrator: Orchestrator;
--- a/src/orchestrator/start_refusal_test.ts
+++ b/src/orchestrator/workers/start_refusal_test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
-import {simpleJob, simpleWorker} from '../../testing/simple_definitions.js';
-import {ManualClock} from '../clock/manual_clock.js';
-import {JobState} from './job_state.js';
-import {TaskState} from './task_state.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {simpleJob, simpleWorker} from '../../../testing/simple_definitions.js';
+import {ManualClock} from '../../clock/manual_clock.js';
+import {JobState} from '../jobs/job_state.js';
+import {TaskState} from '../runs/task_state.js';
 import {RefusalReason} from './worker_port.js';
 
 const STEP_MS = 10;
--- a/src/orchestrator/worker_capacity_test.ts
+++ b/src/orchestrator/workers/worker_capacity_test.ts
@@ -1,16 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {applyPending} from '../../testing/apply_pending.js';
-import {createOrchestrator} from '../../testing/create_orchestrator.js';
-import {idleEffects} from '../../testing/idle_effects.js';
+import {applyPending} from '../../../testing/apply_pending.js';
+import {createOrchestrator} from '../../../testing/create_orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
 import {
   simpleJob,
   simpleStep,
   simpleWorker,
-} from '../../testing/simple_definitions.js';
-import {SimulatedPartition} from '../../testing/simulated_partition.js';
-import {JobState} from './job_state.js';
+} from '../../../testing/simple_definitions.js';
+import {SimulatedPartition} from '../../../testing/simulated_partition.js';
+import {JobState} from '../jobs/job_state.js';
 
 const SEEDS = Number(process.env['BANYANMUX_TEST_SEEDS'] ?? 200);
 
--- a/src/orchestrator/worker_registry.ts
+++ b/src/orchestrator/workers/worker_registry.ts
@@ -1,7 +1,7 @@
-import {Clock} from '../clock/clock.js';
-import {NodeLog} from '../logging/node_log.js';
-import {WorkerRegistration} from '../work/worker_registration.js';
-import {Assignment, TaskState} from './task_state.js';
+import {Clock} from '../../clock/clock.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {WorkerRegistration} from '../../work/worker_registration.js';
+import {Assignment, TaskState} from '../runs/task_state.js';
 import {WorkerReport} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/worker_session.ts
+++ b/src/orchestrator/workers/worker_session.ts
@@ -1,8 +1,8 @@
-import {Clock} from '../clock/clock.js';
-import {sleep} from '../clock/sleep.js';
-import {OwnerTerm} from '../leadership/owner_term.js';
-import {NodeLog} from '../logging/node_log.js';
-import {Orchestrator} from './orchestrator.js';
+import {Clock} from '../../clock/clock.js';
+import {sleep} from '../../clock/sleep.js';
+import {OwnerTerm} from '../../leadership/owner_term.js';
+import {NodeLog} from '../../logging/node_log.js';
+import {Orchestrator} from '../orchestrator.js';
 import {RefusalReason, WorkerPort} from './worker_port.js';
 import {WorkerState} from './worker_state.js';
 
--- a/src/orchestrator/worker_session_test.ts
+++ b/src/orchestrator/workers/worker_session_test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 
-import {idleEffects} from '../../testing/idle_effects.js';
-import {MemoryStore} from '../../testing/memory_store.js';
-import {silentLog} from '../../testing/silent_log.js';
-import {simpleWorker} from '../../testing/simple_definitions.js';
-import {SystemClock} from '../clock/system_clock.js';
-import {OwnerTerm} from '../leadership/owner_term.js';
-import {PartitionKeys} from '../leadership/partition_keys.js';
-import {Orchestrator} from './orchestrator.js';
+import {idleEffects} from '../../../testing/idle_effects.js';
+import {MemoryStore} from '../../../testing/memory_store.js';
+import {silentLog} from '../../../testing/silent_log.js';
+import {simpleWorker} from '../../../testing/simple_definitions.js';
+import {SystemClock} from '../../clock/system_clock.js';
+import {OwnerTerm} from '../../leadership/owner_term.js';
+import {PartitionKeys} from '../../leadership/partition_keys.js';
+import {Orchestrator} from '../orchestrator.js';
 import {PollCommand, PollOutcome, WorkerPort} from './worker_port.js';
 import {WorkerSession} from './worker_session.js';
 
--- a/src/orchestrator/worker_state.ts
+++ b/src/orchestrator/workers/worker_state.ts
@@ -1,8 +1,8 @@
-import {StepDefinition} from '../work/job_definition.js';
-import {WorkerRegistration} from '../work/worker_registration.js';
-import {HeldRoom} from './held_rooms.js';
-import {RunState} from './run_life_cycle.js';
-import {TaskState} from './task_state.js';
+import {StepDefinition} from '../../work/job_definition.js';
+import {WorkerRegistration} from '../../work/worker_registration.js';
+import {HeldRoom} from '../placement/held_rooms.js';
+import {RunState} from '../runs/run_life_cycle.js';
+import {TaskState} from '../runs/task_state.js';
 import {WorkerClock} from './worker_clock.js';
 import {WorkerHealth} from './worker_health.js';
 
--- a/src/why/format_explanation.ts
+++ b/src/why/format_explanation.ts
@@ -3,7 +3,7 @@
   JobExplanation,
   SearchExplanation,
   StepExplanation,
-} from '../orchestrator/job_explanation.js';
+} from '../orchestrator/jobs/job_explanation.js';
 
 const MS_PER_SECOND = 1000;
 
--- a/src/why/why_command_test.ts
+++ b/src/why/why_command_test.ts
@@ -10,7 +10,7 @@
 import {createMetricsListener} from '../node/metrics_listener.js';
 import {GatewayResult} from '../node/gateway_result.js';
 import {NodeMetrics} from '../node/node_metrics.js';
-import {JobState} from '../orchestrator/job_state.js';
+import {JobState} from '../orchestrator/jobs/job_state.js';
 import {ResultCodes} from '../result_codes/result_code.js';
 import {ResultError} from '../result_codes/result_error.js';
 import {whyCommand} from './why_command.js';
--- a/testing/busy_owner.ts
+++ b/testing/busy_owner.ts
@@ -11,7 +11,7 @@
   RunCommand,
   StartCommand,
   WorkerPort,
-} from '../src/orchestrator/worker_port.js';
+} from '../src/orchestrator/workers/worker_port.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
 import {MetadataStore, StoreTransaction} from '../src/store/metadata_store.js';
--- a/testing/create_queue_table.ts
+++ b/testing/create_queue_table.ts
@@ -1,4 +1,4 @@
-import {QueueTable} from '../src/orchestrator/queue_table.js';
+import {QueueTable} from '../src/orchestrator/jobs/queue_table.js';
 import {simpleConfiguration} from './simple_definitions.js';
 
 /** Creates a table with the queue of {@link simpleConfiguration}. */
--- a/testing/simulate_calm_phases.ts
+++ b/testing/simulate_calm_phases.ts
@@ -7,7 +7,7 @@
 import {SeededRandom} from '../src/random/seeded_random.js';
 import {JobDefinition, StepDefinition} from '../src/work/job_definition.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
-import {RunningReport} from '../src/orchestrator/worker_port.js';
+import {RunningReport} from '../src/orchestrator/workers/worker_port.js';
 
 /** Options of {@link simulateCalmPhases}. */
 export interface CalmPhasesOptions extends SimulatedPartitionOptions {
--- a/testing/simulated_gangs.ts
+++ b/testing/simulated_gangs.ts
@@ -1,4 +1,4 @@
-import {EndKind} from '../src/orchestrator/worker_port.js';
+import {EndKind} from '../src/orchestrator/workers/worker_port.js';
 import {StepDefinition} from '../src/work/job_definition.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
 
--- a/testing/simulated_partition.ts
+++ b/testing/simulated_partition.ts
@@ -1,17 +1,17 @@
 import {ManualClock} from '../src/clock/manual_clock.js';
 import {PartitionKeys} from '../src/leadership/partition_keys.js';
 import {KeyChange} from '../src/leadership/commit_log.js';
-import {restoreProgress} from '../src/orchestrator/job_progress.js';
-import {JobState} from '../src/orchestrator/job_state.js';
+import {restoreProgress} from '../src/orchestrator/jobs/job_progress.js';
+import {JobState} from '../src/orchestrator/jobs/job_state.js';
 import {Orchestrator} from '../src/orchestrator/orchestrator.js';
 import {PendingCommit} from '../src/orchestrator/orchestrator_effects.js';
-import {TaskState} from '../src/orchestrator/task_state.js';
+import {TaskState} from '../src/orchestrator/runs/task_state.js';
 import {
   EndKind,
   CommandOutcome,
   RunningReport,
-} from '../src/orchestrator/worker_port.js';
-import {WorkerState} from '../src/orchestrator/worker_state.js';
+} from '../src/orchestrator/workers/worker_port.js';
+import {WorkerState} from '../src/orchestrator/workers/worker_state.js';
 import {NodeLog} from '../src/logging/node_log.js';
 import {RandomSource} from '../src/random/random_source.js';
 import {SeededRandom} from '../src/random/seeded_random.js';
@@ -21,7 +21,7 @@
   TaskResources,
 } from '../src/work/job_definition.js';
 import {Configuration} from '../src/work/configuration.js';
-import {AdviceRequest} from '../src/orchestrator/advice_port.js';
+import {AdviceRequest} from '../src/orchestrator/workers/advice_port.js';
 import {parseTaskName} from '../src/work/task_name.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {decodeStoredProgress} from '../src/work/stored_progress.js';
--- a/testing/simulated_task_worker.ts
+++ b/testing/simulated_task_worker.ts
@@ -5,7 +5,7 @@
   CommandOutcome,
   RefusalReason,
   RunningReport,
-} from '../src/orchestrator/worker_port.js';
+} from '../src/orchestrator/workers/worker_port.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 
 /** A running attempt of a task. */
--- a/testing/task_worker_stand_in.ts
+++ b/testing/task_worker_stand_in.ts
@@ -4,7 +4,7 @@
   EndKind,
   EndReport,
   CommandOutcome,
-} from '../src/orchestrator/worker_port.js';
+} from '../src/orchestrator/workers/worker_port.js';
 import {WorkerRegistration} from '../src/work/worker_registration.js';
 import {SimulatedTaskWorker} from './simulated_task_worker.js';
 import {readJson, writeJson} from './stand_in_http.js';
