--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -39,6 +39,8 @@
   refused: number;
   /** Number of accepted jobs that were cancelled. */
   cancelled: number;
+  /** Number of jobs that were cancelled although no answer had accepted them. */
+  givenUp: number;
   /** Descriptions of violated guarantees; empty if the run passed. */
   breaches: string[];
 }
@@ -55,6 +57,11 @@
   cancelledMs: number;
   /** Whether a cancellation may have taken effect without a 2xx answer. */
   isCancellationInDoubt: boolean;
+  /**
+   * Time in ms at which the cancelling of a job that nobody had accepted was
+   * answered with "no such job"; Infinity if it was not.
+   */
+  givenUpMs: number;
 }
 
 /** Pause in ms between two calls of one caller, and between retries. */
@@ -66,6 +73,9 @@
 const MAX_ATTEMPTS = 5;
 const CANCEL_PROBABILITY = 0.1;
 
+/** Probability that a caller cancels a job after a call without an answer. */
+const GIVE_UP_PROBABILITY = 0.5;
+
 /** Time in ms after the last fault within which all jobs must end. */
 const RECOVERY_TIMEOUT_MS = 20_000;
 
@@ -86,7 +96,7 @@
 /**
  * Runs the node programs as processes under random faults and checks the
  * guarantees to callers: accepted jobs end, rejected jobs never run, cancelled
- * jobs stop, and all nodes recover.
+ * jobs stop or never start, and all nodes recover.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const soak = new SoakRun(options);
@@ -101,6 +111,8 @@
   private readonly fleet: NodeFleet;
   private readonly injector: FaultInjector;
   private readonly random: SeededRandom;
+  /** Apart from {@link random}, so that other choices do not depend on it. */
+  private readonly giveUpRandom: SeededRandom;
   private readonly jobs: SoakJob[] = [];
   private readonly violations: string[] = [];
   private isStopping = false;
@@ -109,6 +121,7 @@
   constructor(private readonly options: SoakOptions) {
     const {seed, nodes = 4, workers = 5, folder} = options;
     this.random = new SeededRandom(seed);
+    this.giveUpRandom = new SeededRandom(seed + 1);
     this.fleet = new NodeFleet({
       nodes,
       workers,
@@ -148,6 +161,7 @@
       refused: this.refused,
       cancelled: accepted.filter(({cancelledMs}) => cancelledMs < Infinity)
         .length,
+      givenUp: this.jobs.filter(({givenUpMs}) => givenUpMs < Infinity).length,
       breaches: [...this.fleet.violations, ...this.violations],
     };
   }
@@ -178,6 +192,7 @@
         hasUnknownOutcome: false,
         cancelledMs: Infinity,
         isCancellationInDoubt: false,
+        givenUpMs: Infinity,
       };
       this.jobs.push(job);
       await this.submit(job);
@@ -205,6 +220,10 @@
       else if (REFUSAL_STATUSES.has(status)) this.refused += 1;
       else job.hasUnknownOutcome = true;
       if (job.isAccepted) return;
+      if (job.hasUnknownOutcome && this.givesUp()) {
+        await this.giveUp(job);
+        return;
+      }
       if (status === 404) this.violations.push(`${job.id}: no queue (404)`);
       await sleep(CALL_INTERVAL_MS);
     }
@@ -220,6 +239,21 @@
     }
   }
 
+  private givesUp(): boolean {
+    return this.giveUpRandom.next() < GIVE_UP_PROBABILITY;
+  }
+
+  /** Cancels a job of which the caller does not know whether it is accepted. */
+  private async giveUp(job: SoakJob): Promise<void> {
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const {status} = await this.fleet.call(this.pickNode(), 'DELETE', job);
+      if (status === 410) job.givenUpMs = performance.now();
+      if (status === 200) job.cancelledMs = performance.now();
+      if (status === 200 || status === 410) return;
+      await sleep(CALL_INTERVAL_MS);
+    }
+  }
+
   private async queryJob(job: SoakJob): Promise<void> {
     const {isAccepted} = job;
     const answer = await this.fleet.call(this.pickNode(), 'GET', job);
@@ -237,6 +271,7 @@
       if (id !== '') await this.checkGivenUp(id, untilMs);
     }
     await this.checkCancelled();
+    for (const job of this.jobs) this.checkGivenUpJob(job);
     await this.checkConfiguration();
   }
 
@@ -272,6 +307,15 @@
     this.violations.push(`${id} crashes workers and is ${state ?? 'unknown'}`);
   }
 
+  /** Checks that nothing of a job starts after it was said not to exist. */
+  private checkGivenUpJob({id, givenUpMs}: SoakJob): void {
+    const lateTask = [...this.fleet.startedMs].find(
+      ([task, startedMs]) =>
+        task.startsWith(id) && startedMs > givenUpMs + CANCEL_GRACE_MS,
+    );
+    if (lateTask) this.violations.push(`${lateTask[0]} has started unasked`);
+  }
+
   private checkNeverRan({id}: SoakJob): void {
     const hasRun = [...this.fleet.startedMs.keys()].some((task) =>
       task.startsWith(id),
