The soak leaves submissions unanswered and carries them out late

A new kind of fault, late-submissions, leaves each submission without an answer for up to 5 s and carries it out up to 6 s later. One caller in five leaves after half a second and cancels its job.

--- a/testing/node_fleet.ts
+++ b/testing/node_fleet.ts
@@ -81,6 +81,19 @@
   link?: FaultyLink;
 }
 
+/** Request of a caller about a job. */
+export interface FleetCall {
+  id: string;
+  /** @default no body */
+  body?: unknown;
+  /** Path prefix of the route. @default that of the fleet's queue */
+  prefix?: string;
+  /** Time in ms after which the caller leaves. @default 4000 */
+  leavesAfterMs?: number;
+}
+
+const CALL_TIMEOUT_MS = 4000;
+
 /** Prefix of the ids of jobs whose first task crashes its workers. */
 export const CRASHING_JOB_PREFIX = 'dead';
 
@@ -231,16 +244,16 @@
   async call(
     node: FleetNode,
     method: 'GET' | 'POST' | 'DELETE',
-    call: {id: string; body?: unknown; prefix?: string},
+    call: FleetCall,
   ): Promise<{status: number; state?: string}> {
-    const {prefix = ROUTE_PREFIX} = call;
+    const {prefix = ROUTE_PREFIX, leavesAfterMs = CALL_TIMEOUT_MS} = call;
     const url = `http://127.0.0.1:${node.callersPort}${prefix}${call.id}`;
     try {
       const answer = await request(url, {
         method,
         headers: {host: HOST, 'content-type': 'application/json'},
         body: call.body === undefined ? null : JSON.stringify(call.body),
-        headersTimeout: 4000,
+        headersTimeout: leavesAfterMs,
       });
       const text = await answer.body.text();
       const body = (text === '' ? {} : JSON.parse(text)) as {state?: string};
--- a/testing/soak.ts
+++ b/testing/soak.ts
@@ -3,12 +3,12 @@
 import {defineCommand, runMain} from 'citty';
 
 import {runSoak} from './soak_run.js';
-import {SoakFault} from './soak_faults.js';
+import {DEFAULT_SOAK_FAULTS, SoakFault} from './soak_faults.js';
 
-/** Parses a comma-separated list of fault kinds; empty means all. */
+/** Parses a comma-separated list of fault kinds; empty means the default. */
 function parseFaultKinds(text: string): SoakFault[] {
   const known: readonly SoakFault[] = Object.values(SoakFault);
-  if (text === '') return [...known];
+  if (text === '') return [...DEFAULT_SOAK_FAULTS];
   return text.split(',').map((name) => {
     const kind = known.find((other) => other === name);
     if (kind) return kind;
--- a/testing/soak_faults.ts
+++ b/testing/soak_faults.ts
@@ -38,11 +38,21 @@
   CRASHING_JOB: 'crashing-job',
   /** Publishes a new version of the configuration. */
   CONFIGURE: 'configure',
+  /** Leaves submissions without an answer and carries them out late. */
+  LATE_SUBMISSIONS: 'late-submissions',
 } as const;
 
 /** One of the values of {@link SoakFault}. */
 export type SoakFault = (typeof SoakFault)[keyof typeof SoakFault];
 
+/**
+ * Kinds of a run that names none. Late submissions are left out, since the
+ * schedules of seeds that once failed would change with the number of kinds.
+ */
+export const DEFAULT_SOAK_FAULTS: readonly SoakFault[] = Object.values(
+  SoakFault,
+).filter((kind) => kind !== SoakFault.LATE_SUBMISSIONS);
+
 /** One fault of a schedule. */
 export interface ScheduledFault {
   /** Time in ms after the start of the schedule. */
@@ -68,6 +78,9 @@
 /** Maximum time in ms by which the execution of a transaction is delayed. */
 const MAX_COMMIT_DELAY_MS = 3000;
 
+/** Maximum time in ms by which a submission is carried out late. */
+const MAX_SUBMISSION_DELAY_MS = 6000;
+
 /** Hexadecimal digits of a job id after the prefix of crashing jobs. */
 const JOB_ID_DIGITS = 16 - CRASHING_JOB_PREFIX.length;
 
@@ -147,6 +160,8 @@
       await this.injectStoreOutage(fault);
     } else if (kind === SoakFault.STORE_ANSWERS) {
       await this.injectLostAnswers(fault);
+    } else if (kind === SoakFault.LATE_SUBMISSIONS) {
+      await this.injectLateSubmissions(fault);
     } else {
       await this.injectProcessFault(node, fault);
     }
@@ -200,6 +215,15 @@
     store.applyDelayedTransactions();
   }
 
+  private async injectLateSubmissions(fault: ScheduledFault): Promise<void> {
+    const {store} = this.fleet.store;
+    store.lateKey = '/submission';
+    await sleep(fault.durationMs);
+    store.lateKey = undefined;
+    await sleep((fault.target / 1000) * MAX_SUBMISSION_DELAY_MS);
+    store.applyDelayedTransactions();
+  }
+
   private async injectProcessFault(
     node: FleetNode,
     {kind, durationMs}: ScheduledFault,
--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -5,8 +5,9 @@
 import {simpleJob, simpleStep} from './simple_definitions.js';
 import {SoakCalmPhase} from './soak_calm_phase.js';
 import {
-  generateSchedule,
+  DEFAULT_SOAK_FAULTS,
   FaultInjector,
+  generateSchedule,
   ScheduledFault,
   SoakFault,
 } from './soak_faults.js';
@@ -73,8 +74,11 @@
 const MAX_ATTEMPTS = 5;
 const CANCEL_PROBABILITY = 0.1;
 
-/** Probability that a caller cancels a job after a call without an answer. */
-const GIVE_UP_PROBABILITY = 0.5;
+/** Probability that a caller leaves early and then cancels its job. */
+const IMPATIENT_PROBABILITY = 0.2;
+
+/** Time in ms after which such a caller leaves. */
+const IMPATIENT_MS = 500;
 
 /** Time in ms after the last fault within which all jobs must end. */
 const RECOVERY_TIMEOUT_MS = 20_000;
@@ -133,7 +137,7 @@
   }
 
   async run(): Promise<SoakResult> {
-    const {seed, seconds = 20, kinds = Object.values(SoakFault)} = this.options;
+    const {seed, seconds = 20, kinds = DEFAULT_SOAK_FAULTS} = this.options;
     const schedule = generateSchedule(this.random, {
       untilMs: seconds * 1000,
       kinds,
@@ -148,6 +152,7 @@
       }),
     );
     this.fleet.store.store.commitFaults.length = 0;
+    this.fleet.store.store.lateKey = undefined;
     this.fleet.store.store.applyDelayedTransactions();
     this.isStopping = true;
     await Promise.all(callers);
@@ -213,14 +218,17 @@
 
   private async submit(job: SoakJob): Promise<void> {
     const body = {specification: job.id, steps: JOB_STEPS};
+    const isImpatient = this.giveUpRandom.next() < IMPATIENT_PROBABILITY;
+    const leavesAfterMs = isImpatient ? IMPATIENT_MS : undefined;
+    const call = {id: job.id, body, leavesAfterMs};
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const node = this.pickNode();
-      const {status} = await this.fleet.call(node, 'POST', {id: job.id, body});
+      const {status} = await this.fleet.call(node, 'POST', call);
       if (status === 200) job.isAccepted = true;
       else if (REFUSAL_STATUSES.has(status)) this.refused += 1;
       else job.hasUnknownOutcome = true;
       if (job.isAccepted) return;
-      if (job.hasUnknownOutcome && this.givesUp()) {
+      if (job.hasUnknownOutcome && isImpatient) {
         await this.giveUp(job);
         return;
       }
@@ -239,10 +247,6 @@
     }
   }
 
-  private givesUp(): boolean {
-    return this.giveUpRandom.next() < GIVE_UP_PROBABILITY;
-  }
-
   /** Cancels a job of which the caller does not know whether it is accepted. */
   private async giveUp(job: SoakJob): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
--- a/testing/soak_test.ts
+++ b/testing/soak_test.ts
@@ -2,7 +2,11 @@
 import {test} from 'node:test';
 
 import {SeededRandom} from '../src/random/seeded_random.js';
-import {generateSchedule, SoakFault} from './soak_faults.js';
+import {
+  DEFAULT_SOAK_FAULTS,
+  generateSchedule,
+  SoakFault,
+} from './soak_faults.js';
 import {runSoak} from './soak_run.js';
 
 test('equal seeds give equal schedules', () => {
@@ -10,7 +14,7 @@
   const generate = (seed: number): unknown =>
     generateSchedule(new SeededRandom(seed), {
       untilMs: 20_000,
-      kinds: Object.values(SoakFault),
+      kinds: DEFAULT_SOAK_FAULTS,
     });
   assert.deepEqual(generate(3), generate(3));
   assert.notDeepEqual(generate(3), generate(4));
@@ -24,6 +28,19 @@
   assert.deepEqual(breaches, []);
 });
 
+test('jobs that were given up do not start while nodes end', async () => {
+  // Guards against starts of jobs that callers have cancelled because the store
+  // did not answer their submission, beside nodes that end and pause.
+  const kinds = [
+    SoakFault.LATE_SUBMISSIONS,
+    SoakFault.LATE_SUBMISSIONS,
+    SoakFault.KILL_NODE,
+    SoakFault.PAUSE_NODE,
+  ];
+  const {breaches} = await runSoak({seed: 3, seconds: 8, kinds});
+  assert.deepEqual(breaches, []);
+});
+
 test('the guarantees hold for seeds that once failed', async () => {
   // 101: a poll that waited in the stand-in since before a worker's restart
   // acknowledged ends of the new incarnation.
