--- a/measure/scenarios/slopes.ts
+++ b/measure/scenarios/slopes.ts
@@ -1,5 +1,6 @@
 import {fitLine} from '../fit_line.js';
 import {Scenario} from '../scenario.js';
+import {CANCELLED_JOBS_SLOPES} from '../slopes/cancelled_jobs_slopes.js';
 import {CONFIGURATION_SLOPES} from '../slopes/configuration_slopes.js';
 import {DECISION_SLOPES} from '../slopes/decision_slopes.js';
 import {MEMBERSHIP_SLOPES} from '../slopes/membership_slopes.js';
@@ -11,6 +12,7 @@
   ...CONFIGURATION_SLOPES,
   ...DECISION_SLOPES,
   ...WORKER_SLOPES,
+  ...CANCELLED_JOBS_SLOPES,
 ];
 
 function measureCase(slopeCase: SlopeCase): Record<string, unknown> {
