The soak asks whether a cancellation in doubt has taken effect

Its log: the owner answered the DELETE with 504 at 16:16:38.407 ("cancel-failed", no response of the store within 1200 ms) after the cancellation had taken effect ("job-ended", cancelled, at 38.221); no log has a line of the caller's further attempts, and two of the four nodes were down or stopping then. A 504 says that the change may be in force, so that the job is cancelled as allowed; the final check of outcomes has counted it so since, the check of idle capacity did not.

A job whose cancellation is in doubt is now left out of that check only if a GET shows it as cancelled; it must run otherwise, as before.

--- a/testing/soak_run.ts
+++ b/testing/soak_run.ts
@@ -178,15 +178,22 @@
   private async runCalmPhase(): Promise<void> {
     const {fleet, random} = this;
     for (const node of fleet.nodes) await fleet.waitUntilReady(node);
-    const jobs = this.jobs
-      .filter(
-        ({isAccepted, cancelledMs}) => isAccepted && cancelledMs === Infinity,
-      )
-      .map(({id}) => definitionOf(id));
+    const jobs: JobDefinition[] = [];
+    for (const job of this.jobs) {
+      if (await this.mustRun(job)) jobs.push(definitionOf(job.id));
+    }
     const phase = new SoakCalmPhase({fleet, random, jobs});
     this.violations.push(...(await phase.run()));
   }
 
+  /** Whether an accepted job has to run, since it was not cancelled. */
+  private async mustRun(job: SoakJob): Promise<boolean> {
+    if (!job.isAccepted || job.cancelledMs < Infinity) return false;
+    if (!job.isCancellationInDoubt) return true;
+    const {state} = await this.fleet.call(this.pickNode(), 'GET', job);
+    return state !== 'cancelled';
+  }
+
   /** Runs one caller, which submits, sometimes cancels, and queries jobs. */
   private async runCaller(): Promise<void> {
     while (!this.isStopping) {
