--- a/src/node/job_canceller.ts
+++ b/src/node/job_canceller.ts
@@ -46,7 +46,10 @@
     const {lookUp, log} = this.options;
     try {
       const {code, phase, retryAfterMs} = await lookUp.getPhase(jobId);
-      if (phase && isFinalPhase(phase)) return {code: ResultCodes.CANCELLED};
+      if (phase && isFinalPhase(phase)) {
+        log.logDecision('cancel', {job: jobId, phase, hasEnded: true});
+        return {code: ResultCodes.CANCELLED};
+      }
       if (code === ResultCodes.OK) return await this.cancelKnown(jobId);
       if (code === ResultCodes.NOT_FOUND) {
         return await this.cancelUnknown(jobId);
